engine, entry, cli, metrics: Add the data path and its HTTP adapters

Cause: the decision modules need the path that uses them. Change: request_engine with intake, placement and outcomes; listener and server connections; metrics; caller subcommands.

--- /dev/null
+++ b/carawayway/cli/http_call.cpp
@@ -0,0 +1,149 @@
+// Runs the call's operations on an event loop of its own, so that each has a timeout.
+#include "carawayway/cli/http_call.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <charconv>
+
+namespace carawayway::cli {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t reply_limit = 64ULL << 20U; // bytes
+
+std::optional<tcp::endpoint> parse_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const auto host = asio::ip::make_address(address.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char* const last = address.data() + address.size();
+    const auto [end, port_error] = std::from_chars(address.data() + colon + 1, last, port);
+    if (error || port_error != std::errc{} || end != last) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(host, port);
+}
+
+struct call_state {
+    call_failure failure = call_failure::none;
+    std::string reason;
+    std::optional<http_reply> reply;
+
+    void fail(call_failure kind, std::string text) {
+        failure = kind;
+        reason = std::move(text);
+    }
+};
+
+http::request<http::string_body> to_message(const http_call& call) {
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(call.method);
+    message.target(call.target);
+    message.set(http::field::host, call.address);
+    for (const auto& [name, value] : call.headers) {
+        message.set(name, value);
+    }
+    message.body() = call.body;
+    message.keep_alive(false);
+    message.prepare_payload();
+    return message;
+}
+
+void store_reply(const http::response<http::string_body>& response, call_state& state) {
+    http_reply reply;
+    reply.status = response.result_int();
+    for (const auto& field : response) {
+        reply.headers.emplace_back(std::string(field.name_string().data(), field.name_string().size()),
+                                   std::string(field.value().data(), field.value().size()));
+    }
+    reply.body = response.body();
+    state.reply = std::move(reply);
+}
+
+asio::awaitable<void> run(asio::io_context& context, const http_call& call, tcp::endpoint endpoint,
+                          call_state& state) {
+    beast::tcp_stream stream(context);
+    stream.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(call.timeout));
+    if (!call.source_address.empty()) {
+        boost::system::error_code error;
+        const auto source = asio::ip::make_address(call.source_address, error);
+        if (!error) {
+            stream.socket().open(endpoint.protocol(), error);
+            stream.socket().bind(tcp::endpoint(source, 0), error);
+        }
+        if (error) {
+            state.fail(call_failure::bad_address, "cannot call from " + call.source_address);
+            co_return;
+        }
+    }
+    auto [connect_error] = co_await stream.async_connect(endpoint, use_tuple);
+    if (connect_error) {
+        state.fail(call_failure::not_sent, "cannot connect to " + call.address + ": " + connect_error.message());
+        co_return;
+    }
+    const auto message = to_message(call);
+    auto [write_error, written] = co_await http::async_write(stream, message, use_tuple);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(reply_limit);
+    parser.skip(call.method == "HEAD");
+    // An answer may already be there even when writing failed: a refusal sent before the body was read.
+    auto [read_error, received] = co_await http::async_read(stream, buffer, parser, use_tuple);
+    if (read_error) {
+        state.fail(call_failure::outcome_unknown, "no whole answer from " + call.address + ": " + read_error.message());
+        co_return;
+    }
+    store_reply(parser.get(), state);
+}
+
+} // namespace
+
+std::string http_reply::header(std::string_view name) const {
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, beast::string_view(name.data(), name.size()))) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::optional<http_reply> perform(const http_call& call, call_failure& failure, std::string& reason) {
+    call_state state;
+    const auto endpoint = parse_endpoint(call.address);
+    if (!endpoint) {
+        failure = call_failure::bad_address;
+        reason = "expected IP:port, got \"" + call.address + "\"";
+        return std::nullopt;
+    }
+    asio::io_context context(1);
+    asio::co_spawn(context, run(context, call, *endpoint, state), asio::detached);
+    context.run();
+    failure = state.failure;
+    reason = state.reason;
+    return state.reply;
+}
+
+} // namespace carawayway::cli
--- /dev/null
+++ b/carawayway/engine/effect.hpp
@@ -0,0 +1,56 @@
+// What the engine wants done. The runtime carries the effects out in order; tests inspect them.
+#pragma once
+
+#include "carawayway/engine/lookup_answer.hpp"
+#include "carawayway/engine/service_request.hpp"
+#include "carawayway/wire/messages.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace carawayway::engine {
+
+struct answer_caller {
+    std::uint64_t token = 0;
+    answer_ptr answer;
+};
+
+struct start_attempt {
+    std::uint64_t attempt = 0; // never reused within an incarnation
+    std::string server;
+    std::string address;
+    std::string request_id;
+    request_ptr request;
+    base::duration timeout{};
+};
+
+struct cancel_attempt {
+    std::uint64_t attempt = 0;
+};
+
+// With a `call`, the runtime reports the loss of the call when the message or its result is lost on the link.
+struct send_to_peer {
+    std::string entry;
+    wire::peer_message message;
+    std::optional<std::uint64_t> call;
+};
+
+// To all peers with a link.
+struct broadcast_to_peers {
+    wire::peer_message message;
+};
+
+struct probe_server {
+    std::string server;
+    std::string address;
+};
+
+using effect =
+    std::variant<answer_caller, start_attempt, cancel_attempt, send_to_peer, broadcast_to_peers, probe_server>;
+
+using effects = std::vector<effect>;
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/engine/lookup_answer.hpp
@@ -0,0 +1,35 @@
+// The answer to a look-up: which entry instances a caller should use for a service.
+#pragma once
+
+#include "carawayway/base/error_kind.hpp"
+#include "carawayway/base/time.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawayway::engine {
+
+struct lookup_entry {
+    std::string name;
+    std::string address; // IP:port for callers
+    std::string failure_domain;
+    std::string region;
+
+    bool operator==(const lookup_entry&) const = default;
+};
+
+struct lookup_answer {
+    std::optional<base::error_kind> kind; // set: there is no answer
+    std::string detail;
+    std::string service;
+    std::string home_region;
+    std::vector<lookup_entry> entries; // most preferred first
+    base::duration lifetime{};         // callers may cache the answer this long
+    std::string request_id_prefix;
+    base::duration acceptance{}; // new request IDs under the prefix are accepted this long
+
+    bool operator==(const lookup_answer&) const = default;
+};
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/engine/request_engine.cpp
@@ -0,0 +1,198 @@
+// Construction, configuration, ownership, the clock and reports.
+#include "carawayway/engine/request_engine.hpp"
+
+#include "carawayway/base/hash.hpp"
+
+#include <utility>
+
+namespace carawayway::engine {
+
+namespace {
+
+
+steering::server_spec to_spec(const compiled_policy& policy, const config::server_policy& server) {
+    const auto* service = policy.find_service(server.service);
+    return {server.name, policy.effective_slots(server.name), server.connections,
+            service == nullptr ? base::duration::zero() : service->warm_up};
+}
+
+} // namespace
+
+request_engine::request_engine(engine_identity identity, engine_limits limits, std::uint64_t seed,
+                               metrics::metric_registry& metrics)
+    : m_identity(std::move(identity)), m_limits(limits), m_random(seed), m_metrics(metrics),
+      m_registry({.entry = m_identity.name,
+                  .incarnation = m_identity.incarnation,
+                  .started = m_identity.started,
+                  .acceptance = limits.id_acceptance,
+                  .retention = limits.id_retention,
+                  .limit = limits.request_table,
+                  .hash_seed = m_random()}),
+      m_guard(m_identity.name, steering::crash_guard_limits{}),
+      m_peers(m_identity.failure_domain, m_identity.region), m_arrivals_since(m_identity.started) {
+    declare_metrics();
+}
+
+void request_engine::declare_metrics() {
+    using enum metrics::metric_type;
+    m_metrics.declare("carawayway_requests_total", counter, "Requests by customer, service and outcome.");
+    m_metrics.declare("carawayway_request_seconds", histogram,
+                      "Time from arrival to the answer by customer, service and execution state.");
+    m_metrics.declare("carawayway_queue_wait_seconds", histogram, "Time from arrival to dispatch by service.");
+    m_metrics.declare("carawayway_attempts_total", counter, "Attempts at backend servers by service and outcome.");
+    m_metrics.declare("carawayway_moved_requests_total", counter,
+                      "Requests served outside their home region by service and home region.");
+    m_metrics.declare("carawayway_in_flight", gauge, "Requests in flight to own servers by service.");
+    m_metrics.declare("carawayway_usable_slots", gauge, "Usable slots of own servers by service.");
+    m_metrics.declare("carawayway_queued", gauge, "Requests waiting by service.");
+}
+
+service_lane* request_engine::find_lane(const std::string& service) {
+    const auto found = m_lanes.find(service);
+    return found == m_lanes.end() ? nullptr : found->second.get();
+}
+
+const service_lane* request_engine::find_lane(const std::string& service) const {
+    const auto found = m_lanes.find(service);
+    return found == m_lanes.end() ? nullptr : found->second.get();
+}
+
+pending_call* request_engine::find_call(std::uint64_t number) {
+    const auto found = m_calls.find(number);
+    return found == m_calls.end() ? nullptr : &found->second;
+}
+
+void request_engine::set_policy(std::shared_ptr<const compiled_policy> policy, std::uint32_t receiving_entries,
+                                base::time_point now, effects& out) {
+    const auto previous = std::exchange(m_policy, std::move(policy));
+    m_peers.set_limits({m_policy->content().peer_requests_in_flight, m_policy->content().peer_bytes_in_flight});
+    for (const auto& service : m_policy->content().services) {
+        if (!m_lanes.contains(service.name)) {
+            m_lanes.emplace(service.name, std::make_unique<service_lane>(service, m_random(), now));
+        }
+        m_shifts.configure(service.name, service.cap, receiving_entries, now);
+    }
+    if (previous) {
+        for (const auto& server : previous->content().servers) {
+            const auto* kept = m_policy->find_server(server.name);
+            if (kept == nullptr || kept->service != server.service) {
+                find_lane(server.service)->pool.remove(server.name, now);
+            }
+        }
+    }
+    for (const auto& server : m_policy->content().servers) {
+        const auto* domain = m_policy->content().find_failure_domain(server.failure_domain);
+        const bool draining =
+            server.state == config::administrative_state::draining ||
+            (domain != nullptr && domain->state == config::administrative_state::draining);
+        if (draining) {
+            server_draining(server.name, now);
+        } else {
+            server_active(server.name, now, out);
+        }
+    }
+}
+
+void request_engine::set_receiving_entries(std::uint32_t count, base::time_point now) {
+    for (const auto& service : m_policy->content().services) {
+        m_shifts.configure(service.name, service.cap, count, now);
+    }
+}
+
+void request_engine::set_reference_rate(const shifting::shift_key& key, double requests_per_second,
+                                        base::time_point now) {
+    m_shifts.reference_rate(key, requests_per_second, now);
+}
+
+void request_engine::server_owned(const std::string& server, base::time_point now, effects& out) {
+    const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
+    if (known == nullptr || m_policy->effective_slots(server) == 0) {
+        return;
+    }
+    auto* lane = find_lane(known->service);
+    lane->set_owned(to_spec(*m_policy, *known), now);
+    pump(*lane, now, out);
+}
+
+void request_engine::server_not_owned(const std::string& server, base::time_point now) {
+    for (auto& [name, lane] : m_lanes) {
+        lane->set_not_owned(server, now);
+    }
+}
+
+void request_engine::server_draining(const std::string& server, base::time_point now) {
+    const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
+    if (known != nullptr) {
+        find_lane(known->service)->set_draining(server, now);
+    }
+}
+
+void request_engine::server_active(const std::string& server, base::time_point now, effects& out) {
+    const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
+    if (known == nullptr) {
+        return;
+    }
+    auto* lane = find_lane(known->service);
+    lane->set_active(server, now);
+    pump(*lane, now, out);
+}
+
+void request_engine::tick(base::time_point now, effects& out) {
+    while (!m_deadlines.empty() && m_deadlines.top().time <= now) {
+        const std::uint64_t waiter_number = m_deadlines.top().waiter;
+        m_deadlines.pop();
+        if (m_waiters.contains(waiter_number)) {
+            expire_waiter(waiter_number, now, out);
+        }
+    }
+    for (auto& [name, lane] : m_lanes) {
+        pump(*lane, now, out);
+    }
+    m_registry.expire(now);
+}
+
+wire::entry_summary request_engine::summary(base::time_point now) {
+    wire::entry_summary result;
+    const double seconds = std::max(base::to_seconds(now - m_arrivals_since), 1e-3);
+    for (auto& [name, lane] : m_lanes) {
+        wire::service_summary item;
+        item.service = name;
+        item.free_slots = lane->pool.free_slots(now);
+        item.usable_slots = lane->pool.usable_slots(now);
+        item.in_flight = lane->pool.in_flight();
+        item.queued = static_cast<std::uint32_t>(lane->queue.size());
+        item.typical_latency_us = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(lane->typical_latency()).count());
+        for (const auto& [key, count] : m_arrivals) {
+            if (key.first == name) {
+                item.home_rates.push_back({key.second, static_cast<double>(count) / seconds});
+            }
+        }
+        result.services.push_back(std::move(item));
+    }
+    m_arrivals.clear();
+    m_arrivals_since = now;
+    return result;
+}
+
+std::uint32_t request_engine::in_flight(const std::string& server) const {
+    std::uint32_t sum = 0;
+    for (const auto& [name, lane] : m_lanes) {
+        sum += lane->pool.in_flight(server);
+    }
+    return sum;
+}
+
+std::vector<std::string> request_engine::take_drain_evidence() {
+    return std::exchange(m_drain_evidence, {});
+}
+
+void request_engine::update_gauges(base::time_point now) {
+    for (const auto& [name, lane] : m_lanes) {
+        m_metrics.set("carawayway_in_flight", {{"service", name}}, lane->pool.in_flight());
+        m_metrics.set("carawayway_usable_slots", {{"service", name}}, lane->pool.usable_slots(now));
+        m_metrics.set("carawayway_queued", {{"service", name}}, static_cast<double>(lane->queue.size()));
+    }
+}
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/engine/service_lane.hpp
@@ -0,0 +1,43 @@
+// What this entry instance holds for one service: its own servers, the waiting requests and the retry budget.
+#pragma once
+
+#include "carawayway/config/policy.hpp"
+#include "carawayway/steering/admission_queue.hpp"
+#include "carawayway/steering/retry_budget.hpp"
+#include "carawayway/steering/server_pool.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace carawayway::engine {
+
+class service_lane {
+public:
+    service_lane(const config::service_policy& policy, std::uint64_t seed, base::time_point now);
+
+    // Whether a server may get new work. Both have to hold: this entry owns it, and it is not draining.
+    void set_owned(const steering::server_spec& spec, base::time_point now);
+    void set_not_owned(const std::string& server, base::time_point now);
+    void set_draining(const std::string& server, base::time_point now);
+    void set_active(const std::string& server, base::time_point now);
+
+    std::string name;
+    steering::server_pool<> pool;
+    steering::admission_queue queue;
+    steering::retry_budget retries;
+
+    base::duration typical_latency() const { return pool.typical_latency().value_or(base::duration::zero()); }
+
+private:
+    struct gate {
+        bool owned = false;
+        bool draining = false;
+    };
+
+    void apply(const std::string& server, const gate& state, base::time_point now);
+
+    std::map<std::string, gate> m_gates;
+};
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/entry/backend_client.cpp
@@ -0,0 +1,286 @@
+// Attempts as coroutines over pooled connections.
+#include "carawayway/entry/backend_client.hpp"
+
+#include "carawayway/entry/caller_http.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace carawayway::entry {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using engine::attempt_outcome;
+using engine::server_result;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t idle_connections_per_server = 16;
+constexpr auto idle_lifetime = std::chrono::seconds(20); // shorter than the usual keep-alive time of servers
+constexpr std::uint64_t answer_body_limit = 8ULL << 20U; // bytes
+constexpr auto probe_timeout = std::chrono::milliseconds(500);
+
+std::optional<tcp::endpoint> parse_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string host = address.substr(0, colon);
+    if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code error;
+    const auto parsed = asio::ip::make_address(host, error);
+    std::uint16_t port = 0;
+    const char* const last = address.data() + address.size();
+    const auto [end, port_error] = std::from_chars(address.data() + colon + 1, last, port);
+    if (error || port_error != std::errc{} || end != last) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(parsed, port);
+}
+
+std::string_view to_view(beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+http_request to_server_request(const start_attempt& start) {
+    const auto& request = *start.request;
+    http_request message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (const auto& header : request.headers) {
+        message.insert(header.name, header.value);
+    }
+    message.set(http::field::host, start.address);
+    message.set("X-Request-Id", start.request_id);
+    message.set("X-Request-Timeout-Ms",
+                std::to_string(std::max<std::int64_t>(1, base::to_milliseconds(start.timeout))));
+    if (!request.request_id.empty()) {
+        message.set("Idempotency-Key", request.request_id);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+// "3/6" in X-Load means three requests in flight of six slots.
+std::optional<std::uint32_t> reported_in_flight(std::string_view load) {
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(load.data(), load.data() + load.size(), value);
+    if (error != std::errc{} || end == load.data()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+server_result to_result(http_response message) {
+    server_result result;
+    result.outcome = attempt_outcome::answered;
+    result.status = static_cast<std::uint16_t>(message.result_int());
+    for (const auto& field : message) {
+        const std::string_view name = to_view(field.name_string());
+        const std::string_view value = to_view(field.value());
+        if (beast::iequals(name, "X-Load")) {
+            result.reported_in_flight = reported_in_flight(value);
+        } else if (beast::iequals(name, "X-Draining")) {
+            result.drain = value == "true" ? engine::drain_evidence::draining : engine::drain_evidence::none;
+        } else if (beast::iequals(name, "X-Refused") && value == "before-work" && result.status == 503) {
+            result.outcome = attempt_outcome::refused_before_work;
+        } else if (!is_hop_by_hop(name) && !beast::iequals(name, "X-Request-Id")) {
+            result.headers.push_back({std::string(name), std::string(value)});
+        }
+    }
+    result.body = std::move(message.body());
+    return result;
+}
+
+} // namespace
+
+class backend_client::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(asio::io_context& context, report_function report)
+        : m_context(context), m_report(std::move(report)) {}
+
+    void handle(start_attempt command) {
+        asio::co_spawn(m_context, run_attempt(shared_from_this(), std::move(command)), asio::detached);
+    }
+
+    void handle(cancel_attempt command) {
+        const auto found = m_running.find(command.attempt);
+        if (found == m_running.end()) {
+            return; // its result is already on the way
+        }
+        found->second->cancelled = true;
+        found->second->stream.socket().close(m_ignored);
+        found->second->stream.cancel();
+    }
+
+    void handle(probe_server command) {
+        asio::co_spawn(m_context, run_probe(shared_from_this(), std::move(command)), asio::detached);
+    }
+
+private:
+    struct connection {
+        explicit connection(asio::io_context& context) : stream(context) {}
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        bool cancelled = false;
+        base::time_point idle_since;
+    };
+    using connection_ptr = std::shared_ptr<connection>;
+
+    static asio::awaitable<void> run_attempt(std::shared_ptr<implementation> self, start_attempt command) {
+        server_result result = co_await self->attempt(command);
+        self->m_running.erase(command.attempt);
+        self->m_report(attempt_finished{command.attempt, std::move(result)});
+    }
+
+    asio::awaitable<server_result> attempt(const start_attempt& command) {
+        const auto endpoint = parse_endpoint(command.address);
+        if (!endpoint) {
+            co_return failed(attempt_outcome::not_sent);
+        }
+        const auto deadline = base::monotonic_now() + command.timeout;
+        connection_ptr link = take_idle(command.address);
+        const bool fresh = link == nullptr;
+        if (fresh) {
+            link = std::make_shared<connection>(m_context);
+        }
+        m_running[command.attempt] = link;
+        link->stream.expires_at(deadline);
+        if (fresh) {
+            auto [error] = co_await link->stream.async_connect(*endpoint, use_tuple);
+            if (error || link->cancelled) {
+                co_return failed(link->cancelled ? attempt_outcome::cancelled : attempt_outcome::not_sent);
+            }
+            link->stream.socket().set_option(tcp::no_delay(true), m_ignored);
+        }
+        co_return co_await exchange(command, link);
+    }
+
+    // From the first written byte on, a failure means that the server may have received the request.
+    asio::awaitable<server_result> exchange(const start_attempt& command, const connection_ptr& link) {
+        const http_request message = to_server_request(command);
+        auto [write_error, written] = co_await http::async_write(link->stream, message, use_tuple);
+        if (write_error) {
+            co_return failed(outcome_of(write_error, *link, attempt_outcome::lost));
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(answer_body_limit);
+        if (command.request->method == "HEAD") {
+            parser.skip(true);
+        }
+        auto [read_error, received] =
+            co_await http::async_read(link->stream, link->buffer, parser, use_tuple);
+        if (read_error) {
+            const auto broken = parser.is_header_done() ? attempt_outcome::truncated : attempt_outcome::lost;
+            co_return failed(outcome_of(read_error, *link, broken));
+        }
+        http_response response = parser.release();
+        const auto echoed = response.find("X-Request-Id");
+        if (echoed != response.end() && to_view(echoed->value()) != command.request_id) {
+            // The server answered with another request's answer; what became of this one is not known.
+            co_return failed(attempt_outcome::mismatched);
+        }
+        if (response.keep_alive() && link->buffer.size() == 0 && !link->cancelled) {
+            put_idle(command.address, link);
+        }
+        co_return to_result(std::move(response));
+    }
+
+    static server_result failed(attempt_outcome outcome) {
+        server_result result;
+        result.outcome = outcome;
+        return result;
+    }
+
+    static attempt_outcome outcome_of(boost::system::error_code error, const connection& link,
+                                      attempt_outcome otherwise) {
+        if (link.cancelled) {
+            return attempt_outcome::cancelled;
+        }
+        return error == beast::error::timeout ? attempt_outcome::timed_out : otherwise;
+    }
+
+    connection_ptr take_idle(const std::string& address) {
+        auto& idle = m_idle[address];
+        while (!idle.empty()) {
+            connection_ptr link = std::move(idle.back());
+            idle.pop_back();
+            if (base::monotonic_now() - link->idle_since < idle_lifetime && is_quiet(*link)) {
+                return link;
+            }
+        }
+        return nullptr;
+    }
+
+    // A readable idle connection was closed by the server or carries bytes that belong to no request.
+    bool is_quiet(connection& link) {
+        auto& socket = link.stream.socket();
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    void put_idle(const std::string& address, const connection_ptr& link) {
+        auto& idle = m_idle[address];
+        if (idle.size() >= idle_connections_per_server) {
+            return;
+        }
+        link->stream.expires_never();
+        link->idle_since = base::monotonic_now();
+        idle.push_back(link);
+    }
+
+    static asio::awaitable<void> run_probe(std::shared_ptr<implementation> self, probe_server command) {
+        auto reach = server_probed::reachability::unreachable;
+        if (const auto endpoint = parse_endpoint(command.address)) {
+            beast::tcp_stream stream(self->m_context);
+            stream.expires_after(probe_timeout);
+            auto [error] = co_await stream.async_connect(*endpoint, use_tuple);
+            if (!error) {
+                reach = server_probed::reachability::reachable;
+            }
+        }
+        self->m_report(server_probed{std::move(command.server), reach});
+    }
+
+    asio::io_context& m_context;
+    report_function m_report;
+    std::unordered_map<std::uint64_t, connection_ptr> m_running;         // attempt to its connection
+    std::unordered_map<std::string, std::vector<connection_ptr>> m_idle; // server address to connections
+    boost::system::error_code m_ignored; // result of calls whose failure changes nothing
+};
+
+backend_client::backend_client(asio::io_context& context, report_function report)
+    : m_implementation(std::make_shared<implementation>(context, std::move(report))) {}
+
+backend_client::~backend_client() = default;
+
+void backend_client::handle(backend_command command) {
+    std::visit([this](auto& specific) { m_implementation->handle(std::move(specific)); }, command);
+}
+
+} // namespace carawayway::entry
--- /dev/null
+++ b/carawayway/entry/caller_event.hpp
@@ -0,0 +1,46 @@
+// Messages between the caller thread and the steering thread.
+#pragma once
+
+#include "carawayway/engine/lookup_answer.hpp"
+#include "carawayway/engine/service_request.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace carawayway::entry {
+
+struct request_received {
+    std::uint64_t token = 0;
+    engine::request_ptr request;
+};
+
+struct lookup_received {
+    std::uint64_t token = 0;
+    std::string service;
+    std::string client_address;
+};
+
+// The caller closed its connection before its answer was written.
+struct caller_left {
+    std::uint64_t token = 0;
+};
+
+struct readiness_asked {
+    std::uint64_t token = 0;
+};
+
+using caller_event = std::variant<request_received, lookup_received, caller_left, readiness_asked>;
+
+struct readiness {
+    enum class state : std::uint8_t { ready, not_ready } value = state::not_ready;
+    std::string reason;
+};
+
+// The final reply for one token; each token gets exactly one unless its caller left.
+struct caller_reply {
+    std::uint64_t token = 0;
+    std::variant<engine::answer_ptr, engine::lookup_answer, readiness> content;
+};
+
+} // namespace carawayway::entry
