--- /dev/null
+++ b/stand_ins/platform/key_value_api.hpp
@@ -0,0 +1,60 @@
+// Translates the JSON messages of the etcd v3 gateway into operations on the versioned store.
+#pragma once
+
+#include "stand_ins/platform/versioned_store.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <stdexcept>
+#include <string_view>
+
+namespace stand_ins {
+
+// A request that the store refuses; answered with status 400 and a gRPC code.
+class request_error : public std::runtime_error {
+public:
+    request_error(int grpc_code, const char* message) : std::runtime_error(message), m_code(grpc_code) {}
+
+    int code() const { return m_code; }
+
+private:
+    int m_code;
+};
+
+// One watch, as its create_request describes it.
+struct watch_request {
+    key_range range;
+    std::int64_t start_revision = 0; // 0: from now on
+
+    bool operator==(const watch_request&) const = default;
+};
+
+class key_value_api {
+public:
+    explicit key_value_api(versioned_store& store) : m_store(store) {}
+
+    // Each throws request_error when the message is not valid.
+    boost::json::object range(const boost::json::object& message) const;
+    boost::json::object put(const boost::json::object& message, time_point now);
+    boost::json::object delete_range(const boost::json::object& message, time_point now);
+    boost::json::object transaction(const boost::json::object& message, time_point now);
+    boost::json::object grant_lease(const boost::json::object& message, time_point now);
+    boost::json::object keep_lease_alive(const boost::json::object& message, time_point now);
+    boost::json::object revoke_lease(const boost::json::object& message, time_point now);
+    watch_request watch(const boost::json::object& message) const;
+
+    boost::json::object header() const;
+    // One message of a watch stream.
+    boost::json::object watch_events(const std::vector<store_event>& events) const;
+
+private:
+    bool compare(const boost::json::object& comparison) const;
+    // The returned function carries out an operation that was checked already and returns its response.
+    std::function<boost::json::object()> prepare_put(const boost::json::object& message);
+    std::function<boost::json::object()> prepare_operation(const boost::json::object& message);
+
+    versioned_store& m_store;
+};
+
+} // namespace stand_ins
