--- /dev/null
+++ b/carawayway/steering/backend_server.hpp
@@ -0,0 +1,108 @@
+// What an entry instance knows and has learned about one backend server that it owns.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+#include "carawayway/steering/server_lifecycle.hpp"
+#include "carawayway/steering/server_spec.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace carawayway::steering {
+
+// Whether a server may get requests at a given time.
+enum class placement : std::uint8_t {
+    closed, // starting, draining, gone or isolated
+    held,   // ejected, or paused after errors: used only when no server is open
+    probe,  // ejection is over: one request may test it; otherwise like `held`
+    open,
+};
+
+class backend_server {
+public:
+    backend_server(server_spec spec, base::time_point now);
+
+    // A known server keeps its requests in flight and what was learned about it.
+    void update(const server_spec& spec, base::time_point now);
+    void drain(base::time_point now);
+    void undrain(base::time_point now);
+    void remove();
+    void restart_warm_up(base::time_point now);
+
+    // Takes the time-driven transition from warming to active.
+    void advance(base::time_point now);
+
+    void dispatched(base::time_point now);
+    void isolate() { m_isolated = true; }
+
+    // Counts the request out and learns from it. `mean_success` is the mean over the pool;
+    // `ejection_jitter` in 0..1 spreads the end of ejections.
+    void completed(completion_kind kind, base::duration latency, std::optional<base::duration> typical,
+                   double mean_success, double ejection_jitter, const pool_limits& limits,
+                   base::time_point now);
+    void load_report(std::uint32_t in_flight, base::duration age, base::time_point now);
+
+    const server_spec& spec() const { return m_spec; }
+    server_state state() const { return m_lifecycle.state(); }
+    std::uint32_t in_flight() const { return m_in_flight; }
+    std::uint32_t ceiling() const;
+    std::uint32_t limit(const pool_limits& limits, base::time_point now) const; // never above ceiling()
+    placement place(base::time_point now) const;
+    // Takes part in the pool's normal operation: open or isolated.
+    bool healthy(base::time_point now) const;
+    // Takes part in the mean success of the pool.
+    bool compared() const;
+    double success() const { return m_success; }
+    // Lower is better. The caller passes the limit it has already computed.
+    double score(std::uint32_t limit, std::optional<base::duration> typical, const pool_limits& limits,
+                 base::time_point now) const;
+    // The next time at which limit() or place() changes by time alone.
+    std::optional<base::time_point> next_change(const pool_limits& limits, base::time_point now) const;
+    server_status status(const pool_limits& limits, base::time_point now) const;
+
+private:
+    void open(base::time_point now, base::duration warmth);
+    void learn_success(double outcome, std::optional<base::duration> typical, double mean_success,
+                       const pool_limits& limits, base::time_point now);
+    void learn_latency(base::duration latency, const pool_limits& limits, base::time_point now);
+    void learn_shed(const pool_limits& limits, base::time_point now);
+    void learn_contact();
+    void learn_loss(std::uint32_t points, double jitter, const pool_limits& limits, base::time_point now);
+    double ramp(base::time_point now) const;
+    double shed_limit(const pool_limits& limits, base::time_point now) const;
+    double current_success(const pool_limits& limits, base::time_point now) const;
+    double latency_factor(std::optional<base::duration> typical, const pool_limits& limits,
+                          base::time_point now) const;
+    double reported_excess(const pool_limits& limits, base::time_point now) const;
+
+    server_spec m_spec;
+    server_lifecycle m_lifecycle;
+    std::uint32_t m_in_flight = 0;
+    bool m_isolated = false; // holds one request that must run alone
+    base::time_point m_ramp_start;
+    base::time_point m_drained_at;
+    base::duration m_drained_warmth{}; // progress of the warm-up when the drain began
+
+    double m_shed_limit; // slots left at m_shed_at; rises by recovery_per_second
+    base::time_point m_shed_at;
+    bool m_shed_seen = false;
+
+    double m_success = 1.0; // moving share of outcomes that were not errors
+    double m_share = 1.0;   // part of the usable limit left by errors
+    base::time_point m_success_at;
+    base::time_point m_paused_until;
+
+    double m_latency_seconds = 0.0; // zero until the first answer
+    base::time_point m_latency_at;
+
+    std::uint32_t m_points = 0;         // losses since the last contact
+    std::uint32_t m_ejections = 0;      // sets the length of the next ejection
+    std::uint32_t m_contact_streak = 0; // contacts in a row
+    std::uint32_t m_probes = 0;         // requests in flight since the ejection ended
+    base::time_point m_ejected_until;
+
+    std::uint32_t m_reported_excess = 0; // reported above our own requests in flight
+    base::time_point m_reported_at;
+};
+
+} // namespace carawayway::steering
--- /dev/null
+++ b/carawayway/steering/retry_budget.hpp
@@ -0,0 +1,52 @@
+// Limits retries to a share of first attempts, so that retries cannot multiply an overload.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace carawayway::steering {
+
+struct retry_limits {
+    double share = 0.1;            // retries earned by each first attempt
+    double floor_per_second = 1.0; // earned by time alone, so that little traffic can still retry
+    double burst = 10.0;           // most retries that can be saved up
+
+    bool operator==(const retry_limits&) const = default;
+};
+
+// Over any period the retries granted are at most
+// share * first attempts + floor_per_second * seconds + burst.
+class retry_budget {
+public:
+    retry_budget(retry_limits limits, base::time_point now);
+
+    void first_attempt(base::time_point now);
+    // True when a retry may be sent; it is then paid for.
+    bool try_spend(base::time_point now);
+    double available(base::time_point now) const;
+
+private:
+    void accrue(base::time_point now);
+
+    retry_limits m_limits;
+    double m_tokens; // 0 <= m_tokens <= burst
+    base::time_point m_accrued_at;
+};
+
+// Full jitter: uniform between zero and min(longest, first * 2^attempt). `attempt` counts from zero.
+template <class Random>
+base::duration jittered_backoff(std::uint32_t attempt, base::duration first, base::duration longest,
+                                Random& random) {
+    constexpr std::uint32_t largest_shift = 20;
+    const auto factor = std::int64_t{1} << std::min(attempt, largest_shift);
+    const base::duration ceiling = first > longest / factor ? longest : first * factor;
+    if (ceiling <= base::duration::zero()) {
+        return base::duration::zero();
+    }
+    const auto span = static_cast<std::uint64_t>(ceiling.count());
+    return base::duration{static_cast<base::duration::rep>(random() % (span + 1))};
+}
+
+} // namespace carawayway::steering
