--- a/carawayway/base/error_kind.cpp
+++ b/carawayway/base/error_kind.cpp
@@ -23,6 +23,8 @@
     {request_id_invalid, "request-id-invalid", "Malformed request ID", 400, not_executed, fresh_request_id},
     {request_id_not_accepted, "request-id-not-accepted", "New request IDs under this prefix are closed", 409,
      not_executed, fresh_request_id},
+    {request_id_not_issued, "request-id-not-issued",
+     "Request ID prefix was not issued by this entry instance", 400, unknown, never},
     {request_id_expired, "request-id-expired", "Request ID expired", 410, unknown, never},
     {request_id_reused, "request-id-reused", "Request ID already used for other content", 422, not_executed,
      after_fixing_input},
--- a/carawayway/base/error_kind.hpp
+++ b/carawayway/base/error_kind.hpp
@@ -28,6 +28,7 @@
     request_id_missing,
     request_id_invalid,
     request_id_not_accepted, // acceptance of new IDs under this prefix is over and there is no record
+    request_id_not_issued,   // this incarnation did not issue the prefix yet, but may do so later
     request_id_expired,      // past retention: the record may have been dropped
     request_id_reused,       // the same ID with different content
     request_id_owner_gone,   // the incarnation that owns the ID no longer exists
--- /dev/null
+++ b/carawayway/shifting/site_selector.cpp
@@ -0,0 +1,125 @@
+// Ranking by distance, then a weighted random order within each distance.
+#include "carawayway/shifting/site_selector.hpp"
+
+#include "carawayway/base/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <compare>
+#include <optional>
+
+namespace carawayway::shifting {
+
+namespace {
+
+enum class distance : std::uint8_t { own_failure_domain, own_region, home_region, other_region };
+
+enum class freshness : std::uint8_t { fresh, stale };
+
+struct ranked_entry {
+    distance rank = distance::other_region;
+    double order = 0; // within the rank
+    const entry_summary* summary = nullptr;
+};
+
+distance distance_to(const spill_over_request& request, const entry_summary& summary) {
+    if (summary.failure_domain == request.own_failure_domain) {
+        return distance::own_failure_domain;
+    }
+    if (summary.region == request.own_region) {
+        return distance::own_region;
+    }
+    return summary.region == request.home_region ? distance::home_region : distance::other_region;
+}
+
+bool region_allowed(const spill_over_request& request, std::string_view region) {
+    const auto& allowed = request.allowed_regions;
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
+// Requests that the entry can start at once, to our knowledge.
+std::uint32_t room_of(const entry_summary& summary) {
+    const std::uint64_t taken = std::uint64_t{summary.queued} + summary.sent_since_summary;
+    return taken >= summary.free_slots ? 0 : static_cast<std::uint32_t>(summary.free_slots - taken);
+}
+
+bool usable(const spill_over_request& request, const entry_summary& summary, const selector_limits& limits) {
+    return summary.state == config::administrative_state::active && room_of(summary) > 0 &&
+           summary.link_in_flight < summary.link_limit && region_allowed(request, summary.region) &&
+           summary.round_trip + limits.typical_latency <= request.remaining;
+}
+
+// Exponentially distributed with the room as rate: sorting by it draws without replacement, in proportion to
+// room.
+double weighted_order(std::uint32_t room, std::mt19937_64& random) {
+    return std::exponential_distribution<double>(room)(random);
+}
+
+std::vector<ranked_entry> rank(const spill_over_request& request, std::span<const entry_summary> summaries,
+                               const selector_limits& limits, freshness wanted, std::mt19937_64& random) {
+    std::vector<ranked_entry> ranked;
+    for (const auto& summary : summaries) {
+        const auto found = summary.age > limits.stale_after ? freshness::stale : freshness::fresh;
+        if (found == wanted && usable(request, summary, limits)) {
+            ranked.push_back(
+                {distance_to(request, summary), weighted_order(room_of(summary), random), &summary});
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const ranked_entry& left, const ranked_entry& right) {
+        return left.rank != right.rank ? left.rank < right.rank : left.order < right.order;
+    });
+    return ranked;
+}
+
+} // namespace
+
+std::vector<site_candidate> spill_over_order(const spill_over_request& request,
+                                             std::span<const entry_summary> summaries,
+                                             const selector_limits& limits, std::mt19937_64& random) {
+    auto ranked = rank(request, summaries, limits, freshness::fresh, random);
+    if (ranked.empty()) {
+        ranked = rank(request, summaries, limits, freshness::stale, random);
+    }
+    std::vector<site_candidate> candidates;
+    candidates.reserve(ranked.size());
+    for (const auto& item : ranked) {
+        const auto crossing = item.summary->region == request.home_region
+                                  ? region_crossing::serves_home_region
+                                  : region_crossing::leaves_home_region;
+        candidates.push_back(
+            {item.summary->entry, item.summary->failure_domain, item.summary->region, crossing});
+    }
+    return candidates;
+}
+
+std::vector<std::size_t> lookup_order(std::string_view home_region, std::string_view client_address,
+                                      std::span<const known_entry> entries) {
+    struct ranked_index {
+        bool away = false; // outside the home region
+        std::uint64_t rank = 0;
+        std::size_t index = 0;
+    };
+    std::vector<ranked_index> ranked;
+    ranked.reserve(entries.size());
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto& entry = entries[index];
+        if (entry.state == entry_state::active) {
+            ranked.push_back(
+                {entry.region != home_region, base::rendezvous_rank(client_address, entry.entry), index});
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const ranked_index& left, const ranked_index& right) {
+        if (left.away != right.away) {
+            return right.away;
+        }
+        return left.rank != right.rank ? left.rank > right.rank : left.index < right.index;
+    });
+    std::vector<std::size_t> order;
+    order.reserve(ranked.size());
+    for (const auto& item : ranked) {
+        order.push_back(item.index);
+    }
+    return order;
+}
+
+} // namespace carawayway::shifting
