wire, peer, membership: Add peer messages, links and the membership interfaces

Entry instances need a protocol before the engine can be built on it.

Adds the FlatBuffers schema with its generated header, plain message values with a checking codec, framing, the HMAC handshake, the peer link, the member table and the interfaces of the network and the remaining membership classes. Not tested yet.

--- /dev/null
+++ b/carawayway/membership/member_table.cpp
@@ -0,0 +1,317 @@
+// Status of the members and choice of links. Only direct contact replaces an incarnation at once; a relayed
+// one must be seen to make progress first, because relayed news about a dead incarnation can arrive late.
+#include "carawayway/membership/member_table.hpp"
+
+#include "carawayway/base/hash.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace carawayway::membership {
+
+namespace {
+
+std::string region_key(std::string_view region) {
+    return fmt::format("region {}", region);
+}
+
+std::string domain_pair_key(std::string_view one, std::string_view other) {
+    return fmt::format("domains {} {}", std::min(one, other), std::max(one, other));
+}
+
+} // namespace
+
+std::string_view to_string(member_status status) {
+    switch (status) {
+    case member_status::alive:
+        return "alive";
+    case member_status::suspected:
+        return "suspected";
+    case member_status::paused:
+        return "paused";
+    case member_status::dead_certain:
+        return "dead-certain";
+    case member_status::dead_by_silence:
+        break;
+    }
+    return "dead-by-silence";
+}
+
+member_table::member_table(wire::member_record self, member_settings settings, base::time_point now)
+    : m_self(std::move(self)), m_settings(settings), m_last_tick(now) {}
+
+member& member_table::insert(const wire::member_record& record, base::time_point now) {
+    member& entry = m_members[record.name];
+    entry.record = record;
+    entry.last_progress = now;
+    entry.status_since = now;
+    return entry;
+}
+
+void member_table::add_seed(const wire::member_record& seed, base::time_point now) {
+    if (seed.name == m_self.name) {
+        return;
+    }
+    const auto found = m_members.find(seed.name);
+    member& entry = found == m_members.end() ? insert(seed, now) : found->second;
+    entry.seed = true;
+}
+
+bool member_table::learn(const wire::member_record& record, base::time_point now) {
+    if (record.name == m_self.name) {
+        return false;
+    }
+    const auto found = m_members.find(record.name);
+    if (found == m_members.end()) {
+        insert(record, now);
+        return true;
+    }
+    member& entry = found->second;
+    const bool gone = m_replaced.contains({record.name, record.incarnation});
+    if (record.incarnation == 0 || record.incarnation == entry.record.incarnation || gone) {
+        return false;
+    }
+    if (entry.record.incarnation == 0) {
+        entry.record = record;
+    } else if (is_dead(entry.status)) {
+        replace_incarnation(entry, record, now);
+    }
+    return false;
+}
+
+void member_table::link_up(const wire::member_record& record, base::time_point now) {
+    const auto found = m_members.find(record.name);
+    member& entry = found == m_members.end() ? insert(record, now) : found->second;
+    m_replaced.erase({record.name, record.incarnation});
+    if (entry.record.incarnation != record.incarnation) {
+        replace_incarnation(entry, record, now);
+    }
+    entry.record = record;
+    progress(entry, now);
+}
+
+void member_table::replace_incarnation(member& entry, const wire::member_record& record,
+                                       base::time_point now) {
+    if (entry.record.incarnation != 0) {
+        m_replaced.insert({entry.record.name, entry.record.incarnation});
+    }
+    entry.record = record;
+    entry.counter = 0;
+    entry.heard = false;
+    entry.running = wire::running_state::running;
+    entry.last_progress = now;
+    set_status(entry, member_status::suspected, now);
+}
+
+void member_table::heard(std::string_view name, std::uint64_t incarnation, base::time_point now) {
+    const auto found = m_members.find(name);
+    if (found != m_members.end() && found->second.record.incarnation == incarnation) {
+        progress(found->second, now);
+    }
+}
+
+void member_table::heartbeat(std::string_view name, std::uint64_t incarnation, const wire::heartbeat& message,
+                             base::time_point now) {
+    const auto found = m_members.find(name);
+    if (found == m_members.end() || found->second.record.incarnation != incarnation) {
+        return;
+    }
+    member& entry = found->second;
+    entry.running = message.running;
+    entry.counter = std::max(entry.counter, message.counter);
+    progress(entry, now);
+    for (const auto& counter : message.relayed) {
+        relayed(counter, now);
+    }
+}
+
+void member_table::relayed(const wire::relayed_counter& message, base::time_point now) {
+    const auto found = m_members.find(message.entry);
+    if (found == m_members.end() || m_replaced.contains({message.entry, message.incarnation})) {
+        return;
+    }
+    member& entry = found->second;
+    if (entry.record.incarnation == message.incarnation) {
+        // The first counter that is heard of proves nothing: it may be the last one of a dead process.
+        const bool grew = entry.counter != 0 && message.counter > entry.counter;
+        entry.counter = std::max(entry.counter, message.counter);
+        if (grew) {
+            progress(entry, now);
+        }
+        return;
+    }
+    candidate& other = m_candidates[message.entry];
+    if (other.incarnation == message.incarnation && message.counter > other.counter) {
+        wire::member_record record = entry.record;
+        record.incarnation = message.incarnation;
+        replace_incarnation(entry, record, now);
+        entry.counter = message.counter;
+        progress(entry, now);
+        m_candidates.erase(message.entry);
+        return;
+    }
+    other = {message.incarnation, message.counter};
+}
+
+void member_table::progress(member& entry, base::time_point now) {
+    entry.last_progress = now;
+    entry.heard = true;
+    set_status(entry, member_status::alive, now);
+}
+
+void member_table::set_status(member& entry, member_status status, base::time_point now) {
+    if (entry.status == status) {
+        return;
+    }
+    m_changes.push_back({entry.record.name, entry.status, status});
+    entry.status = status;
+    entry.status_since = now;
+}
+
+void member_table::connect_failed(std::string_view name, death_evidence evidence, base::time_point now) {
+    const auto found = m_members.find(name);
+    if (found == m_members.end()) {
+        return;
+    }
+    member& entry = found->second;
+    if (evidence == death_evidence::refused) {
+        set_status(entry, member_status::dead_certain, now);
+    } else if (evidence == death_evidence::accepted_silent && entry.status == member_status::suspected) {
+        set_status(entry, member_status::paused, now);
+    }
+}
+
+std::vector<member_change> member_table::tick(base::time_point now) {
+    const base::duration gap = now - m_last_tick;
+    m_last_tick = now;
+    if (gap > m_settings.pause_limit) {
+        for (auto& [name, entry] : m_members) {
+            entry.last_progress += gap;
+        }
+    }
+    for (auto& [name, entry] : m_members) {
+        const base::duration silence = now - entry.last_progress;
+        if (entry.status == member_status::dead_certain) {
+            continue;
+        }
+        if (silence >= m_settings.silence_limit) {
+            set_status(entry, member_status::dead_by_silence, now);
+        } else if (silence >= m_settings.suspect_after && entry.status == member_status::alive) {
+            set_status(entry, member_status::suspected, now);
+        }
+    }
+    std::erase_if(m_members, [this, now](const auto& item) {
+        const member& entry = item.second;
+        return !entry.seed && is_dead(entry.status) && now - entry.status_since > m_settings.forget_after;
+    });
+    return std::exchange(m_changes, {});
+}
+
+const member* member_table::find(std::string_view name) const {
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+bool member_table::live(std::string_view name) const {
+    const member* entry = find(name);
+    return entry != nullptr && !is_dead(entry->status);
+}
+
+// The live entry instances of the domain with the highest ranks for the key. A domain without a live one is
+// represented by those known of it, so that somebody notices when it is back.
+std::vector<const wire::member_record*> member_table::delegates_of(std::string_view domain,
+                                                                   std::string_view key) const {
+    std::vector<const wire::member_record*> chosen;
+    if (m_self.failure_domain == domain) {
+        chosen.push_back(&m_self);
+    }
+    for (const auto& [name, entry] : m_members) {
+        if (entry.record.failure_domain == domain && !is_dead(entry.status)) {
+            chosen.push_back(&entry.record);
+        }
+    }
+    if (chosen.empty()) {
+        for (const auto& [name, entry] : m_members) {
+            if (entry.record.failure_domain == domain) {
+                chosen.push_back(&entry.record);
+            }
+        }
+    }
+    std::sort(chosen.begin(), chosen.end(), [key](const auto* left, const auto* right) {
+        return base::rendezvous_rank(key, left->name) > base::rendezvous_rank(key, right->name);
+    });
+    chosen.resize(std::min(chosen.size(), m_settings.delegates));
+    return chosen;
+}
+
+bool member_table::delegate(std::string_view name, std::string_view domain, std::string_view key) const {
+    const auto chosen = delegates_of(domain, key);
+    return std::any_of(chosen.begin(), chosen.end(), [name](const auto* one) { return one->name == name; });
+}
+
+bool member_table::region_delegate(std::string_view name) const {
+    if (m_members.size() + 1 <= m_settings.full_mesh_limit) {
+        return true;
+    }
+    const member* entry = find(name);
+    const wire::member_record& record = entry == nullptr ? m_self : entry->record;
+    return delegate(name, record.failure_domain, region_key(record.region));
+}
+
+std::vector<wire::member_record> member_table::needed_links() const {
+    std::vector<wire::member_record> needed;
+    if (m_members.size() + 1 <= m_settings.full_mesh_limit) {
+        for (const auto& [name, entry] : m_members) {
+            needed.push_back(entry.record);
+        }
+        return needed;
+    }
+    std::map<std::string_view, std::string_view> other_domains; // domain -> region
+    for (const auto& [name, entry] : m_members) {
+        if (entry.record.failure_domain == m_self.failure_domain) {
+            needed.push_back(entry.record);
+        } else {
+            other_domains.emplace(entry.record.failure_domain, entry.record.region);
+        }
+    }
+    for (const auto& [domain, region] : other_domains) {
+        const std::string key =
+            region == m_self.region ? region_key(region) : domain_pair_key(domain, m_self.failure_domain);
+        if (delegate(m_self.name, m_self.failure_domain, key)) {
+            for (const auto* record : delegates_of(domain, key)) {
+                needed.push_back(*record);
+            }
+        }
+    }
+    return needed;
+}
+
+wire::member_list member_table::member_list() const {
+    wire::member_list list;
+    list.members.push_back(m_self);
+    for (const auto& [name, entry] : m_members) {
+        if (!is_dead(entry.status)) {
+            list.members.push_back(entry.record);
+        }
+    }
+    return list;
+}
+
+std::vector<wire::relayed_counter> member_table::counters_to_relay(std::size_t limit) {
+    std::vector<wire::relayed_counter> counters;
+    auto next = m_members.upper_bound(m_last_relayed);
+    for (std::size_t seen = 0; seen < m_members.size() && counters.size() < limit; ++seen, ++next) {
+        if (next == m_members.end()) {
+            next = m_members.begin();
+        }
+        const member& entry = next->second;
+        m_last_relayed = next->first;
+        if (entry.status == member_status::alive && entry.counter > 0) {
+            counters.push_back({entry.record.name, entry.record.incarnation, entry.counter});
+        }
+    }
+    return counters;
+}
+
+} // namespace carawayway::membership
--- /dev/null
+++ b/carawayway/membership/member_table.hpp
@@ -0,0 +1,141 @@
+// Which entry instances exist and which of them are alive, from heartbeats, relayed counters and evidence of
+// connection attempts.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+#include "carawayway/wire/messages.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace carawayway::membership {
+
+enum class member_status : std::uint8_t {
+    alive,
+    suspected,       // no progress for a while, or not yet heard of
+    paused,          // accepts connections without answering; may resume
+    dead_certain,    // its connections were refused, or another incarnation replaced it
+    dead_by_silence, // no progress for the silence limit; may still resume
+};
+
+std::string_view to_string(member_status status);
+
+constexpr bool is_dead(member_status status) {
+    return status == member_status::dead_certain || status == member_status::dead_by_silence;
+}
+
+// What a failed attempt to connect says about a process.
+enum class death_evidence : std::uint8_t { refused, timed_out, accepted_silent };
+
+struct member_settings {
+    base::duration suspect_after = std::chrono::milliseconds(1000); // four heartbeat intervals
+    base::duration silence_limit =
+        std::chrono::milliseconds(5000);                         // ownership term + longest request timeout
+    base::duration pause_limit = std::chrono::milliseconds(500); // longer gaps between ticks are own pauses
+    base::duration forget_after = std::chrono::minutes(10);      // dead members that are no seeds
+    std::size_t full_mesh_limit = 16; // up to this many entry instances, each keeps a link to each
+    std::size_t delegates = 2;        // entry instances of a failure domain that keep links to another one
+};
+
+struct member {
+    wire::member_record record;
+    std::uint64_t counter = 0;        // highest heartbeat counter heard of this incarnation
+    base::time_point last_progress{}; // of the counter, direct or relayed
+    base::time_point status_since{};
+    member_status status = member_status::suspected;
+    wire::running_state running = wire::running_state::running;
+    bool seed = false;  // never forgotten
+    bool heard = false; // progress of this incarnation was seen
+};
+
+struct member_change {
+    std::string name;
+    member_status before = member_status::suspected;
+    member_status after = member_status::suspected;
+
+    bool operator==(const member_change&) const = default;
+};
+
+class member_table {
+public:
+    using member_map = std::map<std::string, member, std::less<>>;
+
+    member_table(wire::member_record self, member_settings settings, base::time_point now);
+
+    // The silence limit follows the policy's longest timeout.
+    void set_silence_limit(base::duration limit) { m_settings.silence_limit = limit; }
+
+    void add_seed(const wire::member_record& seed, base::time_point now);
+
+    // A record from a peer's member list. True when the member was not known before.
+    bool learn(const wire::member_record& record, base::time_point now);
+
+    // An authenticated link to this incarnation; it replaces any other incarnation of the name.
+    void link_up(const wire::member_record& record, base::time_point now);
+
+    // Any message that came directly from this incarnation.
+    void heard(std::string_view name, std::uint64_t incarnation, base::time_point now);
+
+    void heartbeat(std::string_view name, std::uint64_t incarnation, const wire::heartbeat& message,
+                   base::time_point now);
+
+    void connect_failed(std::string_view name, death_evidence evidence, base::time_point now);
+
+    // Applies elapsed time. A gap since the last tick above the pause limit is a pause of this process: the
+    // silence of the others is then not counted. Returns what changed since the last tick.
+    std::vector<member_change> tick(base::time_point now);
+
+    const wire::member_record& self() const { return m_self; }
+    const member_map& members() const { return m_members; } // without this entry instance
+    const member* find(std::string_view name) const;
+
+    // Dead members and unknown names are not live.
+    bool live(std::string_view name) const;
+
+    // The members that this entry instance must keep a link to; the dead are included as long as they are
+    // known, so that a healed partition is noticed.
+    std::vector<wire::member_record> needed_links() const;
+
+    // Whether `name` is one of the entry instances of its failure domain that keep links to the other failure
+    // domains of their region. This entry instance may be asked about as well.
+    bool region_delegate(std::string_view name) const;
+
+    // All records including this entry instance, for a new link.
+    wire::member_list member_list() const;
+
+    // Up to `limit` counters of live members, in turn, for the next heartbeat.
+    std::vector<wire::relayed_counter> counters_to_relay(std::size_t limit);
+
+private:
+    struct candidate {
+        std::uint64_t incarnation = 0;
+        std::uint64_t counter = 0;
+    };
+
+    member& insert(const wire::member_record& record, base::time_point now);
+    void replace_incarnation(member& entry, const wire::member_record& record, base::time_point now);
+    void progress(member& entry, base::time_point now);
+    void set_status(member& entry, member_status status, base::time_point now);
+    void relayed(const wire::relayed_counter& message, base::time_point now);
+    std::vector<const wire::member_record*> delegates_of(std::string_view domain, std::string_view key) const;
+    bool delegate(std::string_view name, std::string_view domain, std::string_view key) const;
+
+    wire::member_record m_self;
+    member_settings m_settings;
+    member_map m_members;
+    std::map<std::string, candidate, std::less<>> m_candidates; // relayed incarnations without progress yet
+    std::set<std::pair<std::string, std::uint64_t>> m_replaced; // incarnations that are known to be gone
+    std::vector<member_change> m_changes;                       // since the last tick
+    base::time_point m_last_tick;
+    std::string m_last_relayed; // where the turn of relayed counters stands
+};
+
+} // namespace carawayway::membership
--- /dev/null
+++ b/carawayway/peer/peer_link.cpp
@@ -0,0 +1,423 @@
+// Handshake, reading and writing of one peer link. The initiator sends its proof first: an acceptor proves
+// knowledge of the key only to a peer that proved it before.
+#include "carawayway/peer/peer_link.hpp"
+
+#include "carawayway/wire/message_codec.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace carawayway::peer {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t read_chunk = std::size_t{16} << 10U;   // bytes
+constexpr std::size_t batch_bytes = std::size_t{256} << 10U; // bytes handed to the socket in one write
+constexpr std::size_t batch_messages = 64;                   // the system limits the buffers of one write
+
+auto with_error(error_code& error) {
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+bool is_ip_address(const std::string& host) {
+    error_code error;
+    asio::ip::make_address(host, error);
+    return !error;
+}
+
+} // namespace
+
+std::string_view to_string(close_reason reason) {
+    switch (reason) {
+    case close_reason::connect_refused:
+        return "connect-refused";
+    case close_reason::connect_timed_out:
+        return "connect-timed-out";
+    case close_reason::connect_failed:
+        return "connect-failed";
+    case close_reason::handshake_silent:
+        return "handshake-silent";
+    case close_reason::handshake_refused:
+        return "handshake-refused";
+    case close_reason::malformed:
+        return "malformed";
+    case close_reason::idle:
+        return "idle";
+    case close_reason::closed_by_peer:
+        return "closed-by-peer";
+    case close_reason::lost:
+        return "lost";
+    case close_reason::superseded:
+        return "superseded";
+    case close_reason::closed_locally:
+        break;
+    }
+    return "closed-locally";
+}
+
+peer_link::peer_link(socket connection, std::shared_ptr<link_context> context, wire::link_side side,
+                     std::string expected_name, callbacks handlers)
+    : m_context(std::move(context)), m_socket(std::move(connection)), m_timer(m_socket.get_executor()),
+      m_side(side), m_expected_name(std::move(expected_name)), m_handlers(std::move(handlers)),
+      m_identifier(m_context->next_link++), m_local(m_context->local),
+      m_reader(m_context->limits.frame_bytes), m_read_buffer(read_chunk) {
+    m_local.nonce = wire::link_authenticator::make_nonce();
+}
+
+std::shared_ptr<peer_link> peer_link::connect(asio::any_io_executor executor,
+                                              std::shared_ptr<link_context> context, endpoint address,
+                                              std::string expected_name, callbacks handlers) {
+    const std::shared_ptr<peer_link> link(new peer_link(socket(std::move(executor)), std::move(context),
+                                                        wire::link_side::initiator, std::move(expected_name),
+                                                        std::move(handlers)));
+    link->start(address);
+    return link;
+}
+
+std::shared_ptr<peer_link> peer_link::accept(socket connection, std::shared_ptr<link_context> context,
+                                             callbacks handlers) {
+    const std::shared_ptr<peer_link> link(new peer_link(std::move(connection), std::move(context),
+                                                        wire::link_side::acceptor, {}, std::move(handlers)));
+    link->start(std::nullopt);
+    return link;
+}
+
+void peer_link::start(std::optional<endpoint> address) {
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this(), address]() -> asio::awaitable<void> { co_await self->run(address); },
+        asio::detached);
+}
+
+asio::awaitable<void> peer_link::run(std::optional<endpoint> address) {
+    if (address.has_value() && !co_await connect_socket(*address)) {
+        co_return;
+    }
+    if (m_state != link_state::connecting) {
+        co_return;
+    }
+    m_state = link_state::authenticating;
+    error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    watch_deadline(m_context->limits.handshake_timeout, close_reason::handshake_silent,
+                   "no answer to the handshake");
+    if (!co_await authenticate() || m_state != link_state::authenticating) {
+        co_return;
+    }
+    m_state = link_state::established;
+    m_established_at = base::monotonic_now();
+    m_received_since_check = true;
+    watch_deadline(m_context->limits.idle_timeout, close_reason::idle, "nothing received");
+    m_handlers.established(shared_from_this());
+    co_await read_messages();
+}
+
+asio::awaitable<bool> peer_link::connect_socket(endpoint address) {
+    watch_deadline(m_context->limits.connect_timeout, close_reason::connect_timed_out, "no answer");
+    error_code error;
+    co_await m_socket.async_connect(address, with_error(error));
+    if (m_state == link_state::closed) {
+        co_return false;
+    }
+    if (error == asio::error::connection_refused) {
+        close(close_reason::connect_refused, error.message());
+    } else if (error == asio::error::timed_out) {
+        close(close_reason::connect_timed_out, error.message());
+    } else if (error) {
+        close(close_reason::connect_failed, error.message());
+    }
+    co_return !error;
+}
+
+asio::awaitable<bool> peer_link::authenticate() {
+    if (!co_await exchange_hellos()) {
+        co_return false;
+    }
+    if (m_side == wire::link_side::initiator) {
+        co_return co_await send_proof() && co_await check_proof();
+    }
+    co_return co_await check_proof() && co_await send_proof();
+}
+
+asio::awaitable<bool> peer_link::exchange_hellos() {
+    if (m_side == wire::link_side::initiator && !co_await write_directly(m_local)) {
+        co_return false;
+    }
+    auto received = co_await read_message();
+    if (!received.has_value()) {
+        co_return false;
+    }
+    const auto* remote = std::get_if<wire::hello>(&received->message);
+    std::string fault = "expected a hello";
+    if (remote == nullptr || !hello_acceptable(*remote, fault)) {
+        close(close_reason::handshake_refused, fault);
+        co_return false;
+    }
+    m_remote = *remote;
+    if (received->envelope.sender != m_remote.name ||
+        received->envelope.incarnation != m_remote.incarnation) {
+        close(close_reason::handshake_refused, "envelope and hello differ");
+        co_return false;
+    }
+    if (m_side == wire::link_side::acceptor) {
+        co_return co_await write_directly(m_local);
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> peer_link::send_proof() {
+    const bool initiator = m_side == wire::link_side::initiator;
+    const wire::hello_proof proof{m_context->authenticator.prove(m_side, initiator ? m_local : m_remote,
+                                                                 initiator ? m_remote : m_local)};
+    co_return co_await write_directly(proof);
+}
+
+asio::awaitable<bool> peer_link::check_proof() {
+    auto received = co_await read_message();
+    if (!received.has_value()) {
+        co_return false;
+    }
+    const bool initiator = m_side == wire::link_side::initiator;
+    const auto other_side = initiator ? wire::link_side::acceptor : wire::link_side::initiator;
+    const auto* proof = std::get_if<wire::hello_proof>(&received->message);
+    if (proof == nullptr ||
+        !m_context->authenticator.verify(proof->mac, other_side, initiator ? m_local : m_remote,
+                                         initiator ? m_remote : m_local)) {
+        close(close_reason::handshake_refused, "proof of the deployment key is wrong");
+        co_return false;
+    }
+    co_return true;
+}
+
+bool peer_link::hello_acceptable(const wire::hello& value, std::string& fault) const {
+    if (value.name == m_local.name) {
+        fault = "peer has the local name";
+        return false;
+    }
+    if (!m_expected_name.empty() && value.name != m_expected_name) {
+        fault = fmt::format("peer is {}, expected {}", value.name, m_expected_name);
+        return false;
+    }
+    if (!is_ip_address(value.peer_address.host) || !is_ip_address(value.caller_address.host)) {
+        fault = "address is not an IP address";
+        return false;
+    }
+    return true;
+}
+
+bool peer_link::envelope_acceptable(const wire::envelope& value) const {
+    if (value.sequence != m_received_sequence + 1) {
+        return false;
+    }
+    // The first message is the hello, which names the sender.
+    return m_received_sequence == 0 ||
+           (value.sender == m_remote.name && value.incarnation == m_remote.incarnation);
+}
+
+asio::awaitable<void> peer_link::read_messages() {
+    while (m_state == link_state::established) {
+        auto received = co_await read_message();
+        if (!received.has_value()) {
+            co_return;
+        }
+        if (std::holds_alternative<wire::hello>(received->message) ||
+            std::holds_alternative<wire::hello_proof>(received->message)) {
+            close(close_reason::malformed, "handshake message on an established link");
+            co_return;
+        }
+        m_handlers.message(shared_from_this(), std::move(*received));
+    }
+}
+
+// The next message, or nothing after the link was closed.
+asio::awaitable<std::optional<wire::received_message>> peer_link::read_message() {
+    base::failure failure;
+    while (m_state != link_state::closed) {
+        const auto payload = m_reader.next(failure);
+        if (payload.has_value()) {
+            auto received = wire::decode(*payload, failure);
+            if (received.has_value() && envelope_acceptable(received->envelope)) {
+                ++m_received_sequence;
+                auto& counter = m_context->traffic.received.at(received->message.index());
+                ++counter.messages;
+                counter.bytes += payload->size() + wire::frame_prefix_size;
+                co_return received;
+            }
+            close(close_reason::malformed,
+                  received.has_value() ? "wrong sender, incarnation or sequence" : failure.detail);
+            break;
+        }
+        if (m_reader.failed()) {
+            close(close_reason::malformed, failure.detail);
+            break;
+        }
+        error_code error;
+        const std::size_t size =
+            co_await m_socket.async_read_some(asio::buffer(m_read_buffer), with_error(error));
+        if (m_state == link_state::closed) {
+            break;
+        }
+        if (error) {
+            close(error == asio::error::eof ? close_reason::closed_by_peer : close_reason::lost,
+                  error.message());
+            break;
+        }
+        m_received_since_check = true;
+        m_reader.append(std::span(m_read_buffer).first(size));
+    }
+    co_return std::nullopt;
+}
+
+// Writes a handshake message. The send queue is not yet in use.
+asio::awaitable<bool> peer_link::write_directly(const wire::peer_message& message) {
+    const frame bytes = make_frame(message);
+    m_handed_sequence = m_sent_sequence;
+    error_code error;
+    co_await asio::async_write(m_socket, asio::buffer(bytes), with_error(error));
+    if (m_state == link_state::closed) {
+        co_return false;
+    }
+    if (error) {
+        close(close_reason::lost, error.message());
+    }
+    co_return !error;
+}
+
+// A new deadline replaces the previous one.
+void peer_link::watch_deadline(base::duration limit, close_reason reason, std::string detail) {
+    m_timer.expires_after(limit);
+    m_timer.async_wait(
+        [self = shared_from_this(), limit, reason, text = std::move(detail)](const error_code& error) {
+            if (error || self->m_state == link_state::closed) {
+                return;
+            }
+            const bool active = reason == close_reason::idle && self->m_received_since_check;
+            if (!active) {
+                self->close(reason, text);
+                return;
+            }
+            self->m_received_since_check = false;
+            self->watch_deadline(limit, reason, text);
+        });
+}
+
+peer_link::frame peer_link::make_frame(const wire::peer_message& message) {
+    const wire::envelope envelope{m_local.name, m_local.incarnation, m_context->policy_revision,
+                                  m_sent_sequence + 1};
+    const std::vector<std::byte> payload = wire::encode(envelope, message);
+    if (payload.size() > m_context->limits.frame_bytes) {
+        return {};
+    }
+    ++m_sent_sequence;
+    const auto prefix = wire::frame_prefix(static_cast<std::uint32_t>(payload.size()));
+    frame bytes;
+    bytes.reserve(prefix.size() + payload.size());
+    bytes.insert(bytes.end(), prefix.begin(), prefix.end());
+    bytes.insert(bytes.end(), payload.begin(), payload.end());
+    auto& counter = m_context->traffic.sent.at(message.index());
+    ++counter.messages;
+    counter.bytes += bytes.size();
+    return bytes;
+}
+
+send_result peer_link::send(const wire::peer_message& message) {
+    if (m_state != link_state::established || m_retiring) {
+        return {send_status::no_link, m_identifier, 0};
+    }
+    if (m_queue.size() + m_batch.size() >= m_context->limits.queue_messages ||
+        m_pending_bytes >= m_context->limits.queue_bytes) {
+        return {send_status::queue_full, m_identifier, 0};
+    }
+    frame bytes = make_frame(message);
+    if (bytes.empty()) {
+        return {send_status::too_large, m_identifier, 0};
+    }
+    m_pending_bytes += bytes.size();
+    m_queue.push_back(std::move(bytes));
+    const send_result result{send_status::sent, m_identifier, m_sent_sequence};
+    write_next_batch();
+    return result;
+}
+
+void peer_link::write_next_batch() {
+    if (!m_batch.empty() || m_state != link_state::established) {
+        return;
+    }
+    if (m_queue.empty()) {
+        shut_down_sending();
+        return;
+    }
+    std::size_t size = 0;
+    std::vector<asio::const_buffer> buffers;
+    while (!m_queue.empty() && m_batch.size() < batch_messages && size < batch_bytes) {
+        size += m_queue.front().size();
+        m_batch.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    for (const frame& bytes : m_batch) {
+        buffers.emplace_back(asio::buffer(bytes));
+    }
+    m_handed_sequence += m_batch.size();
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->finish_batch(error);
+    });
+}
+
+void peer_link::finish_batch(const error_code& error) {
+    for (const frame& bytes : m_batch) {
+        m_pending_bytes -= bytes.size();
+    }
+    m_batch.clear();
+    if (m_state == link_state::closed) {
+        return;
+    }
+    if (error) {
+        close(close_reason::lost, error.message());
+        return;
+    }
+    write_next_batch();
+}
+
+void peer_link::retire() {
+    m_retiring = true;
+    write_next_batch();
+}
+
+void peer_link::shut_down_sending() {
+    if (m_retiring) {
+        error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+}
+
+void peer_link::close(close_reason reason, std::string detail) {
+    if (m_state == link_state::closed) {
+        return;
+    }
+    m_state = link_state::closed;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+    const link_loss loss{m_identifier, reason, std::move(detail), m_handed_sequence + 1};
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), loss] {
+        // The handlers may own the link; dropping them ends the cycle.
+        const callbacks handlers = std::exchange(self->m_handlers, {});
+        handlers.closed(self, loss);
+    });
+}
+
+} // namespace carawayway::peer
--- /dev/null
+++ b/carawayway/peer/peer_link.hpp
@@ -0,0 +1,121 @@
+// One authenticated connection between two entry instances that carries messages in both directions.
+#pragma once
+
+#include "carawayway/base/error_kind.hpp"
+#include "carawayway/peer/peer_types.hpp"
+#include "carawayway/wire/frame_reader.hpp"
+#include "carawayway/wire/link_authenticator.hpp"
+#include "carawayway/wire/messages.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace carawayway::peer {
+
+enum class link_state : std::uint8_t { connecting, authenticating, established, closed };
+
+// What the links of a process share; it must outlive them.
+struct link_context {
+    wire::hello local; // the nonce is set per link
+    wire::link_authenticator authenticator;
+    link_limits limits;
+    std::int64_t policy_revision = 0; // goes into the envelope of each message
+    traffic_counters traffic;
+    std::uint64_t next_link = 1;
+};
+
+// Not thread-safe: all calls and callbacks are on the executor's thread. `closed` is called exactly once, and
+// never from inside a call of the owner.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+public:
+    using socket = boost::asio::ip::tcp::socket;
+    using endpoint = boost::asio::ip::tcp::endpoint;
+
+    struct callbacks {
+        std::function<void(const std::shared_ptr<peer_link>&)> established;
+        std::function<void(const std::shared_ptr<peer_link>&, wire::received_message&&)> message;
+        std::function<void(const std::shared_ptr<peer_link>&, const link_loss&)> closed;
+    };
+
+    // Connects to `address` and expects the peer to have this name.
+    static std::shared_ptr<peer_link> connect(boost::asio::any_io_executor executor,
+                                              std::shared_ptr<link_context> context, endpoint address,
+                                              std::string expected_name, callbacks handlers);
+
+    // Takes over a connection that was accepted.
+    static std::shared_ptr<peer_link> accept(socket connection, std::shared_ptr<link_context> context,
+                                             callbacks handlers);
+
+    // Queues a message. Never blocks; refuses at once when the queue is full or the link not established.
+    send_result send(const wire::peer_message& message);
+
+    // Sends what is queued, refuses new messages and goes on reading until the peer closes its side as well.
+    void retire();
+
+    // Closes at once; what is queued is dropped.
+    void close(close_reason reason, std::string detail);
+
+    link_state state() const { return m_state; }
+    wire::link_side side() const { return m_side; }
+    std::uint64_t identifier() const { return m_identifier; }
+    const wire::hello& remote() const { return m_remote; } // valid once established
+    base::time_point established_at() const { return m_established_at; }
+
+private:
+    using frame = std::vector<std::byte>; // with prefix
+
+    peer_link(socket connection, std::shared_ptr<link_context> context, wire::link_side side,
+              std::string expected_name, callbacks handlers);
+
+    void start(std::optional<endpoint> address);
+    boost::asio::awaitable<void> run(std::optional<endpoint> address);
+    boost::asio::awaitable<bool> connect_socket(endpoint address);
+    boost::asio::awaitable<bool> authenticate();
+    boost::asio::awaitable<bool> exchange_hellos();
+    boost::asio::awaitable<bool> send_proof();
+    boost::asio::awaitable<bool> check_proof();
+    boost::asio::awaitable<void> read_messages();
+    boost::asio::awaitable<std::optional<wire::received_message>> read_message();
+    boost::asio::awaitable<bool> write_directly(const wire::peer_message& message);
+    bool hello_acceptable(const wire::hello& value, std::string& fault) const;
+    bool envelope_acceptable(const wire::envelope& value) const;
+    void watch_deadline(base::duration limit, close_reason reason, std::string detail);
+    frame make_frame(const wire::peer_message& message);
+    void write_next_batch();
+    void finish_batch(const boost::system::error_code& error);
+    void shut_down_sending();
+
+    std::shared_ptr<link_context> m_context;
+    socket m_socket;
+    boost::asio::steady_timer m_timer;
+    wire::link_side m_side;
+    std::string m_expected_name; // empty: any
+    callbacks m_handlers;
+    link_state m_state = link_state::connecting;
+    std::uint64_t m_identifier;
+    wire::hello m_local;
+    wire::hello m_remote;
+    base::time_point m_established_at{};
+    wire::frame_reader m_reader;
+    std::vector<std::byte> m_read_buffer;
+    std::uint64_t m_received_sequence = 0;
+    std::uint64_t m_sent_sequence = 0;   // of the last message that was queued
+    std::uint64_t m_handed_sequence = 0; // of the last message that was handed to the socket
+    std::deque<frame> m_queue;           // waiting
+    std::vector<frame> m_batch;          // being written; empty: no write is in progress
+    std::size_t m_pending_bytes = 0;     // in m_queue and m_batch
+    bool m_retiring = false;
+    bool m_received_since_check = false; // any byte since the idle timer was last looked at
+};
+
+} // namespace carawayway::peer
--- /dev/null
+++ b/carawayway/wire/message_codec.hpp
@@ -0,0 +1,22 @@
+// Conversion between message values and the bytes of one frame.
+#pragma once
+
+#include "carawayway/base/error_kind.hpp"
+#include "carawayway/wire/messages.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace carawayway::wire {
+
+// The bytes of one frame without its length prefix. The result may exceed the frame limit when the message
+// holds large content; the sender has to check.
+std::vector<std::byte> encode(const envelope& header, const peer_message& message);
+
+// Verifies structure and ranges. Returns nothing for bytes that are no valid message, with the reason in
+// `last_failure`.
+std::optional<received_message> decode(std::span<const std::byte> bytes, base::failure& last_failure);
+
+} // namespace carawayway::wire
