--- a/carawayway/cli/arguments.cpp
+++ b/carawayway/cli/arguments.cpp
@@ -1,5 +1,5 @@
-// Help, version and unknown flags. gflags' own help lists the flags of every linked file and exits with 1, so each
-// subcommand prints its own.
+// Help, version and unknown flags. gflags' own help lists the flags of every linked file and exits with 1, so
+// each subcommand prints its own.
 #include "carawayway/cli/arguments.hpp"
 
 #include <fmt/format.h>
@@ -18,8 +18,9 @@
 constexpr std::string_view version = "0.1.0";
 
 void print_overview(const std::vector<subcommand>& subcommands, std::FILE* out) {
-    fmt::print(out, "carawayway {}: global traffic steering\n\nUsage: carawayway SUBCOMMAND [flags] [arguments]\n\n",
-               version);
+    fmt::print(
+        out, "carawayway {}: global traffic steering\n\nUsage: carawayway SUBCOMMAND [flags] [arguments]\n\n",
+        version);
     for (const auto& item : subcommands) {
         fmt::print(out, "  {:<9} {}\n", item.name, item.summary);
     }
@@ -74,8 +75,9 @@
         fmt::print("carawayway {}\n", version);
         return to_int(exit_code::done);
     }
-    const auto found = std::find_if(subcommands.begin(), subcommands.end(),
-                                    [&arguments](const auto& item) { return item.name == arguments.front(); });
+    const auto found = std::find_if(subcommands.begin(), subcommands.end(), [&arguments](const auto& item) {
+        return item.name == arguments.front();
+    });
     if (found == subcommands.end()) {
         fmt::print(stderr, "carawayway: unknown subcommand \"{}\"\n\n", arguments.front());
         print_overview(subcommands, stderr);
--- a/carawayway/cli/arguments.hpp
+++ b/carawayway/cli/arguments.hpp
@@ -13,8 +13,8 @@
 struct subcommand {
     std::string_view name;
     std::string_view summary;
-    std::string_view usage;               // "[flags] FILE"
-    std::vector<std::string_view> flags;  // the flags it understands
+    std::string_view usage;              // "[flags] FILE"
+    std::vector<std::string_view> flags; // the flags it understands
     int (*run)(const std::vector<std::string>& positional);
 };
 
--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -101,7 +101,8 @@
     }
     auto [connect_error] = co_await stream.async_connect(endpoint, use_tuple);
     if (connect_error) {
-        state.fail(call_failure::not_sent, "cannot connect to " + call.address + ": " + connect_error.message());
+        state.fail(call_failure::not_sent,
+                   "cannot connect to " + call.address + ": " + connect_error.message());
         co_return;
     }
     const auto message = to_message(call);
@@ -113,7 +114,8 @@
     // An answer may already be there even when writing failed: a refusal sent before the body was read.
     auto [read_error, received] = co_await http::async_read(stream, buffer, parser, use_tuple);
     if (read_error) {
-        state.fail(call_failure::outcome_unknown, "no whole answer from " + call.address + ": " + read_error.message());
+        state.fail(call_failure::outcome_unknown,
+                   "no whole answer from " + call.address + ": " + read_error.message());
         co_return;
     }
     store_reply(parser.get(), state);
--- a/carawayway/cli/http_call.hpp
+++ b/carawayway/cli/http_call.hpp
@@ -13,7 +13,7 @@
 namespace carawayway::cli {
 
 struct http_call {
-    std::string address; // IP:port
+    std::string address;        // IP:port
     std::string source_address; // IP to call from; empty: any
     std::string method = "GET";
     std::string target = "/";
--- a/carawayway/cli/request_command.cpp
+++ b/carawayway/cli/request_command.cpp
@@ -12,7 +12,8 @@
 DEFINE_string(method, "GET", "HTTP method");
 DEFINE_string(path, "/", "path behind /service/NAME");
 DEFINE_string(body, "", "request body");
-DEFINE_string(request_id, "", "request ID, sent as Idempotency-Key: a look-up's prefix, a dot, and a name of your own");
+DEFINE_string(request_id, "",
+              "request ID, sent as Idempotency-Key: a look-up's prefix, a dot, and a name of your own");
 DEFINE_string(customer, "", "customer name for the metrics");
 
 namespace carawayway::cli {
--- a/carawayway/engine/effect.hpp
+++ b/carawayway/engine/effect.hpp
@@ -25,6 +25,7 @@
     std::string request_id;
     request_ptr request;
     base::duration timeout{};
+    base::time_point not_after; // no byte may be written after this time
 };
 
 struct cancel_attempt {
@@ -48,8 +49,25 @@
     std::string address;
 };
 
-using effect =
-    std::variant<answer_caller, start_attempt, cancel_attempt, send_to_peer, broadcast_to_peers, probe_server>;
+// The peers to keep links to from now on.
+struct set_peer_targets {
+    std::vector<wire::member_record> peers;
+};
+
+// The revision in force, for the envelope of each message.
+struct publish_revision {
+    std::int64_t revision = 0;
+};
+
+enum class store_watch : std::uint8_t { off, on };
+
+// Whether this entry instance watches the store and reads the instance list.
+struct set_store_watch {
+    store_watch state = store_watch::off;
+};
+
+using effect = std::variant<answer_caller, start_attempt, cancel_attempt, send_to_peer, broadcast_to_peers,
+                            probe_server, set_peer_targets, publish_revision, set_store_watch>;
 
 using effects = std::vector<effect>;
 
--- /dev/null
+++ b/carawayway/engine/entry_control.cpp
@@ -0,0 +1,363 @@
+// The periodic control work and the handling of peer messages.
+#include "carawayway/base/log.hpp"
+#include "carawayway/engine/entry_engine.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace carawayway::engine {
+
+namespace {
+
+constexpr auto slow_work_interval = std::chrono::seconds(1);
+constexpr auto list_grace = std::chrono::seconds(10);
+constexpr auto reachability_lifetime = std::chrono::seconds(3);
+constexpr std::size_t links_at_shortest_interval = 15;
+
+} // namespace
+
+base::duration entry_engine::interval(base::duration shortest) const {
+    const std::size_t links = m_links.size();
+    if (links <= links_at_shortest_interval) {
+        return shortest;
+    }
+    return std::max<base::duration>(shortest, m_control.interval_per_link * static_cast<std::int64_t>(links));
+}
+
+void entry_engine::control_tick(base::time_point now, effects& out) {
+    apply_member_changes(now, out);
+    apply_ownership(now, out);
+    request_policy(now, out);
+    if (now >= m_next_heartbeat) {
+        send_heartbeats(now, out);
+        m_next_heartbeat = now + interval(m_control.heartbeat_interval);
+    }
+    if (now >= m_next_summary) {
+        send_summaries(now, out);
+        m_next_summary = now + interval(m_control.summary_interval);
+    }
+    if (now >= m_next_slow_work) {
+        m_next_slow_work = now + slow_work_interval;
+        m_summaries.prune(now);
+        update_shift_references(now);
+        probe_foreign_servers(now, out);
+        refresh_targets(out);
+        refresh_store_watch(now, out);
+        expire_lists(now, out);
+    }
+    m_requests.set_dispatch_permission(m_ownership.permission_until());
+}
+
+void entry_engine::apply_member_changes(base::time_point now, effects& out) {
+    const auto changes = m_members.tick(now);
+    for (const auto& change : changes) {
+        base::log(base::log_level::info, "member-status",
+                  {{"entry", change.name},
+                   {"before", membership::to_string(change.before)},
+                   {"after", membership::to_string(change.after)}});
+        const auto* member = m_members.find(change.name);
+        if (change.after == membership::member_status::dead_certain && member != nullptr) {
+            m_requests.peers().set_dead(change.name, member->record.incarnation);
+        }
+        if (membership::is_dead(change.after)) {
+            retire_list(change.name, now);
+            m_peer_revisions.erase(change.name);
+            m_spread.forget(change.name);
+        }
+    }
+    if (!changes.empty()) {
+        refresh_targets(out);
+        refresh_store_watch(now, out);
+    }
+}
+
+void entry_engine::apply_ownership(base::time_point now, effects& out) {
+    for (const auto& change : m_ownership.tick(now)) {
+        using enum membership::ownership_event;
+        const bool dispatches = change.event == acquired || change.event == resumed;
+        base::log(base::log_level::info, dispatches ? "server-owned" : "server-not-owned",
+                  {{"server", change.server}});
+        if (dispatches) {
+            m_requests.server_owned(change.server, now, out);
+        } else {
+            m_requests.server_not_owned(change.server, now);
+        }
+    }
+    for (auto& request : m_ownership.take_requests(now)) {
+        out.emplace_back(send_to_peer{request.entry, std::move(request.request), std::nullopt});
+    }
+}
+
+void entry_engine::send_heartbeats(base::time_point, effects& out) {
+    ++m_heartbeat_counter;
+    wire::heartbeat message;
+    message.counter = m_heartbeat_counter;
+    message.running =
+        m_state == run_state::running ? wire::running_state::running : wire::running_state::stopping;
+    message.claims_version = m_ownership.claims_version();
+    message.relayed = m_members.counters_to_relay(m_control.relayed_counters);
+    for (const auto& link : m_links) {
+        auto& sent = m_claims_sent[link];
+        message.claims.reset();
+        if (sent != message.claims_version) {
+            message.claims = m_ownership.claims();
+            sent = message.claims_version;
+        }
+        out.emplace_back(send_to_peer{link, message, std::nullopt});
+    }
+}
+
+void entry_engine::send_summaries(base::time_point now, effects& out) {
+    auto summary = m_requests.summary(now);
+    const auto own = m_list_draining.find(m_identity.name);
+    if (own != m_list_draining.end()) {
+        summary.draining_servers.assign(own->second.begin(), own->second.end());
+    }
+    m_summaries.update(m_identity.name, summary, now);
+    if (!m_links.empty()) {
+        out.emplace_back(broadcast_to_peers{std::move(summary)});
+    }
+}
+
+// The rate of a region is only learned while one of its entry instances is heard: when they are all gone, the
+// callers that arrive elsewhere must not raise the allowance for their own move.
+void entry_engine::update_shift_references(base::time_point now) {
+    const auto* policy = m_requests.policy();
+    if (policy == nullptr) {
+        return;
+    }
+    std::set<std::string> live{m_identity.region};
+    for (const auto& [name, member] : m_members.members()) {
+        if (member.heard && !membership::is_dead(member.status)) {
+            live.insert(member.record.region);
+        }
+    }
+    for (const auto& service : policy->content().services) {
+        for (const auto& region : live) {
+            const auto rate = m_summaries.region_rate(service.name, region, now);
+            if (rate && *rate > 0.0) {
+                m_requests.set_reference_rate({service.name, region}, *rate, now);
+            }
+        }
+    }
+    // Every known entry instance counts, also one that is not heard: it may be receiving the same callers.
+    m_requests.set_receiving_entries(static_cast<std::uint32_t>(m_members.members().size() + 1), now);
+}
+
+void entry_engine::request_policy(base::time_point now, effects& out) {
+    if (const auto peer = m_spread.next_request(now)) {
+        out.emplace_back(send_to_peer{*peer, wire::policy_request{}, std::nullopt});
+    }
+}
+
+void entry_engine::refresh_targets(effects& out) {
+    auto targets = m_members.needed_links();
+    if (targets != m_targets) {
+        m_targets = targets;
+        out.emplace_back(set_peer_targets{std::move(targets)});
+    }
+}
+
+void entry_engine::refresh_store_watch(base::time_point now, effects& out) {
+    const bool watches = m_spread.duty(m_members) == membership::store_duty::watch;
+    const auto wanted = watches ? store_watch::on : store_watch::off;
+    if (wanted == m_store_watch) {
+        return;
+    }
+    m_store_watch = wanted;
+    if (!watches) {
+        retire_list(m_identity.name, now); // the watchers' summaries carry it from now on
+    }
+    out.emplace_back(set_store_watch{wanted});
+}
+
+// What a sender read stays in force for a while after the sender is gone: the next watcher of the store first
+// has to read the list, and a leaving server must not get work in between.
+void entry_engine::retire_list(const std::string& sender, base::time_point now) {
+    if (m_list_draining.contains(sender)) {
+        m_list_expiry.emplace(sender, now + list_grace);
+    }
+}
+
+void entry_engine::expire_lists(base::time_point now, effects& out) {
+    const auto expired = [now](const auto& item) { return item.second <= now; };
+    for (const auto& item : m_list_expiry) {
+        if (expired(item)) {
+            m_list_draining.erase(item.first);
+        }
+    }
+    if (std::erase_if(m_list_expiry, expired) > 0) {
+        apply_list_draining(now, out);
+    }
+}
+
+// Servers of a failure domain whose entry instances are all gone may be taken over by a neighbour that
+// reaches them.
+void entry_engine::probe_foreign_servers(base::time_point now, effects& out) {
+    const auto* policy = m_requests.policy();
+    if (policy == nullptr) {
+        return;
+    }
+    std::set<std::string> live{m_identity.failure_domain};
+    for (const auto& [name, member] : m_members.members()) {
+        if (member.status == membership::member_status::alive) {
+            live.insert(member.record.failure_domain);
+        }
+    }
+    for (const auto& server : policy->content().servers) {
+        const bool candidate = !live.contains(server.failure_domain) &&
+                               policy->content().region_of(server.failure_domain) == m_identity.region;
+        if (candidate) {
+            out.emplace_back(probe_server{server.name, server.address});
+        }
+    }
+    std::erase_if(m_reachable, [now](const auto& item) { return now - item.second > reachability_lifetime; });
+}
+
+bool entry_engine::reachable(std::string_view server) const {
+    return m_reachable.contains(std::string(server));
+}
+
+void entry_engine::publish_drain_evidence(base::time_point, effects& out) {
+    for (const auto& server : m_requests.take_drain_evidence()) {
+        base::log(base::log_level::info, "server-leaving",
+                  {{"server", server}, {"evidence", "server-answer"}});
+        out.emplace_back(broadcast_to_peers{wire::drain_notice{server, wire::drain_evidence::server_answer}});
+    }
+}
+
+void entry_engine::link_up(const std::string& peer, const wire::hello& remote, base::time_point now,
+                           effects& out) {
+    m_members.link_up({remote.name, remote.failure_domain, remote.region, remote.incarnation,
+                       remote.caller_address, remote.peer_address},
+                      now);
+    m_requests.peers().set_member(peer, remote.failure_domain, remote.region, remote.incarnation);
+    m_requests.peers().set_link(peer, link_status::up);
+    m_links.insert(peer);
+    m_claims_sent.erase(peer);
+    out.emplace_back(send_to_peer{peer, m_members.member_list(), std::nullopt});
+    m_next_heartbeat = now;
+    m_next_summary = now;
+}
+
+void entry_engine::link_down(const std::string& peer, base::time_point now, effects& out) {
+    revalidate_after_pause(now, out);
+    m_links.erase(peer);
+    m_claims_sent.erase(peer);
+    m_requests.peers().set_link(peer, link_status::down);
+    m_summaries.remove(peer);
+}
+
+void entry_engine::connect_failed(const std::string& peer, membership::death_evidence evidence,
+                                  base::time_point now, effects& out) {
+    revalidate_after_pause(now, out);
+    m_members.connect_failed(peer, evidence, now);
+    apply_member_changes(now, out);
+}
+
+void entry_engine::peer_message(const std::string& peer, wire::received_message message, base::time_point now,
+                                effects& out) {
+    revalidate_after_pause(now, out);
+    const std::uint64_t incarnation = message.envelope.incarnation;
+    m_members.heard(peer, incarnation, now);
+    m_spread.observe(peer, message.envelope.policy_revision);
+    m_peer_revisions[peer] = message.envelope.policy_revision;
+    const message_context context{peer, incarnation, now, out};
+    std::visit([this, &context](auto& content) { handle(context, content); }, message.message);
+}
+
+void entry_engine::handle(const message_context& context, wire::heartbeat& message) {
+    m_members.heartbeat(context.peer, context.incarnation, message, context.now);
+    m_ownership.observe_heartbeat(context.peer, context.incarnation, message, context.now);
+    m_requests.peers().set_state(context.peer, message.running == wire::running_state::running
+                                                   ? config::administrative_state::active
+                                                   : config::administrative_state::draining);
+}
+
+void entry_engine::handle(const message_context& context, wire::claims_request& message) {
+    context.out.emplace_back(send_to_peer{
+        context.peer, m_ownership.answer(context.peer, context.incarnation, message, context.now),
+        std::nullopt});
+}
+
+void entry_engine::handle(const message_context& context, wire::claims_report& message) {
+    m_ownership.observe_report(context.peer, context.incarnation, message, context.now);
+}
+
+void entry_engine::handle(const message_context& context, wire::member_list& message) {
+    bool news = false;
+    for (const auto& record : message.members) {
+        if (record.name != m_identity.name && m_members.learn(record, context.now)) {
+            m_requests.peers().set_member(record.name, record.failure_domain, record.region,
+                                          record.incarnation);
+            news = true;
+        }
+    }
+    if (news) {
+        context.out.emplace_back(broadcast_to_peers{m_members.member_list()});
+        refresh_targets(context.out);
+    }
+}
+
+void entry_engine::handle(const message_context& context, wire::entry_summary& message) {
+    m_requests.peers().set_summary(context.peer, message, context.now);
+    m_list_expiry.erase(context.peer);
+    auto& leaving = m_list_draining[context.peer];
+    leaving = {message.draining_servers.begin(), message.draining_servers.end()};
+    m_summaries.update(context.peer, std::move(message), context.now);
+    apply_list_draining(context.now, context.out);
+}
+
+void entry_engine::handle(const message_context& context, wire::policy_request&) {
+    if (m_spread.revision() > 0) {
+        context.out.emplace_back(send_to_peer{
+            context.peer, wire::policy_document{m_spread.revision(), m_spread.document()}, std::nullopt});
+    }
+}
+
+void entry_engine::handle(const message_context& context, wire::policy_document& message) {
+    adopt_policy(message.revision, std::move(message.text), context.now, context.out);
+}
+
+void entry_engine::handle(const message_context& context, wire::forward_request& message) {
+    m_requests.peer_request(context.peer, message.call, std::move(message.request), placement_scope::anywhere,
+                            context.now, context.out);
+}
+
+void entry_engine::handle(const message_context& context, wire::execute_request& message) {
+    m_requests.peer_request(context.peer, message.call, std::move(message.request),
+                            placement_scope::local_only, context.now, context.out);
+}
+
+void entry_engine::handle(const message_context& context, wire::request_result& message) {
+    m_requests.peer_result(context.peer, message.call, std::move(message.outcome), context.now, context.out);
+}
+
+void entry_engine::handle(const message_context& context, wire::cancel_request& message) {
+    m_requests.peer_cancel(context.peer, message.call, context.now, context.out);
+}
+
+void entry_engine::handle(const message_context& context, wire::strike& message) {
+    m_requests.merge_strike(message, context.now);
+}
+
+void entry_engine::handle(const message_context&, wire::strike_cleared& message) {
+    m_requests.clear_strike(message);
+}
+
+void entry_engine::handle(const message_context& context, wire::drain_notice& message) {
+    // What the platform's list shows is kept per sender, so that it can be withdrawn.
+    if (message.evidence == wire::drain_evidence::instance_list) {
+        m_list_draining[context.peer].insert(message.server);
+        apply_list_draining(context.now, context.out);
+        return;
+    }
+    m_requests.server_draining(message.server, message.evidence, context.now);
+}
+
+// Links consume these themselves.
+void entry_engine::handle(const message_context&, wire::hello&) {}
+void entry_engine::handle(const message_context&, wire::hello_proof&) {}
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/engine/entry_engine.cpp
@@ -0,0 +1,310 @@
+// Events from callers, servers and the platform; adoption of policies; graceful stop.
+#include "carawayway/engine/entry_engine.hpp"
+
+#include "carawayway/base/log.hpp"
+#include "carawayway/config/policy_reader.hpp"
+#include "carawayway/shifting/site_selector.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace carawayway::engine {
+
+namespace {
+
+constexpr auto retry_after_lookup = std::chrono::seconds(1);
+
+std::string to_text(const config::socket_address& address) {
+    const bool ipv6 = address.host.find(':') != std::string::npos;
+    return (ipv6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
+}
+
+} // namespace
+
+std::string_view to_string(run_state state) {
+    constexpr std::array<std::string_view, 4> names{"running", "leaving", "draining", "stopped"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+entry_engine::entry_engine(const engine_identity& identity, const wire::member_record& self,
+                           control_settings control, engine_limits limits, std::uint64_t seed,
+                           metrics::metric_registry& metrics, base::time_point now)
+    : m_identity(identity), m_control(control), m_members(self, control.members, now),
+      m_requests(identity, limits, seed, metrics),
+      m_ownership(
+          m_members, control.ownership,
+          [this](std::string_view server) { return m_requests.in_flight(std::string(server)); },
+          [this](std::string_view server) { return reachable(server); }, now),
+      m_spread(membership::config_spread_settings{}), m_summaries(control.summary_lifetime),
+      m_state_since(now), m_next_heartbeat(now), m_next_summary(now), m_next_slow_work(now) {}
+
+void entry_engine::add_seed(const wire::member_record& seed, base::time_point now) {
+    m_members.add_seed(seed, now);
+    m_requests.peers().set_member(seed.name, seed.failure_domain, seed.region, seed.incarnation);
+}
+
+// A process that was paused may have lost servers to others in the meantime. It finds out before it acts on
+// any event.
+void entry_engine::revalidate_after_pause(base::time_point now, effects& out) {
+    if (now > m_ownership.permission_until()) {
+        base::log(base::log_level::warning, "pause-detected");
+        control_tick(now, out);
+    }
+}
+
+void entry_engine::caller_request(std::uint64_t token, request_ptr request, base::time_point now,
+                                  effects& out) {
+    revalidate_after_pause(now, out);
+    m_requests.caller_request(token, std::move(request), now, out);
+}
+
+void entry_engine::caller_left(std::uint64_t token, base::time_point now, effects& out) {
+    revalidate_after_pause(now, out);
+    m_requests.caller_left(token, now, out);
+}
+
+void entry_engine::attempt_finished(std::uint64_t attempt, server_result result, base::time_point now,
+                                    effects& out) {
+    revalidate_after_pause(now, out);
+    m_requests.attempt_finished(attempt, std::move(result), now, out);
+    publish_drain_evidence(now, out);
+}
+
+void entry_engine::peer_call_lost(const std::string& peer, std::uint64_t call, loss_evidence evidence,
+                                  base::time_point now, effects& out) {
+    revalidate_after_pause(now, out);
+    m_requests.peer_call_lost(peer, call, evidence, now, out);
+}
+
+void entry_engine::server_probed(const std::string& server, reachability result, base::time_point now) {
+    if (result == reachability::reachable) {
+        m_reachable[server] = now;
+    } else {
+        m_reachable.erase(server);
+    }
+}
+
+lookup_answer entry_engine::lookup(const std::string& service, const std::string& client_address,
+                                   base::time_point now) {
+    lookup_answer answer;
+    const auto* policy = m_requests.policy();
+    if (const auto reason = not_ready_reason()) {
+        answer.kind = base::error_kind::not_ready;
+        answer.detail = *reason;
+        return answer;
+    }
+    if (policy->find_service(service) == nullptr) {
+        answer.kind = base::error_kind::service_unknown;
+        answer.detail = service;
+        return answer;
+    }
+    std::vector<shifting::known_entry> entries;
+    std::vector<const wire::member_record*> records;
+    const auto add = [&](const wire::member_record& record, shifting::entry_state state) {
+        const auto& draining = policy->content().draining_entries;
+        const bool drained = std::find(draining.begin(), draining.end(), record.name) != draining.end();
+        entries.push_back({record.name, record.failure_domain, record.region,
+                           drained ? shifting::entry_state::draining : state});
+        records.push_back(&record);
+    };
+    add(m_members.self(),
+        m_state == run_state::running ? shifting::entry_state::active : shifting::entry_state::stopping);
+    for (const auto& [name, member] : m_members.members()) {
+        const bool usable = member.heard && member.status == membership::member_status::alive &&
+                            member.record.caller_address.port != 0;
+        if (usable) {
+            add(member.record, member.running == wire::running_state::running
+                                   ? shifting::entry_state::active
+                                   : shifting::entry_state::stopping);
+        }
+    }
+    answer.service = service;
+    answer.home_region = policy->home_region(client_address);
+    const std::string preferred = answer.home_region.empty() ? m_identity.region : answer.home_region;
+    for (const auto index : shifting::lookup_order(preferred, client_address, entries)) {
+        if (answer.entries.size() == m_control.lookup_entries) {
+            break;
+        }
+        const auto& record = *records[index];
+        answer.entries.push_back(
+            {record.name, to_text(record.caller_address), record.failure_domain, record.region});
+    }
+    if (answer.entries.empty()) {
+        answer.kind = base::error_kind::stopping;
+        answer.detail = "no entry instance takes new callers";
+        return answer;
+    }
+    answer.lifetime = policy->content().lookup_lifetime;
+    answer.request_id_prefix = m_requests.issue_prefix(now);
+    answer.acceptance = m_requests.acceptance_left(now);
+    return answer;
+}
+
+std::optional<std::string> entry_engine::not_ready_reason() const {
+    if (m_state == run_state::draining || m_state == run_state::stopped) {
+        return "stopping";
+    }
+    if (m_requests.policy() == nullptr) {
+        return "no policy from the platform or from any peer yet";
+    }
+    return std::nullopt;
+}
+
+void entry_engine::policy_read(std::int64_t revision, std::string document, base::time_point now,
+                               effects& out) {
+    adopt_policy(revision, std::move(document), now, out);
+}
+
+void entry_engine::adopt_policy(std::int64_t revision, std::string document, base::time_point now,
+                                effects& out) {
+    if (!m_spread.newer(revision)) {
+        return;
+    }
+    std::vector<config::diagnostic> diagnostics;
+    auto content = config::read_valid_policy(document, "policy", diagnostics);
+    if (!content) {
+        // Only a writer that bypasses the operators' interface can store an invalid policy.
+        base::log(base::log_level::error, "policy-rejected",
+                  {{"revision", revision}, {"reason", config::to_string(diagnostics.front())}});
+        m_spread.reject(revision);
+        return;
+    }
+    m_spread.adopt(revision, document);
+    base::log(base::log_level::info, "policy-in-force",
+              {{"revision", revision}, {"change_id", content->change_id}});
+    const auto policy = std::make_shared<const compiled_policy>(
+        config::revisioned_policy{revision, std::move(document), std::move(*content)});
+    const auto receiving = static_cast<std::uint32_t>(m_members.members().size() + 1);
+    m_requests.set_policy(policy, receiving, now, out);
+    apply_policy(now, out);
+    out.emplace_back(publish_revision{revision});
+    m_next_heartbeat = now; // peers learn about the revision from the next heartbeat
+}
+
+void entry_engine::apply_policy(base::time_point now, effects& out) {
+    const auto& policy = *m_requests.policy();
+    std::vector<membership::owned_server_spec> servers;
+    for (const auto& server : policy.content().servers) {
+        servers.push_back({server.name, server.service, server.failure_domain});
+    }
+    const auto longest = policy.content().longest_timeout();
+    m_members.set_silence_limit(m_control.ownership.term + longest);
+    m_ownership.configure(std::move(servers), longest, now);
+    // Specifications of owned servers may have changed.
+    for (const auto& claim : m_ownership.claims()) {
+        if (m_ownership.owns(claim.server, now)) {
+            m_requests.server_owned(claim.server, now, out);
+        }
+    }
+    m_applied_list_draining.clear();
+    apply_list_draining(now, out);
+}
+
+void entry_engine::instances_read(const std::vector<instance_record>& instances, base::time_point now,
+                                  effects& out) {
+    revalidate_after_pause(now, out);
+    if (m_requests.policy() == nullptr) {
+        return;
+    }
+    std::set<std::string> leaving;
+    for (const auto& instance : instances) {
+        if (instance.state != instance_state::leaving) {
+            continue;
+        }
+        for (const auto& server : m_requests.policy()->content().servers) {
+            if (server.address == instance.address && server.service == instance.service) {
+                leaving.insert(server.name);
+            }
+        }
+    }
+    for (const auto& server : leaving) {
+        if (!m_list_draining[m_identity.name].contains(server)) {
+            out.emplace_back(
+                broadcast_to_peers{wire::drain_notice{server, wire::drain_evidence::instance_list}});
+        }
+    }
+    m_list_expiry.erase(m_identity.name);
+    m_list_draining[m_identity.name] = std::move(leaving);
+    apply_list_draining(now, out);
+}
+
+// A server is leaving while any entry instance that reads the platform's list says so.
+void entry_engine::apply_list_draining(base::time_point now, effects& out) {
+    std::set<std::string> leaving;
+    for (const auto& [sender, servers] : m_list_draining) {
+        leaving.insert(servers.begin(), servers.end());
+    }
+    for (const auto& server : leaving) {
+        if (!m_applied_list_draining.contains(server)) {
+            base::log(base::log_level::info, "server-leaving",
+                      {{"server", server}, {"evidence", "instance-list"}});
+            m_requests.server_draining(server, wire::drain_evidence::instance_list, now);
+        }
+    }
+    for (const auto& server : m_applied_list_draining) {
+        if (!leaving.contains(server)) {
+            // The list shows it live again after it was leaving: also what the server said before is
+            // outdated.
+            m_requests.server_not_draining(server, wire::drain_evidence::instance_list, now, out);
+            m_requests.server_not_draining(server, wire::drain_evidence::server_answer, now, out);
+        }
+    }
+    m_applied_list_draining = std::move(leaving);
+}
+
+void entry_engine::tick(base::time_point now, effects& out) {
+    control_tick(now, out);
+    m_requests.tick(now, out);
+    advance_stop(now, out);
+}
+
+void entry_engine::begin_stop(base::time_point now, effects& out) {
+    if (m_state != run_state::running) {
+        return;
+    }
+    m_state = run_state::leaving;
+    m_state_since = now;
+    m_next_heartbeat = now;
+    base::log(base::log_level::info, "stop-begun");
+    control_tick(now, out);
+}
+
+void entry_engine::advance_stop(base::time_point now, effects& out) {
+    if (m_state == run_state::leaving) {
+        const auto* policy = m_requests.policy();
+        const auto lifetime = policy == nullptr ? base::duration::zero() : policy->content().lookup_lifetime;
+        if (now - m_state_since >= lifetime) {
+            m_state = run_state::draining;
+            m_state_since = now;
+            m_requests.set_intake(intake::closed);
+            m_ownership.stop();
+            base::log(base::log_level::info, "intake-closed", {{"calls", m_requests.calls()}});
+        }
+    }
+    const bool released = m_ownership.claims().empty();
+    if (m_state == run_state::draining && m_requests.calls() == 0 && released) {
+        m_state = run_state::stopped;
+        send_heartbeats(now, out); // tells the peers that nothing is claimed any more
+    }
+}
+
+std::vector<member_report> entry_engine::members() const {
+    std::vector<member_report> result;
+    result.push_back({m_identity.name, m_identity.failure_domain, m_identity.region,
+                      std::string(to_string(m_state)), m_spread.revision()});
+    for (const auto& [name, member] : m_members.members()) {
+        const auto revision = m_peer_revisions.find(name);
+        const bool stopping = member.running == wire::running_state::stopping;
+        result.push_back({name, member.record.failure_domain, member.record.region,
+                          stopping ? "stopping" : std::string(membership::to_string(member.status)),
+                          revision == m_peer_revisions.end() ? 0 : revision->second});
+    }
+    return result;
+}
+
+void entry_engine::update_gauges(base::time_point now) {
+    m_requests.update_gauges(now);
+}
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/engine/entry_engine.hpp
@@ -0,0 +1,178 @@
+// Everything an entry instance decides, in one pure object: the data path, membership, ownership of servers,
+// and the spread of the policy. The runtime feeds it events with the time and carries out its effects.
+#pragma once
+
+#include "carawayway/engine/effect.hpp"
+#include "carawayway/engine/instance_record.hpp"
+#include "carawayway/engine/request_engine.hpp"
+#include "carawayway/membership/config_spread.hpp"
+#include "carawayway/membership/member_table.hpp"
+#include "carawayway/membership/server_ownership.hpp"
+#include "carawayway/membership/summary_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carawayway::engine {
+
+struct control_settings {
+    base::duration heartbeat_interval = std::chrono::milliseconds(250);
+    base::duration summary_interval = std::chrono::milliseconds(500);
+    // With many links both intervals grow, so that the control traffic of an instance stays bounded.
+    base::duration interval_per_link = std::chrono::milliseconds(16);
+    std::size_t relayed_counters = 8; // per heartbeat
+    std::size_t lookup_entries = 8;   // entry instances named in a look-up answer
+    base::duration summary_lifetime = std::chrono::seconds(5);
+    membership::ownership_settings ownership;
+    membership::member_settings members;
+};
+
+enum class run_state : std::uint8_t {
+    running,
+    leaving,  // out of the look-ups, still serving callers with cached answers
+    draining, // takes nothing new; finishes what is in flight
+    stopped,  // nothing is left to do
+};
+
+std::string_view to_string(run_state state);
+
+// One member as shown to operators.
+struct member_report {
+    std::string name;
+    std::string failure_domain;
+    std::string region;
+    std::string status;
+    std::int64_t revision = 0; // last heard; 0: none
+};
+
+class entry_engine {
+public:
+    entry_engine(const engine_identity& identity, const wire::member_record& self, control_settings control,
+                 engine_limits limits, std::uint64_t seed, metrics::metric_registry& metrics,
+                 base::time_point now);
+
+    void add_seed(const wire::member_record& seed, base::time_point now);
+
+    // Callers.
+    void caller_request(std::uint64_t token, request_ptr request, base::time_point now, effects& out);
+    void caller_left(std::uint64_t token, base::time_point now, effects& out);
+    lookup_answer lookup(const std::string& service, const std::string& client_address, base::time_point now);
+
+    // Backend servers.
+    void attempt_finished(std::uint64_t attempt, server_result result, base::time_point now, effects& out);
+    enum class reachability : std::uint8_t { reachable, unreachable };
+    void server_probed(const std::string& server, reachability result, base::time_point now);
+
+    // Peers.
+    void link_up(const std::string& peer, const wire::hello& remote, base::time_point now, effects& out);
+    void link_down(const std::string& peer, base::time_point now, effects& out);
+    void connect_failed(const std::string& peer, membership::death_evidence evidence, base::time_point now,
+                        effects& out);
+    void peer_message(const std::string& peer, wire::received_message message, base::time_point now,
+                      effects& out);
+    void peer_call_lost(const std::string& peer, std::uint64_t call, loss_evidence evidence,
+                        base::time_point now, effects& out);
+
+    // Platform.
+    void policy_read(std::int64_t revision, std::string document, base::time_point now, effects& out);
+    void instances_read(const std::vector<instance_record>& instances, base::time_point now, effects& out);
+
+    // To be called at least every few milliseconds.
+    void tick(base::time_point now, effects& out);
+
+    // A graceful stop: callers with cached look-up answers are served for as long as those may be cached.
+    void begin_stop(base::time_point now, effects& out);
+    run_state state() const { return m_state; }
+
+    // Nothing when ready.
+    std::optional<std::string> not_ready_reason() const;
+
+    const request_engine& requests() const { return m_requests; }
+    const membership::server_ownership& ownership() const { return m_ownership; }
+    std::vector<member_report> members() const;
+    std::int64_t revision() const { return m_spread.revision(); }
+    const std::string& policy_document() const { return m_spread.document(); }
+    const engine_identity& identity() const { return m_identity; }
+    void update_gauges(base::time_point now);
+
+private:
+    // entry_engine.cpp
+    void revalidate_after_pause(base::time_point now, effects& out);
+    void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
+    void apply_policy(base::time_point now, effects& out);
+    void advance_stop(base::time_point now, effects& out);
+    void apply_list_draining(base::time_point now, effects& out);
+    base::duration interval(base::duration shortest) const;
+
+    // entry_control.cpp
+    void control_tick(base::time_point now, effects& out);
+    void apply_member_changes(base::time_point now, effects& out);
+    void apply_ownership(base::time_point now, effects& out);
+    void send_heartbeats(base::time_point now, effects& out);
+    void send_summaries(base::time_point now, effects& out);
+    void update_shift_references(base::time_point now);
+    void request_policy(base::time_point now, effects& out);
+    void refresh_targets(effects& out);
+    void refresh_store_watch(base::time_point now, effects& out);
+    void probe_foreign_servers(base::time_point now, effects& out);
+    void publish_drain_evidence(base::time_point now, effects& out);
+    void retire_list(const std::string& sender, base::time_point now);
+    void expire_lists(base::time_point now, effects& out);
+    bool reachable(std::string_view server) const;
+
+    // One handler for each kind of message; the fallback is for kinds that links consume themselves.
+    struct message_context {
+        const std::string& peer;
+        std::uint64_t incarnation;
+        base::time_point now;
+        effects& out;
+    };
+    void handle(const message_context& context, wire::heartbeat& message);
+    void handle(const message_context& context, wire::claims_request& message);
+    void handle(const message_context& context, wire::claims_report& message);
+    void handle(const message_context& context, wire::member_list& message);
+    void handle(const message_context& context, wire::entry_summary& message);
+    void handle(const message_context& context, wire::policy_request& message);
+    void handle(const message_context& context, wire::policy_document& message);
+    void handle(const message_context& context, wire::forward_request& message);
+    void handle(const message_context& context, wire::execute_request& message);
+    void handle(const message_context& context, wire::request_result& message);
+    void handle(const message_context& context, wire::cancel_request& message);
+    void handle(const message_context& context, wire::strike& message);
+    void handle(const message_context& context, wire::strike_cleared& message);
+    void handle(const message_context& context, wire::drain_notice& message);
+    void handle(const message_context& context, wire::hello& message);
+    void handle(const message_context& context, wire::hello_proof& message);
+
+    engine_identity m_identity;
+    control_settings m_control;
+    membership::member_table m_members;
+    request_engine m_requests;
+    membership::server_ownership m_ownership;
+    membership::config_spread m_spread;
+    membership::summary_table m_summaries;
+
+    run_state m_state = run_state::running;
+    base::time_point m_state_since;
+    std::uint64_t m_heartbeat_counter = 0;
+    base::time_point m_next_heartbeat;
+    base::time_point m_next_summary;
+    base::time_point m_next_slow_work; // work that is done about once a second
+    std::set<std::string> m_links;
+    std::map<std::string, std::uint64_t> m_claims_sent; // link to the version of the claims it was sent last
+    std::map<std::string, std::int64_t> m_peer_revisions;
+    std::map<std::string, base::time_point> m_reachable; // foreign server to its last successful probe
+    // Sender to the servers that the platform's list shows as leaving, as that sender read it.
+    std::map<std::string, std::set<std::string>> m_list_draining;
+    std::map<std::string, base::time_point> m_list_expiry; // of senders that no longer report
+    std::set<std::string> m_applied_list_draining;
+    std::vector<wire::member_record> m_targets;
+    store_watch m_store_watch = store_watch::off;
+};
+
+} // namespace carawayway::engine
--- /dev/null
+++ b/carawayway/engine/instance_record.hpp
@@ -0,0 +1,19 @@
+// One line of the platform's list of instances. The list lags.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace carawayway::engine {
+
+enum class instance_state : std::uint8_t { live, leaving };
+
+struct instance_record {
+    std::string service;
+    std::string address; // IP:port of the backend server
+    instance_state state = instance_state::live;
+
+    bool operator==(const instance_record&) const = default;
+};
+
+} // namespace carawayway::engine
--- a/carawayway/engine/peer_view.cpp
+++ b/carawayway/engine/peer_view.cpp
@@ -18,8 +18,8 @@
 peer_view::peer_view(std::string own_failure_domain, std::string own_region)
     : m_own_failure_domain(std::move(own_failure_domain)), m_own_region(std::move(own_region)) {}
 
-void peer_view::set_member(const std::string& entry, const std::string& failure_domain, const std::string& region,
-                           std::uint64_t incarnation) {
+void peer_view::set_member(const std::string& entry, const std::string& failure_domain,
+                           const std::string& region, std::uint64_t incarnation) {
     auto& known = m_peers[entry];
     known.failure_domain = failure_domain;
     known.region = region;
@@ -51,7 +51,8 @@
     m_peers[entry].round_trip = measured;
 }
 
-void peer_view::set_summary(const std::string& entry, const wire::entry_summary& summary, base::time_point now) {
+void peer_view::set_summary(const std::string& entry, const wire::entry_summary& summary,
+                            base::time_point now) {
     auto& known = m_peers[entry];
     known.summary_at = now;
     known.services.clear();
@@ -119,7 +120,8 @@
     return known->link == link_status::up ? incarnation_state::linked : incarnation_state::unreachable;
 }
 
-std::vector<shifting::entry_summary> peer_view::summaries(const std::string& service, base::time_point now) const {
+std::vector<shifting::entry_summary> peer_view::summaries(const std::string& service,
+                                                          base::time_point now) const {
     std::vector<shifting::entry_summary> result;
     for (const auto& [name, known] : m_peers) {
         const auto load = known.services.find(service);
--- a/carawayway/engine/pending_call.hpp
+++ b/carawayway/engine/pending_call.hpp
@@ -62,9 +62,9 @@
     base::time_point deadline;
 
     call_stage stage = call_stage::placing;
-    std::uint32_t attempts = 0;     // times it was sent to a server or a peer
-    std::uint64_t attempt = 0;      // stage at_server
-    std::string server;             // the last one that it was sent to, for the answer's detail
+    std::uint32_t attempts = 0;             // times it was sent to a server or a peer
+    std::uint64_t attempt = 0;              // stage at_server
+    std::string server;                     // the last one that it was sent to, for the answer's detail
     std::string peer;                       // stage at_peer, forwarded
     std::vector<std::string> refused_peers; // not asked again for this call
 };
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-
 steering::server_spec to_spec(const compiled_policy& policy, const config::server_policy& server) {
     const auto* service = policy.find_service(server.service);
     return {server.name, policy.effective_slots(server.name), server.connections,
@@ -38,8 +37,10 @@
     m_metrics.declare("carawayway_requests_total", counter, "Requests by customer, service and outcome.");
     m_metrics.declare("carawayway_request_seconds", histogram,
                       "Time from arrival to the answer by customer, service and execution state.");
-    m_metrics.declare("carawayway_queue_wait_seconds", histogram, "Time from arrival to dispatch by service.");
-    m_metrics.declare("carawayway_attempts_total", counter, "Attempts at backend servers by service and outcome.");
+    m_metrics.declare("carawayway_queue_wait_seconds", histogram,
+                      "Time from arrival to dispatch by service.");
+    m_metrics.declare("carawayway_attempts_total", counter,
+                      "Attempts at backend servers by service and outcome.");
     m_metrics.declare("carawayway_moved_requests_total", counter,
                       "Requests served outside their home region by service and home region.");
     m_metrics.declare("carawayway_in_flight", gauge, "Requests in flight to own servers by service.");
@@ -62,10 +63,11 @@
     return found == m_calls.end() ? nullptr : &found->second;
 }
 
-void request_engine::set_policy(std::shared_ptr<const compiled_policy> policy, std::uint32_t receiving_entries,
-                                base::time_point now, effects& out) {
+void request_engine::set_policy(std::shared_ptr<const compiled_policy> policy,
+                                std::uint32_t receiving_entries, base::time_point now, effects& out) {
     const auto previous = std::exchange(m_policy, std::move(policy));
-    m_peers.set_limits({m_policy->content().peer_requests_in_flight, m_policy->content().peer_bytes_in_flight});
+    m_peers.set_limits(
+        {m_policy->content().peer_requests_in_flight, m_policy->content().peer_bytes_in_flight});
     for (const auto& service : m_policy->content().services) {
         if (!m_lanes.contains(service.name)) {
             m_lanes.emplace(service.name, std::make_unique<service_lane>(service, m_random(), now));
@@ -82,13 +84,12 @@
     }
     for (const auto& server : m_policy->content().servers) {
         const auto* domain = m_policy->content().find_failure_domain(server.failure_domain);
-        const bool draining =
-            server.state == config::administrative_state::draining ||
-            (domain != nullptr && domain->state == config::administrative_state::draining);
+        const bool draining = server.state == config::administrative_state::draining ||
+                              (domain != nullptr && domain->state == config::administrative_state::draining);
         if (draining) {
-            server_draining(server.name, now);
+            server_draining(server.name, wire::drain_evidence::policy, now);
         } else {
-            server_active(server.name, now, out);
+            server_not_draining(server.name, wire::drain_evidence::policy, now, out);
         }
     }
 }
@@ -120,20 +121,22 @@
     }
 }
 
-void request_engine::server_draining(const std::string& server, base::time_point now) {
+void request_engine::server_draining(const std::string& server, wire::drain_evidence evidence,
+                                     base::time_point now) {
     const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
     if (known != nullptr) {
-        find_lane(known->service)->set_draining(server, now);
+        find_lane(known->service)->set_draining(server, evidence, now);
     }
 }
 
-void request_engine::server_active(const std::string& server, base::time_point now, effects& out) {
+void request_engine::server_not_draining(const std::string& server, wire::drain_evidence evidence,
+                                         base::time_point now, effects& out) {
     const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
     if (known == nullptr) {
         return;
     }
     auto* lane = find_lane(known->service);
-    lane->set_active(server, now);
+    lane->withdraw_draining(server, evidence, now);
     pump(*lane, now, out);
 }
 
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -1,5 +1,5 @@
-// The data path of an entry instance: admission, placement, attempts, retries and answers. Pure: events and the time
-// come in through calls, what is to be done goes out as effects.
+// The data path of an entry instance: admission, placement, attempts, retries and answers. Pure: events and
+// the time come in through calls, what is to be done goes out as effects.
 #pragma once
 
 #include "carawayway/engine/compiled_policy.hpp"
@@ -37,8 +37,8 @@
     std::size_t request_table = 200000; // records of non-idempotent requests
     base::duration id_acceptance = std::chrono::seconds(60);
     base::duration id_retention = std::chrono::seconds(60); // after acceptance; above the longest timeout
-    std::size_t calls = 20000;        // requests inside the entry instance at one time
-    std::uint32_t placements = 4;     // times one request may be sent to a server or peer
+    std::size_t calls = 20000;                              // requests inside the entry instance at one time
+    std::uint32_t placements = 4; // times one request may be sent to a server or peer
     base::duration grace = std::chrono::milliseconds(250); // an attempt may outlive its deadline by this
 
     bool operator==(const engine_limits&) const = default;
@@ -63,8 +63,11 @@
     void set_reference_rate(const shifting::shift_key& key, double requests_per_second, base::time_point now);
     void server_owned(const std::string& server, base::time_point now, effects& out);
     void server_not_owned(const std::string& server, base::time_point now);
-    void server_draining(const std::string& server, base::time_point now);
-    void server_active(const std::string& server, base::time_point now, effects& out);
+    void server_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now);
+    void server_not_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now,
+                             effects& out);
+    // Attempts decided from now on must not be written after this time: until then the ownership is certain.
+    void set_dispatch_permission(base::time_point until) { m_dispatch_until = until; }
     void set_intake(intake state) { m_intake = state; }
 
     // Callers.
@@ -77,8 +80,8 @@
     void attempt_finished(std::uint64_t attempt, server_result result, base::time_point now, effects& out);
 
     // Peers.
-    void peer_request(const std::string& entry, std::uint64_t call, wire::request request, placement_scope scope,
-                      base::time_point now, effects& out);
+    void peer_request(const std::string& entry, std::uint64_t call, wire::request request,
+                      placement_scope scope, base::time_point now, effects& out);
     void peer_result(const std::string& entry, std::uint64_t call, wire::outcome result, base::time_point now,
                      effects& out);
     void peer_cancel(const std::string& entry, std::uint64_t call, base::time_point now, effects& out);
@@ -96,7 +99,9 @@
     wire::entry_summary summary(base::time_point now);
     std::uint32_t in_flight(const std::string& server) const;
     std::size_t calls() const { return m_calls.size(); }
-    std::vector<shifting::shift_status> shift_status(base::time_point now) const { return m_shifts.status(now); }
+    std::vector<shifting::shift_status> shift_status(base::time_point now) const {
+        return m_shifts.status(now);
+    }
     const std::map<std::string, std::unique_ptr<service_lane>>& lanes() const { return m_lanes; }
     const compiled_policy* policy() const { return m_policy.get(); }
     // Servers that said themselves that they are leaving, since the last call.
@@ -113,8 +118,8 @@
         bool operator>(const deadline_entry& other) const { return time > other.time; }
     };
 
-    // One attempt at an own server. It outlives its call when the call is answered first, because the server's
-    // slot is free only when the attempt has ended.
+    // One attempt at an own server. It outlives its call when the call is answered first, because the
+    // server's slot is free only when the attempt has ended.
     struct running_attempt {
         std::uint64_t call = 0;
         std::string service;
@@ -137,13 +142,15 @@
                base::time_point now, effects& out);
     void admit_once(std::uint64_t waiter_number, const request_ptr& request, pending_call prepared,
                     base::time_point now, effects& out);
-    void forward_to_owner(pending_call call, const requests::request_id& id, base::time_point now, effects& out);
+    void forward_to_owner(pending_call call, const requests::request_id& id, base::time_point now,
+                          effects& out);
     std::uint64_t add_waiter(waiter item);
     void refuse_waiter(std::uint64_t waiter_number, base::error_kind kind, std::string detail,
                        base::duration retry_after, base::time_point now, effects& out);
     void answer_waiter(std::uint64_t waiter_number, answer_ptr answer, base::time_point now, effects& out);
-    void refuse_unadmitted(const request_origin& origin, const service_request& request, placement_scope scope,
-                           base::error_kind kind, std::string detail, base::time_point now, effects& out);
+    void refuse_unadmitted(const request_origin& origin, const service_request& request,
+                           placement_scope scope, base::error_kind kind, std::string detail,
+                           base::time_point now, effects& out);
     bool knows(const service_request& request) const;
     void send_answer(const request_origin& origin, answer_ptr answer, effects& out);
     void expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out);
@@ -161,11 +168,12 @@
     bool may_move(const pending_call& call, refusal_reason& reason, base::time_point now);
     bool prefers_queue(const pending_call& call, const service_lane* lane, base::time_point now) const;
     bool serves_home(const pending_call& call) const;
-    void dispatch(pending_call& call, service_lane& lane, steering::server_handle handle, steering::isolation mode,
-                  base::time_point now, effects& out);
+    void dispatch(pending_call& call, service_lane& lane, steering::server_handle handle,
+                  steering::isolation mode, base::time_point now, effects& out);
     void send_call(pending_call& call, const std::string& entry, call_stage stage, base::time_point now,
                    effects& out);
-    base::duration attempt_time(const pending_call& call, const service_lane& lane, base::time_point now) const;
+    base::duration attempt_time(const pending_call& call, const service_lane& lane,
+                                base::time_point now) const;
     void pump(service_lane& lane, base::time_point now, effects& out);
 
     // request_outcomes.cpp
@@ -201,15 +209,17 @@
     shifting::shift_limiter m_shifts;
     peer_view m_peers;
     intake m_intake = intake::open;
+    base::time_point m_dispatch_until = base::time_point::max();
 
     // Every waiter belongs to exactly one call or to one record of the registry.
     call_map m_calls;
     waiter_map m_waiters;
-    std::unordered_map<std::uint64_t, std::uint64_t> m_waiter_by_token;  // caller token to waiter
+    std::unordered_map<std::uint64_t, std::uint64_t> m_waiter_by_token; // caller token to waiter
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_waiter_by_peer_call;
     std::unordered_map<std::uint64_t, running_attempt> m_attempts;
     std::priority_queue<deadline_entry, std::vector<deadline_entry>, std::greater<>> m_deadlines;
-    std::map<std::pair<std::string, std::string>, std::uint64_t> m_arrivals; // (service, home) since last summary
+    std::map<std::pair<std::string, std::string>, std::uint64_t>
+        m_arrivals; // (service, home) since last summary
     base::time_point m_arrivals_since;
     std::vector<std::string> m_drain_evidence;
     std::uint64_t m_last_number = 0; // calls, waiters and attempts share one sequence
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -36,24 +36,25 @@
 void request_engine::admit(request_origin origin, request_ptr request, std::string home_region,
                            placement_scope scope, base::time_point now, effects& out) {
     if (!m_policy) {
-        refuse_unadmitted(origin, *request, scope, base::error_kind::not_ready, "no policy is in force yet", now,
-                          out);
+        refuse_unadmitted(origin, *request, scope, base::error_kind::not_ready, "no policy is in force yet",
+                          now, out);
         return;
     }
     const auto* service = m_policy->find_service(request->service);
     if (service == nullptr) {
-        refuse_unadmitted(origin, *request, scope, base::error_kind::service_unknown, request->service, now, out);
+        refuse_unadmitted(origin, *request, scope, base::error_kind::service_unknown, request->service, now,
+                          out);
         return;
     }
     if (m_intake == intake::closed && !knows(*request)) {
-        refuse_unadmitted(origin, *request, scope, base::error_kind::stopping, "use another entry instance", now,
-                          out);
+        refuse_unadmitted(origin, *request, scope, base::error_kind::stopping, "use another entry instance",
+                          now, out);
         return;
     }
     // Non-idempotent requests are limited by the request table, which records its refusals.
     if (service->semantics == config::request_semantics::idempotent && m_calls.size() >= m_limits.calls) {
-        refuse_unadmitted(origin, *request, scope, base::error_kind::overloaded, "too many requests in progress",
-                          now, out);
+        refuse_unadmitted(origin, *request, scope, base::error_kind::overloaded,
+                          "too many requests in progress", now, out);
         return;
     }
     const base::duration timeout =
@@ -94,8 +95,8 @@
     place(stored, now, out);
 }
 
-void request_engine::admit_once(std::uint64_t waiter_number, const request_ptr& request, pending_call prepared,
-                                base::time_point now, effects& out) {
+void request_engine::admit_once(std::uint64_t waiter_number, const request_ptr& request,
+                                pending_call prepared, base::time_point now, effects& out) {
     base::failure failure;
     const auto id = requests::parse_request_id(request->request_id, failure);
     if (!id) {
@@ -135,8 +136,8 @@
                                       effects& out) {
     const std::uint64_t waiter_number = call.waiter;
     const bool came_from_peer = std::holds_alternative<peer_origin>(m_waiters.at(waiter_number).origin);
-    const auto state = id.entry == m_identity.name ? incarnation_state::gone
-                                                   : m_peers.state_of(id.entry, id.incarnation);
+    const auto state =
+        id.entry == m_identity.name ? incarnation_state::gone : m_peers.state_of(id.entry, id.incarnation);
     // A request is forwarded once: a peer that forwarded it here took this entry for the owner.
     if (state == incarnation_state::gone || came_from_peer) {
         refuse_waiter(waiter_number, base::error_kind::request_id_owner_gone, id.entry, {}, now, out);
@@ -222,7 +223,8 @@
     service_answer answer = make_refusal(kind, std::move(detail), retry_after_not_ready);
     const bool may_have_run = !request.request_id.empty() && scope == placement_scope::anywhere;
     if (may_have_run && answer.execution == base::execution_state::not_executed) {
-        // A request with this ID may have run before; this entry has not looked and must not promise anything.
+        // A request with this ID may have run before; this entry has not looked and must not promise
+        // anything.
         answer.execution = base::execution_state::unknown;
     } else if (m_policy && is_non_idempotent(request.service)) {
         answer.request_id_prefix = m_registry.issue_prefix(now);
@@ -236,11 +238,12 @@
         return;
     }
     const auto& peer = std::get<peer_origin>(origin);
-    out.emplace_back(send_to_peer{peer.entry, wire::request_result{peer.call, to_wire(*answer)}, std::nullopt});
+    out.emplace_back(
+        send_to_peer{peer.entry, wire::request_result{peer.call, to_wire(*answer)}, std::nullopt});
 }
 
-// The waiter's time is over. A non-idempotent request that was dispatched goes on, so that its outcome is known to a
-// resend; its attempt ends by itself soon after.
+// The waiter's time is over. A non-idempotent request that was dispatched goes on, so that its outcome is
+// known to a resend; its attempt ends by itself soon after.
 void request_engine::expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out) {
     const waiter& item = m_waiters.at(waiter_number);
     const std::uint64_t call_number = item.call;
@@ -252,18 +255,20 @@
             return;
         }
         m_registry.remove_waiter(*item.id, waiter_number);
-        refuse_waiter(waiter_number, base::error_kind::deadline_exceeded, "still running", std::chrono::seconds(1),
-                      now, out);
+        refuse_waiter(waiter_number, base::error_kind::deadline_exceeded, "still running",
+                      std::chrono::seconds(1), now, out);
         return;
     }
     assert(call != nullptr);
-    if (call->semantics == config::request_semantics::non_idempotent && call->stage == call_stage::at_server) {
+    if (call->semantics == config::request_semantics::non_idempotent &&
+        call->stage == call_stage::at_server) {
         return; // the peer that controls the ID still wants the outcome
     }
     const bool sent = call->attempts > 0;
     cancel_work(*call, out);
     finish_error(call_number,
-                 sent ? base::error_kind::deadline_exceeded : base::error_kind::deadline_exceeded_before_dispatch,
+                 sent ? base::error_kind::deadline_exceeded
+                      : base::error_kind::deadline_exceeded_before_dispatch,
                  "", {}, now, out);
 }
 
--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -1,4 +1,5 @@
-// Results of attempts and of calls to peers: final answers, retries, and what is learned about servers and content.
+// Results of attempts and of calls to peers: final answers, retries, and what is learned about servers and
+// content.
 #include "carawayway/engine/peer_conversion.hpp"
 #include "carawayway/engine/request_engine.hpp"
 
@@ -66,7 +67,7 @@
         lane->pool.load_report(attempt.server, *result.reported_in_flight, {}, now);
     }
     if (result.drain == drain_evidence::draining) {
-        server_draining(attempt.server, now);
+        server_draining(attempt.server, wire::drain_evidence::server_answer, now);
         m_drain_evidence.push_back(attempt.server);
     }
     if (result.outcome == attempt_outcome::answered) {
@@ -120,15 +121,18 @@
 // Certain: the request did not run. It may be placed again, whatever its semantics.
 void request_engine::not_run(pending_call& call, base::error_kind kind, base::duration retry_after,
                              base::time_point now, effects& out) {
-    if (call.scope == placement_scope::anywhere && call.attempts < m_limits.placements && now < call.deadline) {
+    if (call.scope == placement_scope::anywhere && call.attempts < m_limits.placements &&
+        now < call.deadline) {
         place(call, now, out);
         return;
     }
-    const auto advice = retry_after > base::duration::zero() ? retry_after : base::duration(std::chrono::seconds(1));
+    const auto advice =
+        retry_after > base::duration::zero() ? retry_after : base::duration(std::chrono::seconds(1));
     finish_error(call.number, kind, "", advice, now, out);
 }
 
-void request_engine::may_have_run(pending_call& call, base::error_kind kind, base::time_point now, effects& out) {
+void request_engine::may_have_run(pending_call& call, base::error_kind kind, base::time_point now,
+                                  effects& out) {
     if (may_retry(call, now)) {
         place(call, now, out);
         return;
@@ -152,13 +156,15 @@
 void request_engine::record_loss(const running_attempt& attempt, base::time_point now, effects& out) {
     const std::array<std::uint64_t, 1> lost{attempt.fingerprint};
     for (const auto& record : m_guard.server_lost(lost, attempt.isolation, now)) {
-        out.emplace_back(broadcast_to_peers{wire::strike{record.fingerprint, record.count, record.recorded_by}});
+        out.emplace_back(
+            broadcast_to_peers{wire::strike{record.fingerprint, record.count, record.recorded_by}});
     }
 }
 
 void request_engine::record_survival(const running_attempt& attempt, base::time_point now, effects& out) {
     if (const auto cleared = m_guard.finished(attempt.fingerprint, now)) {
-        out.emplace_back(broadcast_to_peers{wire::strike_cleared{cleared->fingerprint, cleared->recorded_by}});
+        out.emplace_back(
+            broadcast_to_peers{wire::strike_cleared{cleared->fingerprint, cleared->recorded_by}});
     }
 }
 
@@ -209,16 +215,17 @@
     may_have_run(*call, result.error.value_or(base::error_kind::peer_lost), now, out);
 }
 
-void request_engine::peer_call_lost(const std::string& entry, std::uint64_t call_number, loss_evidence evidence,
-                                    base::time_point now, effects& out) {
+void request_engine::peer_call_lost(const std::string& entry, std::uint64_t call_number,
+                                    loss_evidence evidence, base::time_point now, effects& out) {
     auto* call = find_call(call_number);
     if (call == nullptr || call->peer != entry) {
         return;
     }
     if (call->stage == call_stage::forwarded) {
         leave_peer(*call);
-        const auto kind = evidence == loss_evidence::never_sent ? base::error_kind::request_id_owner_unreachable
-                                                                : base::error_kind::peer_lost;
+        const auto kind = evidence == loss_evidence::never_sent
+                              ? base::error_kind::request_id_owner_unreachable
+                              : base::error_kind::peer_lost;
         finish_error(call_number, kind, entry, std::chrono::seconds(1), now, out);
         return;
     }
@@ -239,7 +246,8 @@
     finish(call_number, make_refusal(kind, std::move(detail), retry_after), now, out);
 }
 
-void request_engine::finish(std::uint64_t call_number, service_answer answer, base::time_point now, effects& out) {
+void request_engine::finish(std::uint64_t call_number, service_answer answer, base::time_point now,
+                            effects& out) {
     const auto found = m_calls.find(call_number);
     assert(found != m_calls.end());
     if (found->second.stage == call_stage::at_peer || found->second.stage == call_stage::forwarded) {
@@ -259,7 +267,8 @@
     }
 }
 
-// Stops what is running for the call, without waiting for it. The attempt's result frees the server's slot later.
+// Stops what is running for the call, without waiting for it. The attempt's result frees the server's slot
+// later.
 void request_engine::cancel_work(pending_call& call, effects& out) {
     switch (call.stage) {
     case call_stage::placing:
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -13,8 +13,8 @@
 constexpr auto retry_after_no_server = std::chrono::seconds(1);
 constexpr auto retry_after_isolation = std::chrono::milliseconds(200);
 constexpr auto shortest_attempt = std::chrono::milliseconds(20);
-constexpr double attempt_share = 0.6;       // of the remaining time, while another attempt may follow
-constexpr int attempt_latency_factor = 6;   // an attempt gets at least this multiple of the typical latency
+constexpr double attempt_share = 0.6;     // of the remaining time, while another attempt may follow
+constexpr int attempt_latency_factor = 6; // an attempt gets at least this multiple of the typical latency
 
 } // namespace
 
@@ -43,7 +43,8 @@
         if (try_local(call, lane, now, out) || try_queue(call, lane, reason, now)) {
             return;
         }
-        finish_error(call.number, base::error_kind::peer_refused, reason.detail, reason.retry_after, now, out);
+        finish_error(call.number, base::error_kind::peer_refused, reason.detail, reason.retry_after, now,
+                     out);
         return;
     }
     if (home && try_local(call, lane, now, out)) {
@@ -78,12 +79,14 @@
     case steering::guard_verdict::refuse_busy:
         break;
     }
-    finish_error(call.number, base::error_kind::request_quarantined, "this content took a backend server down",
-                 m_guard.retry_after(call.fingerprint, now), now, out);
+    finish_error(call.number, base::error_kind::request_quarantined,
+                 "this content took a backend server down", m_guard.retry_after(call.fingerprint, now), now,
+                 out);
     return true;
 }
 
-void request_engine::place_isolated(pending_call& call, service_lane* lane, base::time_point now, effects& out) {
+void request_engine::place_isolated(pending_call& call, service_lane* lane, base::time_point now,
+                                    effects& out) {
     const auto handle = lane->pool.reserve_idle(now);
     if (!handle) {
         finish_error(call.number, base::error_kind::overloaded, "no idle server for an isolated run",
@@ -123,8 +126,8 @@
     if (usable == 0) {
         return false;
     }
-    const auto admitted = lane->queue.offer({call.number, call.deadline, now}, usable, lane->pool.typical_latency(),
-                                            now, lane->pool.high_latency());
+    const auto admitted = lane->queue.offer({call.number, call.deadline, now}, usable,
+                                            lane->pool.typical_latency(), now, lane->pool.high_latency());
     if (admitted.verdict == steering::admission_verdict::queued) {
         call.stage = call_stage::queued;
         return true;
@@ -140,7 +143,8 @@
 bool request_engine::may_move(const pending_call& call, refusal_reason& reason, base::time_point now) {
     const shifting::shift_key key{call.request->service, call.home_region};
     if (m_shifts.try_move(key, now)) {
-        m_metrics.add("carawayway_moved_requests_total", {{"service", key.service}, {"home", key.home_region}});
+        m_metrics.add("carawayway_moved_requests_total",
+                      {{"service", key.service}, {"home", key.home_region}});
         return true;
     }
     reason.kind = base::error_kind::shift_cap_reached;
@@ -191,8 +195,8 @@
     call.peer = entry;
     m_peers.call_started(entry, call.request->service, wire_size(*call.request));
     // The answer has to be back before the deadline here.
-    const base::duration remaining =
-        std::max<base::duration>(call.deadline - now - m_peers.round_trip(entry), std::chrono::milliseconds(1));
+    const base::duration remaining = std::max<base::duration>(call.deadline - now - m_peers.round_trip(entry),
+                                                              std::chrono::milliseconds(1));
     auto request = to_wire(call, remaining);
     wire::peer_message message;
     if (stage == call_stage::at_peer) {
@@ -228,8 +232,8 @@
     call.stage = call_stage::at_server;
     call.attempt = ++m_last_number;
     call.server = lane.pool.name(handle);
-    m_attempts.emplace(call.attempt,
-                       running_attempt{call.number, lane.name, call.server, handle, call.fingerprint, mode, now});
+    m_attempts.emplace(call.attempt, running_attempt{call.number, lane.name, call.server, handle,
+                                                     call.fingerprint, mode, now});
     const auto* server = m_policy->find_server(call.server);
     base::duration timeout = attempt_time(call, lane, now);
     if (call.semantics == config::request_semantics::non_idempotent) {
@@ -242,14 +246,14 @@
     }
     m_metrics.observe("carawayway_queue_wait_seconds", {{"service", lane.name}}, now - call.arrived);
     out.emplace_back(start_attempt{call.attempt, call.server, server == nullptr ? "" : server->address,
-                                   std::move(request_id), call.request, timeout});
+                                   std::move(request_id), call.request, timeout, m_dispatch_until});
 }
 
 void request_engine::pump(service_lane& lane, base::time_point now, effects& out) {
     const base::duration needed = lane.typical_latency();
     for (const auto& expired : lane.queue.take_expired(now, needed)) {
-        const auto retry_after =
-            lane.queue.retry_after(expired.token, lane.pool.usable_slots(now), lane.pool.typical_latency(), now);
+        const auto retry_after = lane.queue.retry_after(expired.token, lane.pool.usable_slots(now),
+                                                        lane.pool.typical_latency(), now);
         finish_error(expired.token, base::error_kind::deadline_exceeded_before_dispatch, "waited too long",
                      retry_after, now, out);
     }
--- a/carawayway/engine/service_lane.cpp
+++ b/carawayway/engine/service_lane.cpp
@@ -21,20 +21,27 @@
     apply(server, state, now);
 }
 
-void service_lane::set_draining(const std::string& server, base::time_point now) {
+void service_lane::set_draining(const std::string& server, wire::drain_evidence evidence,
+                                base::time_point now) {
     auto& state = m_gates[server];
-    state.draining = true;
+    state.draining.insert(evidence);
     apply(server, state, now);
 }
 
-void service_lane::set_active(const std::string& server, base::time_point now) {
+void service_lane::withdraw_draining(const std::string& server, wire::drain_evidence evidence,
+                                     base::time_point now) {
     auto& state = m_gates[server];
-    state.draining = false;
+    state.draining.erase(evidence);
     apply(server, state, now);
 }
 
+bool service_lane::draining(const std::string& server) const {
+    const auto found = m_gates.find(server);
+    return found != m_gates.end() && !found->second.draining.empty();
+}
+
 void service_lane::apply(const std::string& server, const gate& state, base::time_point now) {
-    if (state.owned && !state.draining) {
+    if (state.owned && state.draining.empty()) {
         pool.undrain(server, now);
     } else {
         pool.drain(server, now);
--- a/carawayway/engine/service_lane.hpp
+++ b/carawayway/engine/service_lane.hpp
@@ -5,9 +5,11 @@
 #include "carawayway/steering/admission_queue.hpp"
 #include "carawayway/steering/retry_budget.hpp"
 #include "carawayway/steering/server_pool.hpp"
+#include "carawayway/wire/messages.hpp"
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace carawayway::engine {
@@ -16,11 +18,12 @@
 public:
     service_lane(const config::service_policy& policy, std::uint64_t seed, base::time_point now);
 
-    // Whether a server may get new work. Both have to hold: this entry owns it, and it is not draining.
+    // A server gets new work only while this entry owns it and no evidence says that it is leaving.
     void set_owned(const steering::server_spec& spec, base::time_point now);
     void set_not_owned(const std::string& server, base::time_point now);
-    void set_draining(const std::string& server, base::time_point now);
-    void set_active(const std::string& server, base::time_point now);
+    void set_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now);
+    void withdraw_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now);
+    bool draining(const std::string& server) const;
 
     std::string name;
     steering::server_pool<> pool;
@@ -32,7 +35,7 @@
 private:
     struct gate {
         bool owned = false;
-        bool draining = false;
+        std::set<wire::drain_evidence> draining; // empty: the server is not leaving
     };
 
     void apply(const std::string& server, const gate& state, base::time_point now);
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -28,7 +28,10 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using engine::attempt_outcome;
+using engine::cancel_attempt;
+using engine::probe_server;
 using engine::server_result;
+using engine::start_attempt;
 
 namespace {
 
@@ -180,6 +183,10 @@
 
     // From the first written byte on, a failure means that the server may have received the request.
     asio::awaitable<server_result> exchange(const start_attempt& command, const connection_ptr& link) {
+        if (base::monotonic_now() > command.not_after) {
+            // This process was paused since the decision; another entry instance may own the server by now.
+            co_return failed(attempt_outcome::not_sent);
+        }
         const http_request message = to_server_request(command);
         auto [write_error, written] = co_await http::async_write(link->stream, message, use_tuple);
         if (write_error) {
