config: Read, validate and write policies and settings

A table of known keys holds kind, unit, default, range and description; reader, validator and reference documentation take them from there.

--- /dev/null
+++ b/carawayway/config/check_file.cpp
@@ -0,0 +1,91 @@
+// Reads a file, decides what it is and checks it.
+#include "carawayway/config/check_file.hpp"
+
+#include "carawayway/config/ini_document.hpp"
+#include "carawayway/config/policy_reader.hpp"
+#include "carawayway/config/settings_reader.hpp"
+
+#include <fmt/format.h>
+
+#include <fstream>
+
+namespace carawayway::config {
+
+namespace {
+
+constexpr int status_valid = 0;
+constexpr int status_invalid = 2;
+
+// At most one byte more than the readers accept: enough for them to report the size.
+std::optional<std::string> read_text(const std::string& file) {
+    std::ifstream stream(file, std::ios::binary);
+    std::string text(ini_document::maximum_bytes + 1, '\0');
+    if (!stream.read(text.data(), static_cast<std::streamsize>(text.size())) && !stream.eof()) {
+        return std::nullopt;
+    }
+    text.resize(static_cast<std::size_t>(stream.gcount()));
+    return text;
+}
+
+// Not by `ini_document`: the kind must also be found in a text with syntax errors.
+void count_header(std::string_view line, int& settings_headers, int& policy_headers) {
+    const auto first = line.find_first_not_of(" \t\r[");
+    if (line.empty() || first == std::string_view::npos || line.find('[') >= first) {
+        return;
+    }
+    const auto last = line.find_first_of(" \t\r]", first);
+    const std::string_view kind = line.substr(first, last == std::string_view::npos ? last : last - first);
+    settings_headers += find_section(document_kind::settings, kind) != nullptr ? 1 : 0;
+    policy_headers += find_section(document_kind::policy, kind) != nullptr ? 1 : 0;
+}
+
+std::vector<diagnostic> check_text(document_kind kind, const std::string& text, const std::string& file) {
+    std::vector<diagnostic> diagnostics;
+    if (kind == document_kind::settings) {
+        read_settings(text, file, diagnostics);
+    } else {
+        read_valid_policy(text, file, diagnostics);
+    }
+    return diagnostics;
+}
+
+} // namespace
+
+std::optional<document_kind> detect_document_kind(std::string_view text) {
+    int settings_headers = 0;
+    int policy_headers = 0;
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        count_header(text.substr(0, end), settings_headers, policy_headers);
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+    }
+    if (settings_headers == 0 && policy_headers == 0) {
+        return std::nullopt;
+    }
+    return settings_headers > policy_headers ? document_kind::settings : document_kind::policy;
+}
+
+int run_check(const std::string& file, std::FILE* out) {
+    const auto text = read_text(file);
+    if (!text.has_value()) {
+        fmt::print(out, "{}\n", to_string({file, 0, {}, {}, "a file that can be read", {}}));
+        return status_invalid;
+    }
+    const auto kind = detect_document_kind(*text);
+    if (!kind.has_value()) {
+        fmt::print(out, "{}\n",
+                   to_string({file, 0, {}, {}, "settings with [entry] or a policy with [policy]", {}}));
+        return status_invalid;
+    }
+    const auto diagnostics = check_text(*kind, *text, file);
+    for (const auto& item : diagnostics) {
+        fmt::print(out, "{}\n", to_string(item));
+    }
+    if (!diagnostics.empty()) {
+        return status_invalid;
+    }
+    fmt::print(out, "{}: valid {}\n", file, *kind == document_kind::settings ? "settings" : "policy");
+    return status_valid;
+}
+
+} // namespace carawayway::config
--- /dev/null
+++ b/carawayway/config/key_table.hpp
@@ -0,0 +1,73 @@
+// The known sections and keys of settings and policy files: the single source for the readers, the validator
+// and the reference documentation.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace carawayway::config {
+
+enum class document_kind : std::uint8_t { settings, policy };
+
+enum class value_kind : std::uint8_t {
+    name,
+    name_list,
+    token,
+    text,
+    file_path,
+    store_key,
+    integer,
+    real,
+    milliseconds,
+    semantics,
+    state,
+    log_level,
+    listen_address,
+    remote_address,
+    remote_address_list,
+};
+
+enum class presence : std::uint8_t { required, optional };
+enum class section_naming : std::uint8_t { single, named };  // [entry] or [peer NAME]
+enum class section_keys : std::uint8_t { listed, prefixes }; // prefixes: the keys are client prefixes
+
+struct section_description {
+    document_kind document;
+    std::string_view section;
+    section_naming naming;
+    section_keys keys;
+    presence required; // for named sections: optional
+    std::string_view description;
+};
+
+struct key_description {
+    document_kind document;
+    std::string_view section;
+    std::string_view key;
+    value_kind kind;
+    std::string_view unit; // of integers and reals
+    presence required;
+    std::string_view default_value; // as written in a file; empty: none, or an empty list or text
+    double minimum;                 // of integers, reals and milliseconds
+    double maximum;
+    std::string_view description;
+};
+
+inline constexpr std::string_view prefix_key = "PREFIX"; // stands for the keys of [client_blocks]
+
+std::span<const section_description> known_sections();
+std::span<const key_description> known_keys();
+
+// Null when there is none.
+const section_description* find_section(document_kind document, std::string_view section);
+const key_description* find_key(document_kind document, std::string_view section, std::string_view key);
+
+// What a value of this key must be, as a noun phrase: "an integer from 1 to 1024 (requests)".
+std::string expected_value(const key_description& key);
+
+// The reference of all sections and keys as Markdown tables.
+std::string key_reference_markdown();
+
+} // namespace carawayway::config
