--- a/stand_ins/backend/main.cpp
+++ b/stand_ins/backend/main.cpp
@@ -70,7 +70,7 @@
 
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    stand_ins::block_stop_signals();
+    stand_ins::prepare_process();
     try {
         const auto control = stand_ins::parse_address(FLAGS_control);
         if (!control) {
--- a/stand_ins/platform/main.cpp
+++ b/stand_ins/platform/main.cpp
@@ -19,7 +19,7 @@
         std::fputs("--listen and --control take IP:PORT\n", stderr);
         return 2;
     }
-    stand_ins::block_stop_signals();
+    stand_ins::prepare_process();
     try {
         const stand_ins::platform_server server(*listen, *control);
         stand_ins::print_line("listening=" + server.address());
--- a/stand_ins/support/run_until_signal.cpp
+++ b/stand_ins/support/run_until_signal.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <sys/resource.h>
 
 namespace stand_ins {
 
@@ -18,10 +19,15 @@
 
 } // namespace
 
-void block_stop_signals() {
+void prepare_process() {
     const sigset_t signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    rlimit files{};
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
+        files.rlim_cur = files.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &files);
+    }
 }
 
 void run_until_signal() {
--- a/stand_ins/support/run_until_signal.hpp
+++ b/stand_ins/support/run_until_signal.hpp
@@ -5,8 +5,9 @@
 
 namespace stand_ins {
 
-// Blocks the stop signals in this thread and in all threads it starts later. Call it before starting any.
-void block_stop_signals();
+// Blocks the stop signals in this thread and in all threads it starts later, and raises the limit of open
+// files, since every relayed or served connection takes one. Call it before starting threads.
+void prepare_process();
 
 // Returns after SIGINT or SIGTERM.
 void run_until_signal();
