steering: Test the decision modules in virtual time

Relative success now includes the server itself, so that errors common to all servers reduce no capacity, and faded observations count as whole again.

--- /dev/null
+++ b/Tests/steering_decisions/admission_queue_test.cpp
@@ -0,0 +1,126 @@
+// Guards waiting requests against wrong order, late refusals and deadlines missed because of queueing.
+#include "carawayway/steering/admission_queue.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace carawayway::steering {
+namespace {
+
+using std::chrono::milliseconds;
+
+const base::time_point start{std::chrono::seconds{1000}};
+
+waiting_request request(std::uint64_t token, base::duration deadline, base::duration enqueued = {}) {
+    return {token, start + deadline, start + enqueued};
+}
+
+TEST(admission_queue_test, the_earliest_deadline_goes_first_and_the_older_one_at_equal_deadlines) {
+    admission_queue queue;
+    for (const auto& offered :
+         {request(1, milliseconds{900}, milliseconds{5}), request(2, milliseconds{500}, milliseconds{7}),
+          request(3, milliseconds{500}, milliseconds{6}), request(4, milliseconds{700}, milliseconds{8})}) {
+        ASSERT_EQ(queue.offer(offered, 10, milliseconds{10}, start).verdict, admission_verdict::queued);
+    }
+    EXPECT_EQ(queue.next_deadline(), start + milliseconds{500});
+    EXPECT_TRUE(queue.erase(4));
+    EXPECT_FALSE(queue.erase(4));
+    std::vector<std::uint64_t> order;
+    while (const auto taken = queue.take(start, milliseconds{10})) {
+        order.push_back(taken->token);
+    }
+    EXPECT_EQ(order, (std::vector<std::uint64_t>{3, 2, 1}));
+}
+
+TEST(admission_queue_test, what_can_no_longer_finish_is_handed_back_and_never_dispatched) {
+    admission_queue queue;
+    queue.offer(request(1, milliseconds{100}), 10, milliseconds{10}, start);
+    queue.offer(request(2, milliseconds{300}), 10, milliseconds{10}, start);
+    const auto later = start + milliseconds{95};
+    EXPECT_EQ(queue.take(later, milliseconds{10})->token, 2U);
+    const auto expired = queue.take_expired(later, milliseconds{10});
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_EQ(expired[0].token, 1U);
+    EXPECT_EQ(queue.size(), 0U);
+}
+
+TEST(admission_queue_test, what_cannot_finish_is_refused_on_arrival_with_retry_advice) {
+    admission_queue queue;
+    EXPECT_EQ(queue.offer(request(1, milliseconds{5}), 1, milliseconds{10}, start).verdict,
+              admission_verdict::refused_deadline);
+    admission last;
+    std::uint64_t token = 2;
+    do {
+        last = queue.offer(request(token++, milliseconds{1000}), 1, milliseconds{10}, start);
+    } while (last.verdict == admission_verdict::queued);
+    EXPECT_EQ(last.verdict, admission_verdict::refused_deadline);
+    // One slot and 10 ms a request: the queue is worked off in 10 ms times its length.
+    EXPECT_GE(last.retry_after, milliseconds{10} * queue.size());
+    EXPECT_LE(last.retry_after, milliseconds{20} * queue.size());
+    EXPECT_EQ(queue.offer(request(token, milliseconds{1000}), 0, milliseconds{10}, start).verdict,
+              admission_verdict::refused_deadline);
+}
+
+TEST(admission_queue_test, the_queue_is_bounded) {
+    queue_limits limits;
+    limits.capacity = 2;
+    admission_queue queue(limits);
+    queue.offer(request(1, milliseconds{1000}), 10, milliseconds{1}, start);
+    queue.offer(request(2, milliseconds{1000}), 10, milliseconds{1}, start);
+    const admission refused = queue.offer(request(3, milliseconds{1000}), 10, milliseconds{1}, start);
+    EXPECT_EQ(refused.verdict, admission_verdict::refused_full);
+    EXPECT_GT(refused.retry_after, base::duration::zero());
+}
+
+TEST(admission_queue_test, an_earlier_deadline_is_refused_when_it_would_make_an_accepted_request_late) {
+    admission_queue queue;
+    std::uint64_t token = 1;
+    while (queue.offer(request(token, milliseconds{500}), 1, milliseconds{10}, start).verdict ==
+           admission_verdict::queued) {
+        ++token;
+    }
+    const std::size_t accepted = queue.size();
+    while (queue.offer(request(++token, milliseconds{400}), 1, milliseconds{10}, start).verdict ==
+           admission_verdict::queued) {
+    }
+    base::time_point now = start;
+    std::size_t in_time = 0;
+    const std::size_t total = queue.size();
+    while (const auto taken = queue.take(now, milliseconds{10})) {
+        now += milliseconds{10};
+        queue.completed(now);
+        in_time += now <= taken->deadline ? 1 : 0;
+    }
+    EXPECT_GE(total, accepted);
+    EXPECT_EQ(in_time, total);
+}
+
+// A server that completes one request every `interval`, with more arrivals than it can serve.
+RC_GTEST_PROP(admission_queue_test, no_accepted_request_is_late_at_a_steady_rate, ()) {
+    const auto interval = milliseconds{*rc::gen::inRange(1, 20)};
+    const auto arrivals =
+        *rc::gen::container<std::vector<std::uint32_t>>(300, rc::gen::arbitrary<std::uint32_t>());
+    admission_queue queue;
+    base::time_point now = start;
+    base::time_point free_at = start;
+    const auto serve_until = [&](base::time_point end) {
+        while (free_at <= end) {
+            queue.completed(free_at);
+            RC_ASSERT(queue.take_expired(free_at, interval).empty());
+            const auto taken = queue.take(free_at, interval);
+            free_at = taken ? free_at + interval : end + base::duration{1};
+        }
+    };
+    std::uint64_t token = 0;
+    for (const std::uint32_t arrival : arrivals) {
+        now += std::chrono::microseconds{arrival % 8000};
+        serve_until(now);
+        const base::time_point deadline = now + milliseconds{1 + (arrival >> 16U) % 400};
+        queue.offer({++token, deadline, now}, 1, interval, now);
+    }
+    serve_until(now + std::chrono::seconds{10});
+    RC_ASSERT(queue.size() == 0U);
+}
+
+} // namespace
+} // namespace carawayway::steering
--- a/carawayway/steering/backend_server.cpp
+++ b/carawayway/steering/backend_server.cpp
@@ -17,8 +17,13 @@
 // Bounds of a latency relative to the pool's typical one: an outlier moves a score by at most this much.
 constexpr double least_latency_factor = 0.25;
 constexpr double greatest_latency_factor = 16.0;
-// Success below this counts as this in quotients.
-constexpr double least_success = 1e-3;
+// A success share is never taken as less than this, so that servers that all fail still compare as equal.
+constexpr double least_success = 0.01;
+// A share that has recovered to this counts as whole. Faded observations would otherwise rank a server last
+// for ever when all others are idle, and it would get no request to disprove them.
+constexpr double whole_share = 0.95;
+// Latencies within this factor of the typical one rank alike: averages of few samples vary that much.
+constexpr double equal_latency_factor = 1.5;
 // Pauses are computed from this latency while none is known.
 constexpr base::duration assumed_latency = std::chrono::milliseconds{20};
 // How often the share of a server is looked at again while it is reduced.
@@ -115,7 +120,7 @@
 }
 
 void backend_server::completed(completion_kind kind, base::duration latency,
-                               std::optional<base::duration> typical, double mean_success,
+                               std::optional<base::duration> typical, peer_success peers,
                                double ejection_jitter, const pool_limits& limits, base::time_point now) {
     assert(m_in_flight > 0);
     --m_in_flight;
@@ -124,25 +129,25 @@
     switch (kind) {
     case completion_kind::answered:
         learn_contact();
-        learn_latency(latency, limits, now);
-        learn_success(1.0, typical, mean_success, limits, now);
+        learn_latency(latency, typical, limits, now);
+        learn_success(1.0, typical, peers, limits, now);
         break;
     case completion_kind::failed:
         learn_contact();
-        learn_success(0.0, typical, mean_success, limits, now);
+        learn_success(0.0, typical, peers, limits, now);
         break;
     case completion_kind::shed:
         learn_contact();
         learn_shed(limits, now);
-        learn_success(0.0, typical, mean_success, limits, now);
+        learn_success(0.0, typical, peers, limits, now);
         break;
     case completion_kind::lost:
     case completion_kind::not_sent:
-        learn_success(0.0, typical, mean_success, limits, now);
+        learn_success(0.0, typical, peers, limits, now);
         learn_loss(loss_points, ejection_jitter, limits, now);
         break;
     case completion_kind::timed_out:
-        learn_latency(latency, limits, now);
+        learn_latency(latency, typical, limits, now);
         learn_loss(timeout_points, ejection_jitter, limits, now);
         break;
     case completion_kind::cancelled:
@@ -169,9 +174,8 @@
         return 0;
     }
     const double usable = std::min({static_cast<double>(most), ramp(now), shed_limit(limits, now)});
-    const double share = 1.0 - (1.0 - m_share) * decay(now - m_success_at, limits.memory);
     // The small addend keeps a step that is due exactly now from being lost to rounding.
-    const auto whole = static_cast<std::uint32_t>(usable * share + 1e-6);
+    const auto whole = static_cast<std::uint32_t>(usable * error_share(limits, now) + 1e-6);
     return std::clamp(whole, 1U, most);
 }
 
@@ -205,7 +209,7 @@
                              const pool_limits& limits, base::time_point now) const {
     const double load = (m_in_flight + 1.0 + reported_excess(limits, now)) / std::max(1U, limit);
     const double success = current_success(limits, now);
-    return load * latency_factor(typical, limits, now) / std::max(least_success, success * success);
+    return load * latency_factor(typical, limits, now) / (success * success);
 }
 
 std::optional<base::time_point> backend_server::next_change(const pool_limits& limits,
@@ -231,7 +235,7 @@
         const double missing = std::floor(shed_limit(limits, now) + 1e-6) + 1.0 - m_shed_limit;
         consider(m_shed_at + from_seconds(missing / limits.recovery_per_second));
     }
-    if (m_share < 1.0 && now - m_success_at < 8 * limits.memory) {
+    if (error_share(limits, now) < 1.0) {
         consider(now + share_review);
     }
     return next;
@@ -250,26 +254,30 @@
 
 // A share far below the pool's mean also pauses the server: a fast error frees its slot at once, and without
 // the pause it would draw the whole queue. Errors that all servers give alike reduce nobody's share.
-void backend_server::learn_success(double outcome, std::optional<base::duration> typical, double mean_success,
+void backend_server::learn_success(double outcome, std::optional<base::duration> typical, peer_success peers,
                                    const pool_limits& limits, base::time_point now) {
     const double before = current_success(limits, now);
-    m_success = before + limits.success_weight * (outcome - before);
+    m_success = std::max(least_success, before + limits.success_weight * (outcome - before));
     m_success_at = now;
-    const double relative = m_success / std::max(least_success, mean_success);
+    const double mean = (peers.sum + m_success) / (peers.count + 1);
+    const double relative = m_success / mean;
     m_share = relative < limits.fair_success ? relative : 1.0;
     if (m_share == 1.0 || outcome > 0.0) {
         return;
     }
-    const double base_pause = seconds(typical.value_or(assumed_latency));
-    const double pause = base_pause * (1.0 / std::max(least_success, relative) - 1.0);
+    const double pause = seconds(typical.value_or(assumed_latency)) * (1.0 / relative - 1.0);
     m_paused_until = now + std::min(limits.longest_pause, from_seconds(pause));
 }
 
-void backend_server::learn_latency(base::duration latency, const pool_limits& limits, base::time_point now) {
+void backend_server::learn_latency(base::duration latency, std::optional<base::duration> typical,
+                                   const pool_limits& limits, base::time_point now) {
     const double sample = seconds(latency);
-    m_latency_seconds = m_latency_seconds == 0.0
-                            ? sample
-                            : m_latency_seconds + limits.latency_weight * (sample - m_latency_seconds);
+    if (m_latency_seconds == 0.0 || !typical) {
+        m_latency_seconds = sample;
+    } else {
+        const double before = relative_latency(typical, limits, now) * seconds(*typical);
+        m_latency_seconds = before + limits.latency_weight * (sample - before);
+    }
     m_latency_at = now;
 }
 
@@ -324,20 +332,41 @@
     return std::min(static_cast<double>(ceiling()), m_shed_limit + regained);
 }
 
+double backend_server::error_share(const pool_limits& limits, base::time_point now) const {
+    if (m_share == 1.0) {
+        return 1.0;
+    }
+    const double share = 1.0 - (1.0 - m_share) * decay(now - m_success_at, limits.memory);
+    return share >= whole_share ? 1.0 : share;
+}
+
 double backend_server::current_success(const pool_limits& limits, base::time_point now) const {
-    return m_success == 1.0 ? 1.0 : 1.0 - (1.0 - m_success) * decay(now - m_success_at, limits.memory);
+    if (m_success == 1.0) {
+        return 1.0;
+    }
+    const double success = 1.0 - (1.0 - m_success) * decay(now - m_success_at, limits.memory);
+    return success >= whole_share ? 1.0 : success;
 }
 
-double backend_server::latency_factor(std::optional<base::duration> typical, const pool_limits& limits,
-                                      base::time_point now) const {
+// Unrefreshed latencies fade towards the pool's typical one.
+double backend_server::relative_latency(std::optional<base::duration> typical, const pool_limits& limits,
+                                        base::time_point now) const {
     if (!typical || typical->count() == 0 || m_latency_seconds == 0.0) {
         return 1.0;
     }
-    const double relative =
-        std::clamp(m_latency_seconds / seconds(*typical), least_latency_factor, greatest_latency_factor);
+    const double relative = m_latency_seconds / seconds(*typical);
     return 1.0 + (relative - 1.0) * decay(now - m_latency_at, limits.memory);
 }
 
+double backend_server::latency_factor(std::optional<base::duration> typical, const pool_limits& limits,
+                                      base::time_point now) const {
+    const double relative = relative_latency(typical, limits, now);
+    if (relative > 1.0 / equal_latency_factor && relative < equal_latency_factor) {
+        return 1.0;
+    }
+    return std::clamp(relative, least_latency_factor, greatest_latency_factor);
+}
+
 double backend_server::reported_excess(const pool_limits& limits, base::time_point now) const {
     if (m_reported_excess == 0) {
         return 0.0;
--- a/carawayway/steering/backend_server.hpp
+++ b/carawayway/steering/backend_server.hpp
@@ -18,6 +18,12 @@
     open,
 };
 
+// Success shares of the other servers of the pool that take part in normal operation.
+struct peer_success {
+    double sum = 0.0;
+    std::uint32_t count = 0;
+};
+
 class backend_server {
 public:
     backend_server(server_spec spec, base::time_point now);
@@ -35,10 +41,9 @@
     void dispatched(base::time_point now);
     void isolate() { m_isolated = true; }
 
-    // Counts the request out and learns from it. `mean_success` is the mean over the pool;
-    // `ejection_jitter` in 0..1 spreads the end of ejections.
+    // Counts the request out and learns from it. `ejection_jitter` in 0..1 spreads the end of ejections.
     void completed(completion_kind kind, base::duration latency, std::optional<base::duration> typical,
-                   double mean_success, double ejection_jitter, const pool_limits& limits,
+                   peer_success peers, double ejection_jitter, const pool_limits& limits,
                    base::time_point now);
     void load_report(std::uint32_t in_flight, base::duration age, base::time_point now);
 
@@ -62,15 +67,19 @@
 
 private:
     void open(base::time_point now, base::duration warmth);
-    void learn_success(double outcome, std::optional<base::duration> typical, double mean_success,
+    void learn_success(double outcome, std::optional<base::duration> typical, peer_success peers,
+                       const pool_limits& limits, base::time_point now);
+    void learn_latency(base::duration latency, std::optional<base::duration> typical,
                        const pool_limits& limits, base::time_point now);
-    void learn_latency(base::duration latency, const pool_limits& limits, base::time_point now);
     void learn_shed(const pool_limits& limits, base::time_point now);
     void learn_contact();
     void learn_loss(std::uint32_t points, double jitter, const pool_limits& limits, base::time_point now);
     double ramp(base::time_point now) const;
     double shed_limit(const pool_limits& limits, base::time_point now) const;
+    double error_share(const pool_limits& limits, base::time_point now) const;
     double current_success(const pool_limits& limits, base::time_point now) const;
+    double relative_latency(std::optional<base::duration> typical, const pool_limits& limits,
+                            base::time_point now) const;
     double latency_factor(std::optional<base::duration> typical, const pool_limits& limits,
                           base::time_point now) const;
     double reported_excess(const pool_limits& limits, base::time_point now) const;
--- a/carawayway/steering/server_pool.hpp
+++ b/carawayway/steering/server_pool.hpp
@@ -95,10 +95,9 @@
             return;
         }
         --m_in_flight;
-        const double mean = m_compared == 0 ? 1.0 : std::min(1.0, m_success_sum / m_compared);
         const double jitter = static_cast<double>(m_random() >> 11U) * 0x1p-53;
         change(handle.index, now, [&](backend_server& server) {
-            server.completed(kind, latency, m_typical, mean, jitter, m_limits, now);
+            server.completed(kind, latency, m_typical, {m_success_sum, m_compared}, jitter, m_limits, now);
         });
         learn_latency(kind, latency);
     }
@@ -223,7 +222,8 @@
         }
     }
 
-    // Applies a change to a server and brings sums and indexes up to date.
+    // Applies a change to a server and brings sums and indexes up to date. During the change the sums leave
+    // this server out.
     template <class Change>
     void change(std::uint32_t index, base::time_point now, Change&& apply) {
         backend_server& server = server_at(index);
