entry, cli: Add the runtime of an entry instance

Cause: the engine needs threads, rings and adapters around it. Change: one thread per duty, HTTP listeners, connections to servers, peer adapter, store watcher, subcommands.

--- a/carawayway/cli/arguments.hpp
+++ b/carawayway/cli/arguments.hpp
@@ -21,6 +21,7 @@
 // Parses `argc`/`argv`, prints help or version when asked to, and runs the subcommand. Returns the exit code.
 int dispatch(int argc, char** argv, const std::vector<subcommand>& subcommands);
 
+int run_entry(const std::vector<std::string>& positional);
 int run_lookup(const std::vector<std::string>& positional);
 int run_request(const std::vector<std::string>& positional);
 
--- /dev/null
+++ b/carawayway/cli/main.cpp
@@ -0,0 +1,36 @@
+// The subcommands of the one binary.
+#include "carawayway/cli/arguments.hpp"
+#include "carawayway/config/check_file.hpp"
+
+#include <fmt/format.h>
+
+namespace {
+
+int run_check(const std::vector<std::string>& positional) {
+    if (positional.size() != 1) {
+        fmt::print(stderr, "carawayway check: exactly one FILE is required\n");
+        return carawayway::cli::to_int(carawayway::cli::exit_code::bad_input);
+    }
+    return carawayway::config::run_check(positional.front(), stdout);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace carawayway::cli;
+    const std::vector<subcommand> subcommands{
+        {"entry", "Runs one entry instance until SIGTERM.", "--settings FILE", {"settings"}, run_entry},
+        {"check", "Checks a settings or policy file.", "FILE", {}, run_check},
+        {"lookup",
+         "Asks an entry instance which entry instances a caller should use.",
+         "--service NAME [flags]",
+         {"entry", "service", "source_address", "timeout_ms", "json"},
+         run_lookup},
+        {"request",
+         "Sends one request as a caller and prints what is known about its execution.",
+         "--service NAME [flags]",
+         {"entry", "service", "method", "path", "body", "request_id", "customer", "source_address", "timeout_ms"},
+         run_request},
+    };
+    return dispatch(argc, argv, subcommands);
+}
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -303,6 +303,35 @@
     return result;
 }
 
+status_report entry_engine::status(base::time_point now) const {
+    status_report report;
+    report.entry = m_identity.name;
+    report.failure_domain = m_identity.failure_domain;
+    report.region = m_identity.region;
+    report.state = to_string(m_state);
+    report.incarnation = m_identity.incarnation;
+    report.revision = m_spread.revision();
+    report.policy_document = m_spread.document();
+    report.members = members();
+    for (const auto& [name, lane] : m_requests.lanes()) {
+        service_report service;
+        service.name = name;
+        service.usable_slots = lane->pool.usable_slots(now);
+        service.free_slots = lane->pool.free_slots(now);
+        service.in_flight = lane->pool.in_flight();
+        service.queued = static_cast<std::uint32_t>(lane->queue.size());
+        service.servers = lane->pool.status(now);
+        for (const auto& server : service.servers) {
+            if (lane->draining(server.name)) {
+                service.draining_servers.push_back(server.name);
+            }
+        }
+        report.services.push_back(std::move(service));
+    }
+    report.shifts = m_requests.shift_status(now);
+    return report;
+}
+
 void entry_engine::update_gauges(base::time_point now) {
     m_requests.update_gauges(now);
 }
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -5,6 +5,7 @@
 #include "carawayway/engine/effect.hpp"
 #include "carawayway/engine/instance_record.hpp"
 #include "carawayway/engine/request_engine.hpp"
+#include "carawayway/engine/status_report.hpp"
 #include "carawayway/membership/config_spread.hpp"
 #include "carawayway/membership/member_table.hpp"
 #include "carawayway/membership/server_ownership.hpp"
@@ -41,15 +42,6 @@
 
 std::string_view to_string(run_state state);
 
-// One member as shown to operators.
-struct member_report {
-    std::string name;
-    std::string failure_domain;
-    std::string region;
-    std::string status;
-    std::int64_t revision = 0; // last heard; 0: none
-};
-
 class entry_engine {
 public:
     entry_engine(const engine_identity& identity, const wire::member_record& self, control_settings control,
@@ -94,7 +86,7 @@
 
     const request_engine& requests() const { return m_requests; }
     const membership::server_ownership& ownership() const { return m_ownership; }
-    std::vector<member_report> members() const;
+    status_report status(base::time_point now) const;
     std::int64_t revision() const { return m_spread.revision(); }
     const std::string& policy_document() const { return m_spread.document(); }
     const engine_identity& identity() const { return m_identity; }
@@ -102,6 +94,7 @@
 
 private:
     // entry_engine.cpp
+    std::vector<member_report> members() const;
     void revalidate_after_pause(base::time_point now, effects& out);
     void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
     void apply_policy(base::time_point now, effects& out);
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -142,10 +142,12 @@
 
 void request_engine::tick(base::time_point now, effects& out) {
     while (!m_deadlines.empty() && m_deadlines.top().time <= now) {
-        const std::uint64_t waiter_number = m_deadlines.top().waiter;
+        const deadline_entry due = m_deadlines.top();
         m_deadlines.pop();
-        if (m_waiters.contains(waiter_number)) {
-            expire_waiter(waiter_number, now, out);
+        if (due.kind == deadline_kind::call) {
+            expire_call(due.number, now, out);
+        } else if (m_waiters.contains(due.number)) {
+            expire_waiter(due.number, now, out);
         }
     }
     for (auto& [name, lane] : m_lanes) {
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -112,9 +112,15 @@
     using call_map = std::unordered_map<std::uint64_t, pending_call>;
     using waiter_map = std::unordered_map<std::uint64_t, waiter>;
 
+    enum class deadline_kind : std::uint8_t {
+        waiter, // the waiter's time is over
+        call,   // nothing more is to be expected from the peer that the call was passed to
+    };
+
     struct deadline_entry {
         base::time_point time;
-        std::uint64_t waiter = 0;
+        deadline_kind kind = deadline_kind::waiter;
+        std::uint64_t number = 0; // of the waiter or call
         bool operator>(const deadline_entry& other) const { return time > other.time; }
     };
 
@@ -154,6 +160,7 @@
     bool knows(const service_request& request) const;
     void send_answer(const request_origin& origin, answer_ptr answer, effects& out);
     void expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out);
+    void expire_call(std::uint64_t call_number, base::time_point now, effects& out);
     void abandon(std::uint64_t waiter_number, base::time_point now, effects& out);
     bool is_non_idempotent(const std::string& service) const;
 
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int call_grace_factor = 4; // a peer's own grace and the way back fit into this
 constexpr auto retry_after_not_ready = std::chrono::seconds(1);
 constexpr auto retry_after_saturation = std::chrono::milliseconds(500);
 constexpr auto retry_after_unreachable_owner = std::chrono::seconds(1);
@@ -128,6 +129,7 @@
     m_shifts.arrival({item.service, prepared.home_region}, shifting::arrival_kind::first_time, now);
     prepared.id = id;
     prepared.waiter = 0;
+    m_deadlines.push({prepared.deadline + call_grace_factor * m_limits.grace, deadline_kind::call, prepared.number});
     auto& stored = m_calls.emplace(prepared.number, std::move(prepared)).first->second;
     place(stored, now, out);
 }
@@ -160,7 +162,7 @@
         const auto& peer = std::get<peer_origin>(item.origin);
         m_waiter_by_peer_call.emplace(std::pair{peer.entry, peer.call}, number);
     }
-    m_deadlines.push({item.deadline, number});
+    m_deadlines.push({item.deadline, deadline_kind::waiter, number});
     m_waiters.emplace(number, std::move(item));
     return number;
 }
@@ -272,6 +274,14 @@
                  "", {}, now, out);
 }
 
+// A peer that is alive answers before this. Its link was replaced or it lost the call: the outcome stays unknown.
+void request_engine::expire_call(std::uint64_t call_number, base::time_point now, effects& out) {
+    const auto* call = find_call(call_number);
+    if (call != nullptr && call->stage == call_stage::at_peer) {
+        finish_error(call_number, base::error_kind::peer_lost, call->peer, {}, now, out);
+    }
+}
+
 void request_engine::caller_left(std::uint64_t token, base::time_point now, effects& out) {
     const auto found = m_waiter_by_token.find(token);
     if (found != m_waiter_by_token.end()) {
--- /dev/null
+++ b/carawayway/engine/status_report.hpp
@@ -0,0 +1,53 @@
+// What one entry instance knows, for operators.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+#include "carawayway/shifting/shift_limiter.hpp"
+#include "carawayway/steering/server_spec.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawayway::engine {
+
+// One member as seen from here.
+struct member_report {
+    std::string name;
+    std::string failure_domain;
+    std::string region;
+    std::string status;
+    std::int64_t revision = 0; // last heard; 0: none
+
+    bool operator==(const member_report&) const = default;
+};
+
+struct service_report {
+    std::string name;
+    std::uint32_t usable_slots = 0; // of the servers that this entry instance owns
+    std::uint32_t free_slots = 0;
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+    std::vector<steering::server_status> servers;
+    std::vector<std::string> draining_servers;
+
+    bool operator==(const service_report&) const = default;
+};
+
+struct status_report {
+    std::string entry;
+    std::string failure_domain;
+    std::string region;
+    std::string state;
+    std::uint64_t incarnation = 0;
+    std::int64_t revision = 0; // of the policy in force; 0: none
+    std::string policy_document;
+    std::vector<member_report> members;
+    std::vector<service_report> services;
+    std::vector<shifting::shift_status> shifts;
+
+    bool operator==(const status_report&) const = default;
+};
+
+} // namespace carawayway::engine
--- a/carawayway/entry/caller_listener.hpp
+++ b/carawayway/entry/caller_listener.hpp
@@ -11,21 +11,13 @@
 
 namespace carawayway::entry {
 
-struct listener_limits {
-    std::uint32_t connections = 0;
-    std::uint32_t header_bytes = 0;
-    std::uint32_t body_bytes = 0;
-    base::duration idle_timeout{};
-
-    bool operator==(const listener_limits&) const = default;
-};
-
 class caller_listener {
 public:
     // Returns false when the steering thread cannot take the event now.
     using submit_function = std::function<bool(caller_event)>;
 
-    caller_listener(boost::asio::io_context& context, listener_limits limits, submit_function submit);
+    caller_listener(boost::asio::io_context& context, const config::instance_settings& settings,
+                    submit_function submit);
     ~caller_listener();
     caller_listener(const caller_listener&) = delete;
     caller_listener& operator=(const caller_listener&) = delete;
@@ -36,11 +28,13 @@
     config::socket_address listen(const config::socket_address& address);
 
     void deliver(caller_reply reply);
-    void stop_accepting();
+
+    // Calls `done` once every answer is written; accepts no new connections.
+    void finish(std::function<void()> done);
 
 private:
     class implementation;
-    std::shared_ptr<implementation> m_implementation; // sessions keep it alive until they end
+    std::unique_ptr<implementation> m_implementation; // outlives all connections: those end with the event loop
 };
 
 } // namespace carawayway::entry
--- /dev/null
+++ b/carawayway/entry/control_event.hpp
@@ -0,0 +1,50 @@
+// Messages between the control thread and the steering thread.
+#pragma once
+
+#include "carawayway/engine/effect.hpp"
+#include "carawayway/engine/instance_record.hpp"
+#include "carawayway/engine/status_report.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace carawayway::entry {
+
+struct policy_arrived {
+    std::int64_t revision = 0;
+    std::string document;
+};
+
+struct instances_arrived {
+    std::vector<engine::instance_record> instances;
+};
+
+struct status_asked {
+    std::uint64_t token = 0;
+};
+
+struct metrics_asked {
+    std::uint64_t token = 0;
+};
+
+struct stop_asked {};
+
+using control_event = std::variant<policy_arrived, instances_arrived, status_asked, metrics_asked, stop_asked>;
+
+struct status_ready {
+    std::uint64_t token = 0;
+    engine::status_report report;
+};
+
+struct metrics_ready {
+    std::uint64_t token = 0;
+    std::string text; // Prometheus text form
+};
+
+struct entry_stopped {};
+
+using control_reply = std::variant<engine::set_store_watch, status_ready, metrics_ready, entry_stopped>;
+
+} // namespace carawayway::entry
--- /dev/null
+++ b/carawayway/entry/operator_service.hpp
@@ -0,0 +1,42 @@
+// HTTP towards operators: metrics, status and policy. Runs on the control thread and listens apart from callers.
+#pragma once
+
+#include "carawayway/base/error_kind.hpp"
+#include "carawayway/config/instance_settings.hpp"
+#include "carawayway/entry/control_event.hpp"
+#include "carawayway/platform/etcd_json_store.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace carawayway::entry {
+
+class operator_service {
+public:
+    using submit_function = std::function<void(control_event)>;
+
+    // `store` outlives the service. An empty token refuses all calls but /health and /metrics.
+    operator_service(boost::asio::io_context& context, platform::etcd_json_store& store,
+                     const config::instance_settings& settings, std::string token, submit_function submit);
+    ~operator_service();
+    operator_service(const operator_service&) = delete;
+    operator_service& operator=(const operator_service&) = delete;
+    operator_service(operator_service&&) = delete;
+    operator_service& operator=(operator_service&&) = delete;
+
+    // False with the reason when the address cannot be bound.
+    bool listen(const config::socket_address& address, base::failure& last_failure);
+    config::socket_address listening_address() const;
+
+    // The answer to a `status_asked` or `metrics_asked` of this service.
+    void deliver(control_reply reply);
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+} // namespace carawayway::entry
--- /dev/null
+++ b/carawayway/entry/peer_adapter.cpp
@@ -0,0 +1,119 @@
+// Translation of link events and of the engine's effects.
+#include "carawayway/entry/peer_adapter.hpp"
+
+#include "carawayway/base/log.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace carawayway::entry {
+
+namespace {
+
+constexpr auto flush_interval = std::chrono::milliseconds(1);
+// A steering thread that is this far behind cannot answer in time; its peers then go elsewhere.
+constexpr std::size_t backlog_limit = 20000; // messages
+
+membership::death_evidence to_evidence(peer::connect_evidence evidence) {
+    switch (evidence) {
+    case peer::connect_evidence::refused:
+        return membership::death_evidence::refused;
+    case peer::connect_evidence::accepted_silent:
+        return membership::death_evidence::accepted_silent;
+    case peer::connect_evidence::timed_out:
+        break;
+    }
+    return membership::death_evidence::timed_out;
+}
+
+} // namespace
+
+peer_adapter::peer_adapter(duty& owner, peer::network_settings settings, inbox<peer_event>& events)
+    : m_events(events), m_network(owner.context().get_executor(), std::move(settings), make_events()),
+      m_flush_timer(owner.context()) {}
+
+peer::network_events peer_adapter::make_events() {
+    peer::network_events events;
+    events.link_up = [this](const std::string& name, const wire::hello& remote) {
+        base::log(base::log_level::info, "peer-linked", {{"peer", name}});
+        m_events.send(peer_linked{name, remote});
+    };
+    events.link_down = [this](const std::string& name, const peer::link_loss& loss) { link_lost(name, loss); };
+    events.message = [this](const std::string& name, wire::received_message&& message) {
+        message_arrived(name, std::move(message));
+    };
+    events.evidence = [this](const std::string& name, peer::connect_evidence evidence) {
+        m_events.send(peer_not_reached{name, to_evidence(evidence)});
+    };
+    return events;
+}
+
+void peer_adapter::start() {
+    flush_later();
+}
+
+void peer_adapter::flush_later() {
+    m_flush_timer.expires_after(flush_interval);
+    m_flush_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            m_events.flush();
+            flush_later();
+        }
+    });
+}
+
+void peer_adapter::handle(peer_command command) {
+    std::visit([this](auto& specific) { carry_out(specific); }, command);
+}
+
+void peer_adapter::carry_out(engine::send_to_peer& command) {
+    const auto result = m_network.send(command.entry, command.message);
+    if (!command.call) {
+        return;
+    }
+    if (result.status == peer::send_status::sent) {
+        m_calls.sent(command.entry, *command.call, result);
+        return;
+    }
+    m_events.send(peer_call_lost{command.entry, *command.call, engine::loss_evidence::never_sent});
+}
+
+void peer_adapter::carry_out(engine::broadcast_to_peers& command) {
+    for (const auto& peer : m_network.linked_peers()) {
+        m_network.send(peer, command.message);
+    }
+}
+
+void peer_adapter::carry_out(engine::set_peer_targets& command) {
+    std::vector<peer::peer_target> targets;
+    for (const auto& record : command.peers) {
+        targets.push_back({record.name, record.peer_address});
+    }
+    m_network.set_peers(targets);
+}
+
+void peer_adapter::carry_out(engine::publish_revision& command) {
+    m_network.set_policy_revision(command.revision);
+}
+
+void peer_adapter::message_arrived(const std::string& peer, wire::received_message&& message) {
+    if (const auto* result = std::get_if<wire::request_result>(&message.message)) {
+        m_calls.answered(result->call);
+    }
+    if (m_events.waiting() > backlog_limit) {
+        m_network.close(peer, "the steering thread is saturated");
+        return;
+    }
+    m_events.send(peer_spoke{peer, std::move(message)});
+}
+
+void peer_adapter::link_lost(const std::string& peer, const peer::link_loss& loss) {
+    base::log(base::log_level::info, "peer-unlinked",
+              {{"peer", peer}, {"reason", peer::to_string(loss.reason)}, {"detail", loss.detail}});
+    m_events.send(peer_unlinked{peer});
+    for (const auto& lost : m_calls.link_lost(peer, loss)) {
+        m_events.send(peer_call_lost{peer, lost.call, lost.evidence});
+    }
+}
+
+} // namespace carawayway::entry
--- /dev/null
+++ b/carawayway/entry/steering_loop.cpp
@@ -0,0 +1,203 @@
+// Event and effect plumbing of the steering thread.
+#include "carawayway/entry/steering_loop.hpp"
+
+#include "carawayway/base/log.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace carawayway::entry {
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(5);
+
+} // namespace
+
+steering_loop::steering_loop(duty& owner, engine::entry_engine& engine, metrics::metric_registry& metrics,
+                             steering_outlets outlets)
+    : m_engine(engine), m_metrics(metrics), m_callers(outlets.callers), m_backends(outlets.backends),
+      m_control(outlets.control), m_peers(outlets.peers), m_peer_outbox(outlets.peers),
+      m_timer(owner.context()) {}
+
+void steering_loop::start() {
+    m_timer.expires_after(std::chrono::nanoseconds(0));
+    schedule_tick();
+}
+
+void steering_loop::schedule_tick() {
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error) {
+            return;
+        }
+        tick();
+        m_timer.expires_after(tick_interval);
+        schedule_tick();
+    });
+}
+
+void steering_loop::tick() {
+    m_now = base::monotonic_now();
+    m_engine.tick(m_now, m_effects);
+    carry_out_all();
+    m_callers.flush();
+    m_backends.flush();
+    m_control.flush();
+    m_peer_outbox.flush();
+    if (m_engine.state() == engine::run_state::stopped && m_stop_report == stop_report::pending) {
+        m_stop_report = stop_report::sent;
+        m_control.send(entry_stopped{});
+    }
+}
+
+template <class Event>
+void steering_loop::process(Event& event) {
+    m_now = base::monotonic_now();
+    std::visit([this](auto& specific) { on(specific); }, event);
+    carry_out_all();
+}
+
+// Effects may lead to new ones: a message that cannot be sent is reported back to the engine at once.
+void steering_loop::carry_out_all() {
+    while (!m_effects.empty()) {
+        auto batch = std::exchange(m_effects, {});
+        for (auto& effect : batch) {
+            std::visit([this](auto& specific) { carry_out(specific); }, effect);
+        }
+    }
+}
+
+void steering_loop::handle(caller_event event) {
+    process(event);
+}
+
+void steering_loop::handle(backend_event event) {
+    process(event);
+}
+
+void steering_loop::handle(peer_event event) {
+    process(event);
+}
+
+void steering_loop::handle(control_event event) {
+    process(event);
+}
+
+void steering_loop::on(request_received& event) {
+    m_engine.caller_request(event.token, std::move(event.request), m_now, m_effects);
+}
+
+void steering_loop::on(lookup_received& event) {
+    m_callers.send({event.token, m_engine.lookup(event.service, event.client_address, m_now)});
+}
+
+void steering_loop::on(caller_left& event) {
+    m_engine.caller_left(event.token, m_now, m_effects);
+}
+
+void steering_loop::on(readiness_asked& event) {
+    const auto reason = m_engine.not_ready_reason();
+    m_callers.send({event.token, reason ? readiness{readiness::state::not_ready, *reason}
+                                        : readiness{readiness::state::ready, ""}});
+}
+
+void steering_loop::on(attempt_finished& event) {
+    m_engine.attempt_finished(event.attempt, std::move(event.result), m_now, m_effects);
+}
+
+void steering_loop::on(server_probed& event) {
+    const auto result = event.result == server_probed::reachability::reachable
+                            ? engine::entry_engine::reachability::reachable
+                            : engine::entry_engine::reachability::unreachable;
+    m_engine.server_probed(event.server, result, m_now);
+}
+
+void steering_loop::on(peer_linked& event) {
+    m_engine.link_up(event.peer, event.remote, m_now, m_effects);
+}
+
+void steering_loop::on(peer_unlinked& event) {
+    m_engine.link_down(event.peer, m_now, m_effects);
+}
+
+void steering_loop::on(peer_spoke& event) {
+    m_engine.peer_message(event.peer, std::move(event.message), m_now, m_effects);
+}
+
+void steering_loop::on(peer_not_reached& event) {
+    m_engine.connect_failed(event.peer, event.evidence, m_now, m_effects);
+}
+
+void steering_loop::on(peer_call_lost& event) {
+    m_engine.peer_call_lost(event.peer, event.call, event.evidence, m_now, m_effects);
+}
+
+void steering_loop::on(policy_arrived& event) {
+    m_engine.policy_read(event.revision, std::move(event.document), m_now, m_effects);
+}
+
+void steering_loop::on(instances_arrived& event) {
+    m_engine.instances_read(event.instances, m_now, m_effects);
+}
+
+void steering_loop::on(status_asked& event) {
+    m_control.send(status_ready{event.token, m_engine.status(m_now)});
+}
+
+void steering_loop::on(metrics_asked& event) {
+    m_engine.update_gauges(m_now);
+    m_control.send(metrics_ready{event.token, m_metrics.to_prometheus()});
+}
+
+void steering_loop::on(stop_asked&) {
+    m_engine.begin_stop(m_now, m_effects);
+}
+
+void steering_loop::carry_out(engine::answer_caller& effect) {
+    m_callers.send({effect.token, std::move(effect.answer)});
+}
+
+void steering_loop::carry_out(engine::start_attempt& effect) {
+    m_backends.send(std::move(effect));
+}
+
+void steering_loop::carry_out(engine::cancel_attempt& effect) {
+    m_backends.send(effect);
+}
+
+void steering_loop::carry_out(engine::probe_server& effect) {
+    m_backends.send(std::move(effect));
+}
+
+void steering_loop::carry_out(engine::send_to_peer& effect) {
+    const std::string entry = effect.entry;
+    const auto call = effect.call;
+    peer_command command = std::move(effect);
+    if (m_peer_outbox.waiting() == 0 && m_peers.push(command)) {
+        return;
+    }
+    if (call) {
+        m_engine.peer_call_lost(entry, *call, engine::loss_evidence::never_sent, m_now, m_effects);
+        return;
+    }
+    // A result must arrive, or the peer waits until its deadline.
+    m_peer_outbox.send(std::move(command));
+}
+
+void steering_loop::carry_out(engine::broadcast_to_peers& effect) {
+    m_peer_outbox.send(std::move(effect));
+}
+
+void steering_loop::carry_out(engine::set_peer_targets& effect) {
+    m_peer_outbox.send(std::move(effect));
+}
+
+void steering_loop::carry_out(engine::publish_revision& effect) {
+    m_peer_outbox.send(effect);
+}
+
+void steering_loop::carry_out(engine::set_store_watch& effect) {
+    m_control.send(effect);
+}
+
+} // namespace carawayway::entry
--- /dev/null
+++ b/carawayway/entry/store_watcher.hpp
@@ -0,0 +1,140 @@
+// Follows the policy and the platform's instance list in the store while this entry instance is one of the watchers
+// of its failure domain. Runs on the control thread.
+#pragma once
+
+#include "carawayway/base/log.hpp"
+#include "carawayway/config/instance_settings.hpp"
+#include "carawayway/engine/effect.hpp"
+#include "carawayway/entry/control_event.hpp"
+#include "carawayway/entry/instance_list.hpp"
+#include "carawayway/platform/config_store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace carawayway::entry {
+
+template <platform::config_store Store>
+class store_watcher {
+public:
+    using report_function = std::function<void(control_event)>;
+
+    // `store` outlives the watcher.
+    store_watcher(boost::asio::io_context& context, Store& store, const config::instance_settings& settings,
+                  report_function report)
+        : m_store(store), m_policy_key(settings.policy_key), m_instance_prefix(settings.instance_prefix),
+          m_list_interval(settings.instance_list_interval), m_report(std::move(report)), m_retry_timer(context),
+          m_list_timer(context) {}
+
+    void set(engine::store_watch state) {
+        if (state == m_state) {
+            return;
+        }
+        m_state = state;
+        ++m_round;
+        m_watch.cancel();
+        m_retry_timer.cancel();
+        m_list_timer.cancel();
+        if (state == engine::store_watch::on) {
+            m_retry_delay = shortest_retry;
+            read_policy();
+            read_instances();
+        }
+    }
+
+private:
+    static constexpr base::duration shortest_retry = std::chrono::milliseconds(200);
+    static constexpr base::duration longest_retry = std::chrono::seconds(5);
+
+    // Ignores what belongs to an earlier round: handlers of a watch that was switched off in the meantime.
+    template <class Handler>
+    auto in_round(Handler handler) {
+        return [this, round = m_round, handler = std::move(handler)](auto&&... arguments) {
+            if (round == m_round) {
+                handler(std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    }
+
+    void read_policy() {
+        m_store.range(m_policy_key, "", in_round([this](platform::range_result result) {
+                          if (result.outcome != platform::read_outcome::answered) {
+                              retry(result.detail);
+                              return;
+                          }
+                          m_retry_delay = shortest_retry;
+                          for (auto& item : result.values) {
+                              m_report(policy_arrived{item.mod_revision, std::move(item.value)});
+                          }
+                          open_watch(result.revision + 1);
+                      }));
+    }
+
+    void open_watch(std::int64_t start_revision) {
+        m_next_revision = start_revision;
+        m_watch = m_store.watch(
+            m_policy_key, "", start_revision,
+            in_round([this](platform::watch_batch batch) {
+                m_retry_delay = shortest_retry;
+                for (auto& event : batch.events) {
+                    m_next_revision = std::max(m_next_revision, event.item.mod_revision + 1);
+                    if (event.kind == platform::watch_event_kind::put) {
+                        m_report(policy_arrived{event.item.mod_revision, std::move(event.item.value)});
+                    }
+                }
+            }),
+            in_round([this](const platform::watch_closed& closed) {
+                if (closed.reason == platform::watch_end::expired) {
+                    open_watch(m_next_revision);
+                    return;
+                }
+                retry(closed.detail);
+            }));
+    }
+
+    void retry(const std::string& reason) {
+        base::log(base::log_level::warning, "store-unavailable", {{"detail", reason}});
+        m_retry_timer.expires_after(m_retry_delay);
+        m_retry_delay = std::min(2 * m_retry_delay, longest_retry);
+        m_retry_timer.async_wait(in_round([this](const boost::system::error_code& error) {
+            if (!error) {
+                read_policy();
+            }
+        }));
+    }
+
+    // The list changes seldom, and a lagging answer is as good as a late one: polling costs less than a watch on
+    // every record.
+    void read_instances() {
+        m_store.range(m_instance_prefix, prefix_end(m_instance_prefix), in_round([this](platform::range_result result) {
+                          if (result.outcome == platform::read_outcome::answered) {
+                              m_report(instances_arrived{parse_instances(result.values)});
+                          }
+                          m_list_timer.expires_after(m_list_interval);
+                          m_list_timer.async_wait(in_round([this](const boost::system::error_code& error) {
+                              if (!error) {
+                                  read_instances();
+                              }
+                          }));
+                      }));
+    }
+
+    Store& m_store;
+    std::string m_policy_key;
+    std::string m_instance_prefix;
+    base::duration m_list_interval;
+    report_function m_report;
+    boost::asio::steady_timer m_retry_timer;
+    boost::asio::steady_timer m_list_timer;
+    engine::store_watch m_state = engine::store_watch::off;
+    std::uint64_t m_round = 0; // grows with each change of state
+    base::duration m_retry_delay = shortest_retry;
+    std::int64_t m_next_revision = 0;
+    platform::cancel_handle m_watch;
+};
+
+} // namespace carawayway::entry
