--- /dev/null
+++ b/Tests/wire/message_codec_test.cpp
@@ -0,0 +1,89 @@
+// Guards the codec against fields that are lost on the way and against bytes that crash or mislead a
+// receiver.
+#include "Tests/wire/sample_messages.hpp"
+#include "carawayway/wire/message_codec.hpp"
+#include "carawayway/wire/peer_generated.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <limits>
+#include <set>
+
+namespace carawayway::wire {
+namespace {
+
+const envelope header_sample{"hki-a-1", 77, 42, 5};
+
+TEST(message_codec_test, every_kind_of_message_keeps_all_its_fields) {
+    std::set<std::size_t> kinds;
+    for (const auto& message : sample_messages()) {
+        base::failure failure;
+        const auto received = decode(encode(header_sample, message), failure);
+        ASSERT_TRUE(received.has_value()) << message_kind_name(message.index()) << ": " << failure.detail;
+        EXPECT_EQ(*received, (received_message{header_sample, message}))
+            << message_kind_name(message.index());
+        kinds.insert(message.index());
+    }
+    EXPECT_EQ(kinds.size(), message_kind_count);
+}
+
+TEST(message_codec_test, mutated_and_cut_frames_never_crash_and_never_decode_outside_their_ranges) {
+    const auto samples = sample_messages();
+    const bool passed = rc::check("mutated frames", [&samples] {
+        const auto& sample = samples.at(*rc::gen::inRange<std::size_t>(0, samples.size()));
+        auto bytes = encode(header_sample, sample);
+        const auto mutations = *rc::gen::inRange(1, 8);
+        for (int count = 0; count < mutations; ++count) {
+            bytes.at(*rc::gen::inRange<std::size_t>(0, bytes.size())) =
+                static_cast<std::byte>(*rc::gen::inRange(0, 256));
+        }
+        bytes.resize(*rc::gen::element(bytes.size(), *rc::gen::inRange<std::size_t>(0, bytes.size())));
+        base::failure failure;
+        const auto received = decode(bytes, failure);
+        if (!received.has_value()) {
+            RC_ASSERT(failure.kind == base::error_kind::frame_invalid);
+            RC_ASSERT(!failure.detail.empty());
+            return;
+        }
+        RC_ASSERT(!received->envelope.sender.empty());
+        // Whatever was accepted can be sent on.
+        RC_ASSERT(decode(encode(received->envelope, received->message), failure).has_value());
+    });
+    EXPECT_TRUE(passed);
+}
+
+TEST(message_codec_test, values_outside_their_range_are_refused) {
+    const std::vector<peer_message> invalid{
+        claims_request{1, 1, {server_claim{}}},
+        heartbeat{1, static_cast<running_state>(9), 1, std::nullopt, {}},
+        claims_request{1, 1, {{"s", 1, static_cast<claim_state>(200)}}},
+        entry_summary{{{"s", 0, 0, 0, 0, 0, {{"r", -1.0}}}}, {}},
+        entry_summary{{{"s", 0, 0, 0, 0, 0, {{"r", std::numeric_limits<double>::quiet_NaN()}}}}, {}},
+        policy_document{-1, ""},
+        request_result{1, {std::nullopt, base::execution_state::executed, 99, {}, "", 0, "", ""}},
+        strike{1, 1, std::string(5000, 'x')},
+    };
+    for (const auto& message : invalid) {
+        base::failure failure;
+        EXPECT_FALSE(decode(encode(header_sample, message), failure).has_value())
+            << message_kind_name(message.index());
+    }
+}
+
+TEST(message_codec_test, an_outcome_without_an_execution_state_is_unknown) {
+    // An absent field must never read as a promise that the request did or did not run.
+    flatbuffers::FlatBufferBuilder out;
+    const auto outcome = schema::Createoutcome(out);
+    const auto result = schema::Createrequest_result(out, 1, outcome).Union();
+    const auto sender = out.CreateString("a");
+    schema::Finishpeer_frameBuffer(
+        out, schema::Createpeer_frame(out, sender, 1, 0, 1, schema::peer_message::request_result, result));
+    base::failure failure;
+    const auto received = decode(std::as_bytes(std::span(out.GetBufferPointer(), out.GetSize())), failure);
+    ASSERT_TRUE(received.has_value()) << failure.detail;
+    EXPECT_EQ(std::get<request_result>(received->message).outcome.execution, base::execution_state::unknown);
+}
+
+} // namespace
+} // namespace carawayway::wire
--- a/carawayway/membership/member_table.cpp
+++ b/carawayway/membership/member_table.cpp
@@ -187,7 +187,7 @@
     m_last_tick = now;
     if (gap > m_settings.pause_limit) {
         for (auto& [name, entry] : m_members) {
-            entry.last_progress += gap;
+            entry.last_progress = std::min(entry.last_progress + gap, now);
         }
     }
     for (auto& [name, entry] : m_members) {
--- /dev/null
+++ b/carawayway/membership/server_ownership.cpp
@@ -0,0 +1,732 @@
+// Two-step claims, takeover after the death of an owner, sharing by release, and the reaction to own pauses.
+#include "carawayway/membership/server_ownership.hpp"
+
+#include "carawayway/base/hash.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace carawayway::membership {
+
+namespace {
+
+using wire::claim_state;
+using wire::running_state;
+
+// An established claim may have requests on the server; the others only want to have it.
+constexpr bool established(claim_state state) {
+    return state == claim_state::owned || state == claim_state::releasing;
+}
+
+constexpr bool waiting(claim_state state) {
+    return state == claim_state::proposed || state == claim_state::unconfirmed;
+}
+
+// One place in the order in which entry instances claim a server. Those with less than their share go first.
+struct claim_order {
+    bool has_share = false;
+    std::uint64_t rank = 0;
+
+    bool before(const claim_order& other) const {
+        return has_share != other.has_share ? other.has_share : rank > other.rank;
+    }
+};
+
+} // namespace
+
+server_ownership::server_ownership(const member_table& members, ownership_settings settings,
+                                   in_flight_count in_flight, reachability reachable, base::time_point now)
+    : m_members(members), m_settings(settings), m_in_flight(std::move(in_flight)),
+      m_reachable(std::move(reachable)), m_last_tick(now), m_started_at(now), m_unclaimed_hold(now) {}
+
+void server_ownership::configure(const std::vector<owned_server_spec>& servers,
+                                 base::duration longest_timeout) {
+    m_servers.clear();
+    for (const auto& server : servers) {
+        m_servers.emplace(server.name, server);
+    }
+    m_longest_timeout = longest_timeout;
+    m_configured = true;
+}
+
+void server_ownership::stop() {
+    m_stopping = true;
+    std::vector<std::string> servers;
+    for (const auto& [server, claim] : m_claims) {
+        servers.push_back(server);
+    }
+    for (const auto& server : servers) {
+        give_up(server);
+    }
+    publish();
+}
+
+// ---- what peers say ----
+
+void server_ownership::observe_claims(std::string_view entry, std::uint64_t incarnation,
+                                      std::uint64_t version, const std::vector<wire::server_claim>& claims) {
+    const member* sender = m_members.find(entry);
+    if (sender == nullptr || sender->record.incarnation != incarnation) {
+        return;
+    }
+    peer_claims& view = m_peers[std::string(entry)];
+    assert(view.incarnation == incarnation); // apply_deaths() ran before
+    if (version < view.version) {
+        return;
+    }
+    drop_claims(entry, view);
+    view.version = version;
+    view.known = true;
+    view.dead = false;
+    for (const auto& claim : claims) {
+        view.claims.emplace(claim.server, claim);
+        m_claimants[claim.server].emplace(entry);
+        std::uint64_t& epoch = m_epochs[claim.server];
+        epoch = std::max(epoch, claim.epoch);
+    }
+    resolve_conflicts();
+}
+
+void server_ownership::observe_heartbeat(std::string_view entry, std::uint64_t incarnation,
+                                         const wire::heartbeat& message, base::time_point now) {
+    detect_pause(now);
+    apply_deaths(now);
+    if (message.claims.has_value()) {
+        observe_claims(entry, incarnation, message.claims_version, *message.claims);
+        publish();
+        return;
+    }
+    const auto view = m_peers.find(entry);
+    if (view != m_peers.end() && view->second.version < message.claims_version) {
+        view->second.known = false; // asks for the claims
+    }
+}
+
+wire::claims_report server_ownership::answer(std::string_view entry, std::uint64_t incarnation,
+                                             const wire::claims_request& request, base::time_point now) {
+    detect_pause(now);
+    apply_deaths(now);
+    observe_claims(entry, incarnation, request.claims_version, request.claims);
+    publish();
+    wire::claims_report report{request.token, m_claims_version, m_published, {}};
+    for (const auto& claim : request.claims) {
+        const auto claimants = m_claimants.find(claim.server);
+        if (claimants == m_claimants.end()) {
+            continue;
+        }
+        for (const auto& name : claimants->second) {
+            const peer_claims& view = m_peers.at(name);
+            if (name != entry) {
+                report.known.push_back({name, view.incarnation, view.claims.at(claim.server)});
+            }
+        }
+    }
+    return report;
+}
+
+void server_ownership::observe_report(std::string_view entry, std::uint64_t incarnation,
+                                      const wire::claims_report& report, base::time_point now) {
+    detect_pause(now);
+    apply_deaths(now);
+    observe_claims(entry, incarnation, report.claims_version, report.claims);
+    const member* sender = m_members.find(entry);
+    const bool current = sender != nullptr && sender->record.incarnation == incarnation;
+    if (current && m_round.has_value() && m_round->token == report.token) {
+        withdraw_known_elsewhere(report, now);
+        m_round->waiting.erase(std::string(entry));
+    }
+    publish();
+}
+
+// Gives up claims to servers that the peer knows to belong to an entry instance without a link to this one.
+void server_ownership::withdraw_known_elsewhere(const wire::claims_report& report, base::time_point now) {
+    for (const auto& known : report.known) {
+        const bool asked = m_round->servers.contains(known.claim.server);
+        if (asked && m_claims.contains(known.claim.server) && known_elsewhere(known)) {
+            give_up(known.claim.server);
+            m_retry_after[known.claim.server] = now + m_settings.revalidation_time;
+        }
+    }
+}
+
+bool server_ownership::known_elsewhere(const wire::entry_claim& known) const {
+    if (known.entry == m_members.self().name || known.claim.state == claim_state::proposed) {
+        return false;
+    }
+    const member* owner = m_members.find(known.entry);
+    if (owner == nullptr || owner->record.incarnation != known.incarnation) {
+        return true;
+    }
+    return !is_dead(owner->status) && !round_peer(*owner);
+}
+
+void server_ownership::drop_claims(std::string_view entry, peer_claims& view) {
+    for (const auto& [server, claim] : view.claims) {
+        const auto claimants = m_claimants.find(server);
+        claimants->second.erase(std::string(entry));
+        if (claimants->second.empty()) {
+            m_claimants.erase(claimants);
+        }
+    }
+    view.claims.clear();
+}
+
+// ---- deaths and pauses ----
+
+// Its requests may run on its servers until then. When its claims are not known, any server may be meant.
+void server_ownership::bury(std::string_view entry, peer_claims& view, base::time_point until) {
+    if (!view.known) {
+        m_unclaimed_hold = std::max(m_unclaimed_hold, until);
+    }
+    for (const auto& [server, claim] : view.claims) {
+        base::time_point& reserved = m_reserved_until[server];
+        reserved = std::max(reserved, until);
+    }
+    drop_claims(entry, view);
+    view.known = false;
+    view.version = 0;
+}
+
+void server_ownership::apply_death(const member& entry, base::time_point now) {
+    const auto& record = entry.record;
+    const base::duration certain_wait = m_longest_timeout + m_settings.certain_death_margin;
+    const auto [found, inserted] = m_peers.try_emplace(record.name);
+    peer_claims& view = found->second;
+    if (view.incarnation != record.incarnation) {
+        if (view.incarnation != 0 && !view.dead) {
+            bury(record.name, view, now + certain_wait);
+        }
+        view = {};
+        view.incarnation = record.incarnation;
+    }
+    if (!is_dead(entry.status)) {
+        view.dead = false;
+        return;
+    }
+    if (view.dead) {
+        return;
+    }
+    if (entry.status == member_status::dead_certain) {
+        bury(record.name, view, entry.status_since + certain_wait);
+    } else {
+        // The silence limit covers the term and the longest request. Unknown claims are held no longer.
+        bury(record.name, view, now);
+    }
+    view.dead = true;
+}
+
+void server_ownership::apply_deaths(base::time_point now) {
+    for (const auto& [name, entry] : m_members.members()) {
+        apply_death(entry, now);
+    }
+    for (auto view = m_peers.begin(); view != m_peers.end();) {
+        if (m_members.find(view->first) == nullptr) {
+            drop_claims(view->first, view->second);
+            view = m_peers.erase(view);
+        } else {
+            ++view;
+        }
+    }
+}
+
+// After a pause others may own the servers, and this entry instance may have missed claims and deaths.
+void server_ownership::detect_pause(base::time_point now) {
+    if (now - m_last_tick <= m_settings.pause_limit) {
+        return;
+    }
+    m_last_tick = now;
+    m_round.reset();
+    std::erase_if(m_claims, [](const auto& item) { return item.second.state == claim_state::proposed; });
+    for (auto& [server, claim] : m_claims) {
+        if (claim.state == claim_state::owned) {
+            claim.state = claim_state::unconfirmed;
+        }
+        claim.confirmed = false;
+    }
+    m_unclaimed_hold = std::max(m_unclaimed_hold, now + m_longest_timeout + m_settings.certain_death_margin);
+    m_unclaimed_since.clear();
+    publish();
+}
+
+// The hold covers requests of a predecessor of this process and of owners that died before it started. It
+// lasts longer while a peer neither answered nor is known to be dead: a paused owner must not be overlooked.
+void server_ownership::update_start(base::time_point now) {
+    if (m_start_complete || !m_configured) {
+        return;
+    }
+    if (m_settings.hold == start_hold::wait) {
+        if (now < m_started_at + m_longest_timeout + m_settings.certain_death_margin) {
+            return;
+        }
+        for (const auto& name : round_peers()) {
+            if (!m_peers.at(name).known) {
+                return;
+            }
+        }
+    }
+    m_start_complete = true;
+}
+
+// ---- conflicts ----
+
+// Decides equally on both sides, from what each of them knows of the other.
+bool server_ownership::yields(std::string_view server, const local_claim& own, std::string_view entry,
+                              const wire::server_claim& other) const {
+    if (established(own.state) != established(other.state)) {
+        return established(other.state);
+    }
+    if (own.epoch != other.epoch) {
+        return other.epoch > own.epoch;
+    }
+    const std::string& self = m_members.self().name;
+    return std::pair(base::rendezvous_rank(server, entry), entry) >
+           std::pair(base::rendezvous_rank(server, self), std::string_view(self));
+}
+
+void server_ownership::resolve_conflict(const std::string& server, local_claim& claim) {
+    claim.contested = false;
+    const auto claimants = m_claimants.find(server);
+    if (claimants == m_claimants.end() || claim.state == claim_state::releasing) {
+        return;
+    }
+    for (const auto& entry : claimants->second) {
+        const wire::server_claim& other = m_peers.at(entry).claims.at(server);
+        if (yields(server, claim, entry, other)) {
+            give_up(server);
+            return;
+        }
+        // The winner waits as well until the other has nothing left on the server.
+        claim.contested = claim.contested || established(other.state);
+    }
+}
+
+void server_ownership::resolve_conflicts() {
+    for (auto claim = m_claims.begin(); claim != m_claims.end();) {
+        const auto current = claim++; // may be erased
+        resolve_conflict(std::string(current->first), current->second);
+    }
+}
+
+// ---- confirmation ----
+
+bool server_ownership::round_peer(const member& entry) const {
+    const auto& self = m_members.self();
+    if (is_dead(entry.status)) {
+        return false;
+    }
+    if (entry.record.failure_domain == self.failure_domain) {
+        return true;
+    }
+    return entry.record.region == self.region && m_members.region_delegate(self.name) &&
+           m_members.region_delegate(entry.record.name);
+}
+
+std::vector<std::string> server_ownership::round_peers() const {
+    std::vector<std::string> peers;
+    for (const auto& [name, entry] : m_members.members()) {
+        if (round_peer(entry)) {
+            peers.push_back(name);
+        }
+    }
+    return peers;
+}
+
+void server_ownership::start_round(base::time_point now) {
+    if (m_round.has_value()) {
+        return;
+    }
+    confirmation_round round;
+    for (const auto& [server, claim] : m_claims) {
+        if (waiting(claim.state) && !claim.confirmed) {
+            round.servers.insert(server);
+        }
+    }
+    if (round.servers.empty()) {
+        return;
+    }
+    round.token = m_next_token++;
+    round.started = now;
+    for (auto& name : round_peers()) {
+        m_peers.at(name).next_request = now;
+        round.waiting.insert(std::move(name));
+    }
+    m_round = std::move(round);
+}
+
+void server_ownership::finish_round(base::time_point now) {
+    if (!m_round.has_value()) {
+        return;
+    }
+    std::erase_if(m_round->waiting, [this](const auto& name) { return !m_members.live(name); });
+    if (!m_round->waiting.empty() && now - m_round->started < m_settings.revalidation_time) {
+        return;
+    }
+    for (const auto& server : m_round->servers) {
+        const auto claim = m_claims.find(server);
+        if (claim != m_claims.end() && waiting(claim->second.state)) {
+            claim->second.confirmed = true;
+        }
+    }
+    m_round.reset();
+}
+
+void server_ownership::become_owner(base::time_point now) {
+    for (auto& [server, claim] : m_claims) {
+        const bool agreed = waiting(claim.state) && claim.confirmed && now >= claim.not_before;
+        if (agreed && !m_claimants.contains(server)) {
+            claim.state = claim_state::owned;
+            claim.confirmed = false;
+        }
+    }
+}
+
+std::vector<addressed_request> server_ownership::take_requests(base::time_point now) {
+    std::vector<addressed_request> requests;
+    for (const auto& name : round_peers()) {
+        const auto found = m_peers.find(name);
+        if (found == m_peers.end()) {
+            continue;
+        }
+        peer_claims& view = found->second;
+        const bool in_round = m_round.has_value() && m_round->waiting.contains(name);
+        if ((!in_round && view.known) || now < view.next_request) {
+            continue;
+        }
+        view.next_request = now + m_settings.request_interval;
+        requests.push_back({name, {in_round ? m_round->token : 0, m_claims_version, m_published}});
+    }
+    return requests;
+}
+
+// ---- sharing ----
+
+std::size_t server_ownership::share_of(std::string_view service, std::size_t entries) const {
+    const auto servers = static_cast<std::size_t>(
+        std::count_if(m_servers.begin(), m_servers.end(), [this, service](const auto& item) {
+            return item.second.service == service &&
+                   item.second.failure_domain == m_members.self().failure_domain;
+        }));
+    return (servers + entries - 1) / entries;
+}
+
+std::size_t server_ownership::own_claims_of(std::string_view service) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_claims.begin(), m_claims.end(), [this, service](const auto& item) {
+            const auto server = m_servers.find(item.first);
+            return server != m_servers.end() && server->second.service == service &&
+                   server->second.failure_domain == m_members.self().failure_domain &&
+                   item.second.state != claim_state::releasing;
+        }));
+}
+
+std::size_t server_ownership::claims_of(std::string_view entry, std::string_view service) const {
+    const auto view = m_peers.find(entry);
+    if (view == m_peers.end()) {
+        return 0;
+    }
+    const auto& claims = view->second.claims;
+    return static_cast<std::size_t>(
+        std::count_if(claims.begin(), claims.end(), [this, service](const auto& item) {
+            const auto server = m_servers.find(item.first);
+            return server != m_servers.end() && server->second.service == service;
+        }));
+}
+
+bool server_ownership::domain_runs(std::string_view domain) const {
+    const auto& members = m_members.members();
+    return std::any_of(members.begin(), members.end(), [domain](const auto& item) {
+        const member& entry = item.second;
+        return entry.record.failure_domain == domain && entry.status == member_status::alive &&
+               entry.running == running_state::running;
+    });
+}
+
+void server_ownership::release_removed() {
+    std::vector<std::string> removed;
+    for (const auto& [server, claim] : m_claims) {
+        if (!m_servers.contains(server)) {
+            removed.push_back(server);
+        }
+    }
+    for (const auto& server : removed) {
+        give_up(server);
+    }
+}
+
+void server_ownership::release_surplus() {
+    if (m_stopping || !m_start_complete) {
+        return;
+    }
+    std::size_t sharers = 1;
+    for (const auto& [name, entry] : m_members.members()) {
+        const bool same_domain = entry.record.failure_domain == m_members.self().failure_domain;
+        sharers += same_domain && !is_dead(entry.status) && entry.running == running_state::running ? 1 : 0;
+    }
+    std::set<std::string_view> services;
+    for (const auto& [server, claim] : m_claims) {
+        const auto spec = m_servers.find(server);
+        if (spec != m_servers.end()) {
+            services.insert(spec->second.service);
+        }
+    }
+    for (const auto service : services) {
+        release_one(service, share_of(service, sharers));
+    }
+}
+
+// A server of another failure domain goes back as soon as that domain has a running entry instance. One of
+// the own domain is surplus above the share when another entry instance has less than its share.
+bool server_ownership::may_release(const owned_server_spec& server, std::string_view service,
+                                   std::size_t share) const {
+    const std::string& domain = m_members.self().failure_domain;
+    if (server.failure_domain != domain) {
+        return domain_runs(server.failure_domain);
+    }
+    if (own_claims_of(service) <= share) {
+        return false;
+    }
+    const auto& members = m_members.members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& item) {
+        const member& entry = item.second;
+        return entry.record.failure_domain == domain && entry.status == member_status::alive &&
+               entry.running == running_state::running && claims_of(item.first, service) < share;
+    });
+}
+
+// One server of a service at a time, so that most of its slots stay in use.
+void server_ownership::release_one(std::string_view service, std::size_t share) {
+    const std::string& self = m_members.self().name;
+    std::optional<std::pair<std::uint64_t, std::string>> lowest;
+    for (const auto& [server, claim] : m_claims) {
+        const auto spec = m_servers.find(server);
+        if (spec == m_servers.end() || spec->second.service != service) {
+            continue;
+        }
+        if (claim.state == claim_state::releasing) {
+            return;
+        }
+        if (claim.state == claim_state::owned && may_release(spec->second, service, share)) {
+            const std::pair candidate{base::rendezvous_rank(server, self), server};
+            lowest = lowest.has_value() ? std::min(*lowest, candidate) : candidate;
+        }
+    }
+    if (lowest.has_value()) {
+        give_up(lowest->second);
+    }
+}
+
+void server_ownership::give_up(const std::string& server) {
+    const auto claim = m_claims.find(server);
+    assert(claim != m_claims.end());
+    const bool had_permission = claim->second.state != claim_state::proposed;
+    if (had_permission && m_in_flight(server) > 0) {
+        claim->second.state = claim_state::releasing;
+        claim->second.contested = false;
+        return;
+    }
+    erase_claim(server);
+}
+
+void server_ownership::erase_claim(const std::string& server) {
+    const auto claim = m_claims.find(server);
+    if (claim->second.held) {
+        m_changes.push_back({server, ownership_event::released});
+    }
+    m_claims.erase(claim);
+    m_unclaimed_since.erase(server);
+}
+
+void server_ownership::finish_releases() {
+    std::vector<std::string> finished;
+    for (const auto& [server, claim] : m_claims) {
+        if (claim.state == claim_state::releasing && m_in_flight(server) == 0) {
+            finished.push_back(server);
+        }
+    }
+    for (const auto& server : finished) {
+        erase_claim(server);
+    }
+}
+
+// ---- new claims ----
+
+// When a server without an owner may be dispatched to; nothing while it has an owner.
+std::optional<base::time_point> server_ownership::free_at(const owned_server_spec& server) const {
+    if (m_claimants.contains(server.name)) {
+        return std::nullopt;
+    }
+    base::time_point free = m_unclaimed_hold;
+    const auto reserved = m_reserved_until.find(server.name);
+    if (reserved != m_reserved_until.end()) {
+        free = std::max(free, reserved->second);
+    }
+    if (server.failure_domain == m_members.self().failure_domain) {
+        return free;
+    }
+    const auto domain_free = domain_free_at(server.failure_domain);
+    if (!domain_free.has_value()) {
+        return std::nullopt;
+    }
+    return std::max(free, *domain_free);
+}
+
+// When the last requests of a failure domain without live entry instances are over; nothing while one lives.
+// Its claims may be unknown here, so all its entry instances count.
+std::optional<base::time_point> server_ownership::domain_free_at(std::string_view domain) const {
+    base::time_point free{};
+    for (const auto& [name, entry] : m_members.members()) {
+        if (entry.record.failure_domain != domain) {
+            continue;
+        }
+        if (!is_dead(entry.status)) {
+            return std::nullopt;
+        }
+        if (entry.status == member_status::dead_certain) {
+            free = std::max(free, entry.status_since + m_longest_timeout + m_settings.certain_death_margin);
+        }
+    }
+    return free;
+}
+
+std::size_t server_ownership::position_in_domain(const owned_server_spec& server) const {
+    const auto& self = m_members.self();
+    std::size_t entries = 1;
+    for (const auto& [name, entry] : m_members.members()) {
+        const bool counts = entry.record.failure_domain == self.failure_domain &&
+                            entry.status == member_status::alive && entry.running != running_state::stopping;
+        entries += counts ? 1 : 0;
+    }
+    const std::size_t share = share_of(server.service, entries);
+    const claim_order own{own_claims_of(server.service) >= share,
+                          base::rendezvous_rank(server.name, self.name)};
+    std::size_t position = 0;
+    for (const auto& [name, entry] : m_members.members()) {
+        const bool counts = entry.record.failure_domain == self.failure_domain &&
+                            entry.status == member_status::alive && entry.running != running_state::stopping;
+        const claim_order other{claims_of(name, server.service) >= share,
+                                base::rendezvous_rank(server.name, name)};
+        position += counts && other.before(own) ? 1 : 0;
+    }
+    return position;
+}
+
+std::size_t server_ownership::position_as_neighbour(const owned_server_spec& server) const {
+    const std::uint64_t own = base::rendezvous_rank(server.name, m_members.self().name);
+    std::size_t position = 0;
+    for (const auto& [name, entry] : m_members.members()) {
+        const bool counts = entry.record.region == server.region && entry.status == member_status::alive &&
+                            entry.running == running_state::running && m_members.region_delegate(name);
+        position += counts && base::rendezvous_rank(server.name, name) > own ? 1 : 0;
+    }
+    return position;
+}
+
+// The place of this entry instance in the order of those that may claim the server. Each place waits one
+// stagger longer, so that a server whose first claimant does not reach it is still claimed.
+std::optional<std::size_t> server_ownership::claim_position(const owned_server_spec& server) const {
+    const auto& self = m_members.self();
+    if (server.failure_domain == self.failure_domain) {
+        return position_in_domain(server);
+    }
+    if (server.region != self.region || !m_members.region_delegate(self.name) || !m_reachable(server.name)) {
+        return std::nullopt;
+    }
+    return position_as_neighbour(server);
+}
+
+void server_ownership::propose_server(const owned_server_spec& server, base::time_point now) {
+    const auto free = free_at(server);
+    if (!free.has_value() || now + m_settings.revalidation_time < *free) {
+        m_unclaimed_since.erase(server.name);
+        return;
+    }
+    const auto retry = m_retry_after.find(server.name);
+    if (retry != m_retry_after.end() && now < retry->second) {
+        return;
+    }
+    const auto position = claim_position(server);
+    if (!position.has_value()) {
+        m_unclaimed_since.erase(server.name);
+        return;
+    }
+    const auto since = m_unclaimed_since.try_emplace(server.name, now).first->second;
+    if (now < since + static_cast<std::int64_t>(*position) * m_settings.claim_stagger) {
+        return;
+    }
+    local_claim claim;
+    claim.epoch = ++m_epochs[server.name];
+    claim.not_before = *free;
+    m_claims.emplace(server.name, claim);
+    m_retry_after.erase(server.name);
+}
+
+void server_ownership::propose(base::time_point now) {
+    if (m_stopping || !m_start_complete || m_round.has_value()) {
+        return;
+    }
+    for (const auto& [name, server] : m_servers) {
+        if (!m_claims.contains(name)) {
+            propose_server(server, now);
+        }
+    }
+}
+
+// ---- results ----
+
+void server_ownership::report_changes() {
+    for (auto& [server, claim] : m_claims) {
+        const bool may_dispatch = claim.state == claim_state::owned && !claim.contested;
+        if (may_dispatch == claim.announced) {
+            continue;
+        }
+        claim.announced = may_dispatch;
+        if (!may_dispatch) {
+            m_changes.push_back({server, ownership_event::suspended});
+        } else {
+            m_changes.push_back({server, claim.held ? ownership_event::resumed : ownership_event::acquired});
+            claim.held = true;
+        }
+    }
+}
+
+void server_ownership::publish() {
+    std::vector<wire::server_claim> claims;
+    claims.reserve(m_claims.size());
+    for (const auto& [server, claim] : m_claims) {
+        claims.push_back({server, claim.epoch, claim.state});
+    }
+    if (claims != m_published) {
+        m_published = std::move(claims);
+        ++m_claims_version;
+    }
+}
+
+std::vector<ownership_change> server_ownership::tick(base::time_point now) {
+    detect_pause(now);
+    m_last_tick = now;
+    apply_deaths(now);
+    update_start(now);
+    release_removed();
+    resolve_conflicts();
+    finish_round(now);
+    become_owner(now);
+    release_surplus();
+    finish_releases();
+    propose(now);
+    start_round(now);
+    // Without peers to ask, the round is over at once.
+    finish_round(now);
+    become_owner(now);
+    report_changes();
+    publish();
+    return std::exchange(m_changes, {});
+}
+
+bool server_ownership::owns(std::string_view server, base::time_point now) const {
+    const auto claim = m_claims.find(server);
+    return claim != m_claims.end() && claim->second.state == claim_state::owned && !claim->second.contested &&
+           now - m_last_tick <= m_settings.pause_limit;
+}
+
+} // namespace carawayway::membership
--- a/carawayway/membership/server_ownership.hpp
+++ b/carawayway/membership/server_ownership.hpp
@@ -40,6 +40,7 @@
     std::string name;
     std::string service;
     std::string failure_domain;
+    std::string region;
 
     bool operator==(const owned_server_spec&) const = default;
 };
@@ -77,8 +78,7 @@
                      reachability reachable, base::time_point now);
 
     // The servers of the policy in force and its longest request timeout.
-    void configure(std::vector<owned_server_spec> servers, base::duration longest_timeout,
-                   base::time_point now);
+    void configure(const std::vector<owned_server_spec>& servers, base::duration longest_timeout);
 
     // Releases all servers; nothing is claimed any more.
     void stop();
@@ -100,6 +100,9 @@
     // Whether a request may be dispatched to the server at `now`.
     bool owns(std::string_view server, base::time_point now) const;
 
+    // Whether the wait after the start is over; until then the heartbeats should say `starting`.
+    bool start_complete() const { return m_start_complete; }
+
     // A dispatch that was decided must not be written after this time.
     base::time_point permission_until() const { return m_last_tick + m_settings.pause_limit; }
 
@@ -114,8 +117,8 @@
         wire::claim_state state = wire::claim_state::proposed;
         bool confirmed = false;        // all peers agreed to the proposal
         bool contested = false;        // another entry instance claims the server as well
-        bool announced = false;        // `acquired` was reported and neither `suspended` nor `released` since
-        bool held = false;             // `acquired` was reported and `released` was not
+        bool announced = false;        // reported as acquired or resumed, and not as suspended since
+        bool held = false;             // reported as acquired
         base::time_point not_before{}; // earliest time of ownership
     };
 
@@ -124,15 +127,15 @@
         std::uint64_t incarnation = 0;
         std::uint64_t version = 0;
         std::map<std::string, wire::server_claim, std::less<>> claims;
-        bool known = false; // claims of this incarnation were received
-        bool dead = false;  // the claims were turned into reservations
+        bool known = false;              // claims of this incarnation were received
+        bool dead = false;               // the claims were turned into reservations
+        base::time_point next_request{}; // not asked again before this time
     };
 
     // One round of questions to the peers about the claims that are proposed or unconfirmed.
     struct confirmation_round {
         std::uint64_t token = 0;
         base::time_point started{};
-        base::time_point last_sent{};
         std::set<std::string, std::less<>> waiting;
         std::set<std::string, std::less<>> answered;
         std::set<std::string, std::less<>> servers;
@@ -140,39 +143,44 @@
 
     using claim_map = std::map<std::string, local_claim, std::less<>>;
 
-    bool observe_claims(std::string_view entry, std::uint64_t incarnation, std::uint64_t version,
-                        const std::vector<wire::server_claim>& claims, base::time_point now);
-    void reserve(const peer_claims& lost, base::time_point until);
-    void hold_unclaimed(base::time_point until);
+    void observe_claims(std::string_view entry, std::uint64_t incarnation, std::uint64_t version,
+                        const std::vector<wire::server_claim>& claims);
+    void withdraw_known_elsewhere(const wire::claims_report& report, base::time_point now);
+    bool known_elsewhere(const wire::entry_claim& known) const;
+    void drop_claims(std::string_view entry, peer_claims& view);
+    void bury(std::string_view entry, peer_claims& view, base::time_point until);
     void apply_deaths(base::time_point now);
-    void apply_death(const member& entry, peer_claims& view, base::time_point now);
+    void apply_death(const member& entry, base::time_point now);
     void detect_pause(base::time_point now);
     void update_start(base::time_point now);
     void resolve_conflicts();
     void resolve_conflict(const std::string& server, local_claim& claim);
-    bool yields(const std::string& server, const local_claim& own, const std::string& entry,
+    bool yields(std::string_view server, const local_claim& own, std::string_view entry,
                 const wire::server_claim& other) const;
     void finish_round(base::time_point now);
     void start_round(base::time_point now);
     std::vector<std::string> round_peers() const;
+    bool round_peer(const member& entry) const;
     void become_owner(base::time_point now);
+    void release_removed();
     void release_surplus();
-    void release_service_surplus(const std::string& service, std::size_t share);
-    void release_foreign();
+    void release_one(std::string_view service, std::size_t share);
+    bool may_release(const owned_server_spec& server, std::string_view service, std::size_t share) const;
     void finish_releases();
     void propose(base::time_point now);
     void propose_server(const owned_server_spec& server, base::time_point now);
     std::optional<std::size_t> claim_position(const owned_server_spec& server) const;
-    std::optional<std::size_t> position_in_domain(const owned_server_spec& server) const;
-    std::optional<std::size_t> position_as_neighbour(const owned_server_spec& server) const;
+    std::size_t position_in_domain(const owned_server_spec& server) const;
+    std::size_t position_as_neighbour(const owned_server_spec& server) const;
     std::optional<base::time_point> free_at(const owned_server_spec& server) const;
-    std::size_t servers_of(std::string_view service) const;
+    std::optional<base::time_point> domain_free_at(std::string_view domain) const;
+    std::size_t share_of(std::string_view service, std::size_t entries) const;
+    std::size_t own_claims_of(std::string_view service) const;
     std::size_t claims_of(std::string_view entry, std::string_view service) const;
-    std::size_t sharers() const;
-    bool claimed_by_other(std::string_view server) const;
-    bool domain_live(std::string_view domain) const;
-    void give_up(claim_map::iterator claim);
-    void report_changes(base::time_point now);
+    bool domain_runs(std::string_view domain) const;
+    void give_up(const std::string& server);
+    void erase_claim(const std::string& server);
+    void report_changes();
     void publish();
 
     const member_table& m_members;
@@ -183,10 +191,11 @@
     base::duration m_longest_timeout{};
     claim_map m_claims;
     std::map<std::string, peer_claims, std::less<>> m_peers;
-    std::map<std::string, std::uint64_t, std::less<>> m_epochs;             // highest seen per server
-    std::map<std::string, base::time_point, std::less<>> m_reserved_until;  // after the death of an owner
-    std::map<std::string, base::time_point, std::less<>> m_unclaimed_since; // for the stagger
-    std::map<std::string, base::time_point, std::less<>> m_retry_after;     // after a claim known by hearsay
+    std::map<std::string, std::uint64_t, std::less<>> m_epochs;            // highest seen per server
+    std::map<std::string, base::time_point, std::less<>> m_reserved_until; // after the death of an owner
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_claimants; // peers per server
+    std::map<std::string, base::time_point, std::less<>> m_unclaimed_since;             // for the stagger
+    std::map<std::string, base::time_point, std::less<>> m_retry_after; // after a claim known by hearsay
     std::optional<confirmation_round> m_round;
     std::vector<ownership_change> m_changes;
     std::vector<wire::server_claim> m_published;
@@ -195,6 +204,7 @@
     base::time_point m_last_tick;
     base::time_point m_started_at;
     base::time_point m_unclaimed_hold; // no server without an owner is claimed before this time
+    bool m_configured = false;
     bool m_start_complete = false;
     bool m_stopping = false;
 };
--- a/carawayway/peer/peer_link.cpp
+++ b/carawayway/peer/peer_link.cpp
@@ -271,6 +271,10 @@
         if (m_state == link_state::closed) {
             break;
         }
+        if (error == asio::error::eof && m_retiring && m_pending_bytes > 0) {
+            m_peer_finished = true;
+            break;
+        }
         if (error) {
             close(error == asio::error::eof ? close_reason::closed_by_peer : close_reason::lost,
                   error.message());
@@ -398,6 +402,10 @@
 }
 
 void peer_link::shut_down_sending() {
+    if (m_peer_finished) {
+        close(close_reason::closed_by_peer, "both sides finished");
+        return;
+    }
     if (m_retiring) {
         error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -412,7 +420,7 @@
     m_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
-    const link_loss loss{m_identifier, reason, std::move(detail), m_handed_sequence + 1};
+    const link_loss loss{m_identifier, reason, std::move(detail), first_unsent()};
     asio::post(m_socket.get_executor(), [self = shared_from_this(), loss] {
         // The handlers may own the link; dropping them ends the cycle.
         const callbacks handlers = std::exchange(self->m_handlers, {});
--- a/carawayway/peer/peer_link.hpp
+++ b/carawayway/peer/peer_link.hpp
@@ -70,6 +70,7 @@
     std::uint64_t identifier() const { return m_identifier; }
     const wire::hello& remote() const { return m_remote; } // valid once established
     base::time_point established_at() const { return m_established_at; }
+    std::uint64_t first_unsent() const { return m_handed_sequence + 1; } // as in link_loss
 
 private:
     using frame = std::vector<std::byte>; // with prefix
@@ -115,6 +116,7 @@
     std::vector<frame> m_batch;          // being written; empty: no write is in progress
     std::size_t m_pending_bytes = 0;     // in m_queue and m_batch
     bool m_retiring = false;
+    bool m_peer_finished = false;        // the peer closed its side while messages were still waiting here
     bool m_received_since_check = false; // any byte since the idle timer was last looked at
 };
 
--- a/carawayway/wire/message_codec.cpp
+++ b/carawayway/wire/message_codec.cpp
@@ -371,7 +371,7 @@
 heartbeat read_message(checker& check, const fb::heartbeat& value) {
     heartbeat result;
     result.counter = value.counter();
-    result.running = read_enum(check, value.running(), running_state::stopping, "running state");
+    result.running = read_enum(check, value.running(), running_state::starting, "running state");
     result.claims_version = value.claims_version();
     const auto form = read_enum(check, value.claims_form(), fb::claims_form::unchanged, "claims form");
     if (form == fb::claims_form::full) {
--- a/carawayway/wire/messages.hpp
+++ b/carawayway/wire/messages.hpp
@@ -21,8 +21,8 @@
 using nonce = std::array<std::byte, nonce_size>;
 using message_mac = std::array<std::byte, mac_size>;
 
-// Whether an entry instance takes new work.
-enum class running_state : std::uint8_t { running, stopping };
+// Whether an entry instance takes new work. One that is starting takes requests but claims no servers yet.
+enum class running_state : std::uint8_t { running, stopping, starting };
 
 enum class claim_state : std::uint8_t {
     owned,       // may dispatch
--- a/carawayway/wire/peer_generated.h
+++ b/carawayway/wire/peer_generated.h
@@ -101,29 +101,32 @@
 enum class running_state : uint8_t {
   running = 0,
   stopping = 1,
+  starting = 2,
   MIN = running,
-  MAX = stopping
+  MAX = starting
 };
 
-inline const running_state (&EnumValuesrunning_state())[2] {
+inline const running_state (&EnumValuesrunning_state())[3] {
   static const running_state values[] = {
     running_state::running,
-    running_state::stopping
+    running_state::stopping,
+    running_state::starting
   };
   return values;
 }
 
 inline const char * const *EnumNamesrunning_state() {
-  static const char * const names[3] = {
+  static const char * const names[4] = {
     "running",
     "stopping",
+    "starting",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamerunning_state(running_state e) {
-  if (flatbuffers::IsOutRange(e, running_state::running, running_state::stopping)) return "";
+  if (flatbuffers::IsOutRange(e, running_state::running, running_state::starting)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesrunning_state()[index];
 }
