--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -106,7 +106,7 @@
         co_return;
     }
     const auto message = to_message(call);
-    auto [write_error, written] = co_await http::async_write(stream, message, use_tuple);
+    co_await http::async_write(stream, message, use_tuple);
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(reply_limit);
--- a/carawayway/cli/main.cpp
+++ b/carawayway/cli/main.cpp
@@ -29,7 +29,8 @@
         {"request",
          "Sends one request as a caller and prints what is known about its execution.",
          "--service NAME [flags]",
-         {"entry", "service", "method", "path", "body", "request_id", "customer", "source_address", "timeout_ms"},
+         {"entry", "service", "method", "path", "body", "request_id", "customer", "source_address",
+          "timeout_ms"},
          run_request},
     };
     return dispatch(argc, argv, subcommands);
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -186,11 +186,12 @@
     const auto& policy = *m_requests.policy();
     std::vector<membership::owned_server_spec> servers;
     for (const auto& server : policy.content().servers) {
-        servers.push_back({server.name, server.service, server.failure_domain});
+        servers.push_back({server.name, server.service, server.failure_domain,
+                           std::string(policy.content().region_of(server.failure_domain))});
     }
     const auto longest = policy.content().longest_timeout();
     m_members.set_silence_limit(m_control.ownership.term + longest);
-    m_ownership.configure(std::move(servers), longest, now);
+    m_ownership.configure(servers, longest);
     // Specifications of owned servers may have changed.
     for (const auto& claim : m_ownership.claims()) {
         if (m_ownership.owns(claim.server, now)) {
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -129,7 +129,8 @@
     m_shifts.arrival({item.service, prepared.home_region}, shifting::arrival_kind::first_time, now);
     prepared.id = id;
     prepared.waiter = 0;
-    m_deadlines.push({prepared.deadline + call_grace_factor * m_limits.grace, deadline_kind::call, prepared.number});
+    m_deadlines.push(
+        {prepared.deadline + call_grace_factor * m_limits.grace, deadline_kind::call, prepared.number});
     auto& stored = m_calls.emplace(prepared.number, std::move(prepared)).first->second;
     place(stored, now, out);
 }
@@ -274,7 +275,8 @@
                  "", {}, now, out);
 }
 
-// A peer that is alive answers before this. Its link was replaced or it lost the call: the outcome stays unknown.
+// A peer that is alive answers before this. Its link was replaced or it lost the call: the outcome stays
+// unknown.
 void request_engine::expire_call(std::uint64_t call_number, base::time_point now, effects& out) {
     const auto* call = find_call(call_number);
     if (call != nullptr && call->stage == call_stage::at_peer) {
--- a/carawayway/entry/caller_listener.cpp
+++ b/carawayway/entry/caller_listener.cpp
@@ -28,7 +28,8 @@
 
 class caller_listener::implementation {
 public:
-    implementation(asio::io_context& context, const config::instance_settings& settings, submit_function submit)
+    implementation(asio::io_context& context, const config::instance_settings& settings,
+                   submit_function submit)
         : m_context(context), m_submit(std::move(submit)),
           m_listener(std::make_shared<http_listener>(
               context,
@@ -48,7 +49,8 @@
     }
 
 private:
-    // A submitted event whose reply has not been written. The timer never expires; cancelling it wakes the session.
+    // A submitted event whose reply has not been written. The timer never expires; cancelling it wakes the
+    // session.
     struct pending_reply {
         explicit pending_reply(const asio::any_io_executor& executor)
             : arrived(executor, asio::steady_timer::time_point::max()) {}
@@ -72,7 +74,8 @@
         m_pending.emplace(token, pending);
         if (!m_submit(std::move(*event))) {
             m_pending.erase(token);
-            co_return to_response(engine::make_refusal(base::error_kind::overloaded, "entry instance is saturated",
+            co_return to_response(engine::make_refusal(base::error_kind::overloaded,
+                                                       "entry instance is saturated",
                                                        std::chrono::seconds(1)),
                                   version);
         }
@@ -97,7 +100,8 @@
             }
             std::array<char, 1> byte{};
             boost::system::error_code error;
-            const auto received = stream.socket().receive(asio::buffer(byte), tcp::socket::message_peek, error);
+            const auto received =
+                stream.socket().receive(asio::buffer(byte), tcp::socket::message_peek, error);
             if (error || received == 0) {
                 co_return;
             }
@@ -132,7 +136,8 @@
         if (!converted) {
             return std::nullopt;
         }
-        return request_received{token, std::make_shared<const engine::service_request>(std::move(*converted))};
+        return request_received{token,
+                                std::make_shared<const engine::service_request>(std::move(*converted))};
     }
 
     static http_response render(const caller_reply& reply, unsigned http_version) {
--- a/carawayway/entry/caller_listener.hpp
+++ b/carawayway/entry/caller_listener.hpp
@@ -34,7 +34,8 @@
 
 private:
     class implementation;
-    std::unique_ptr<implementation> m_implementation; // outlives all connections: those end with the event loop
+    std::unique_ptr<implementation>
+        m_implementation; // outlives all connections: those end with the event loop
 };
 
 } // namespace carawayway::entry
--- a/carawayway/entry/control_event.hpp
+++ b/carawayway/entry/control_event.hpp
@@ -31,7 +31,8 @@
 
 struct stop_asked {};
 
-using control_event = std::variant<policy_arrived, instances_arrived, status_asked, metrics_asked, stop_asked>;
+using control_event =
+    std::variant<policy_arrived, instances_arrived, status_asked, metrics_asked, stop_asked>;
 
 struct status_ready {
     std::uint64_t token = 0;
--- a/carawayway/entry/http_listener.cpp
+++ b/carawayway/entry/http_listener.cpp
@@ -110,7 +110,8 @@
         parser.header_limit(m_limits.header_bytes);
         parser.body_limit(m_limits.body_bytes);
         if (buffer.size() == 0) {
-            stream.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.idle_timeout));
+            stream.expires_after(
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.idle_timeout));
             // The idle time ends with the first byte; the time for the request itself is shorter.
             auto [idle_error, first] = co_await stream.async_read_some(buffer.prepare(1), use_tuple);
             if (idle_error) {
@@ -143,7 +144,7 @@
     const bool keep = exchange.request.keep_alive() && response->keep_alive() && !m_finished;
     response->keep_alive(keep);
     const bool written = co_await write(exchange.stream, *response);
-    co_return written && keep;
+    co_return written&& keep;
 }
 
 asio::awaitable<void> http_listener::refuse_unreadable(beast::tcp_stream& stream,
--- a/carawayway/entry/http_listener.hpp
+++ b/carawayway/entry/http_listener.hpp
@@ -1,5 +1,5 @@
-// Accepts HTTP/1.1 connections within limits and hands each request to a handler. Shared by the callers' and the
-// operators' listener; private to their source files.
+// Accepts HTTP/1.1 connections within limits and hands each request to a handler. Shared by the callers' and
+// the operators' listener; private to their source files.
 #pragma once
 
 #include "carawayway/config/instance_settings.hpp"
@@ -37,7 +37,8 @@
 class http_listener : public std::enable_shared_from_this<http_listener> {
 public:
     // Nothing instead of a response closes the connection: the client has left.
-    using handler_function = std::function<boost::asio::awaitable<std::optional<http_response>>(http_exchange&)>;
+    using handler_function =
+        std::function<boost::asio::awaitable<std::optional<http_response>>(http_exchange&)>;
 
     http_listener(boost::asio::io_context& context, listener_limits limits, handler_function handler);
 
@@ -66,7 +67,7 @@
     handler_function m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint32_t m_connections = 0;
-    std::uint32_t m_exchanges = 0;  // requests that were read and whose response is not yet written
+    std::uint32_t m_exchanges = 0;    // requests that were read and whose response is not yet written
     std::function<void()> m_finished; // set once `finish` was called
 };
 
--- a/carawayway/entry/instance.cpp
+++ b/carawayway/entry/instance.cpp
@@ -22,8 +22,8 @@
 
 namespace {
 
-constexpr std::size_t ring_capacity = 8192;        // messages
-constexpr std::size_t metric_series_limit = 2000;  // label sets per family
+constexpr std::size_t ring_capacity = 8192;       // messages
+constexpr std::size_t metric_series_limit = 2000; // label sets per family
 
 std::uint64_t random_number() {
     std::random_device device;
@@ -67,33 +67,34 @@
 class instance::implementation {
 public:
     implementation(const config::instance_settings& settings, instance_secrets secrets)
-        : m_settings(settings), m_secrets(std::move(secrets)),
-          m_identity{settings.name, settings.failure_domain, settings.region, random_number(),
-                     base::monotonic_now()} {}
+        : m_settings(settings),
+          m_secrets(std::move(secrets)), m_identity{settings.name, settings.failure_domain, settings.region,
+                                                    random_number(), base::monotonic_now()} {}
 
     bool start(base::failure& last_failure) {
         try {
             m_caller_address = m_listener.listen(m_settings.caller_address);
         } catch (const boost::system::system_error& error) {
-            last_failure = {base::error_kind::settings_invalid,
-                            "cannot listen on caller_address " + to_text(m_settings.caller_address) + ": " +
-                                error.code().message()};
+            last_failure = {base::error_kind::settings_invalid, "cannot listen on caller_address " +
+                                                                    to_text(m_settings.caller_address) +
+                                                                    ": " + error.code().message()};
             return false;
         }
         m_peers.emplace(m_peer_duty, network_settings(), m_peer_events);
-        if (!m_peers->listen(last_failure) || !m_operators.listen(m_settings.operator_address, last_failure)) {
+        if (!m_peers->listen(last_failure) ||
+            !m_operators.listen(m_settings.operator_address, last_failure)) {
             return false;
         }
         m_engine.emplace(m_identity, self_record(), to_control(m_settings), engine_limits(), random_number(),
                          m_metrics, base::monotonic_now());
         for (const auto& seed : m_settings.seeds) {
-            m_engine->add_seed({seed.name, seed.failure_domain, seed.region, 0, seed.caller_address,
-                                seed.peer_address},
-                               base::monotonic_now());
+            m_engine->add_seed(
+                {seed.name, seed.failure_domain, seed.region, 0, seed.caller_address, seed.peer_address},
+                base::monotonic_now());
         }
-        m_steering.emplace(m_steering_duty, *m_engine, m_metrics,
-                           steering_outlets{m_caller_replies, m_backend_commands, m_peer_commands,
-                                            m_control_replies});
+        m_steering.emplace(
+            m_steering_duty, *m_engine, m_metrics,
+            steering_outlets{m_caller_replies, m_backend_commands, m_peer_commands, m_control_replies});
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error) {
                 send_control(stop_asked{});
@@ -101,7 +102,8 @@
         });
         m_peers->start();
         m_steering->start();
-        for (auto* item : {&m_backend_duty, &m_peer_duty, &m_control_duty, &m_steering_duty, &m_caller_duty}) {
+        for (auto* item :
+             {&m_backend_duty, &m_peer_duty, &m_control_duty, &m_steering_duty, &m_caller_duty}) {
             item->start();
         }
         base::log(base::log_level::info, "entry-started",
@@ -116,7 +118,8 @@
     void wait() {
         m_stopped.acquire();
         // Callers first: no event may arrive at a thread that has ended.
-        for (auto* item : {&m_caller_duty, &m_control_duty, &m_peer_duty, &m_backend_duty, &m_steering_duty}) {
+        for (auto* item :
+             {&m_caller_duty, &m_control_duty, &m_peer_duty, &m_backend_duty, &m_steering_duty}) {
             item->stop();
         }
         base::log(base::log_level::info, "entry-stopped", {{"entry", m_identity.name}});
@@ -184,21 +187,25 @@
     // Towards the steering thread.
     inbox<caller_event> m_caller_events{m_steering_duty, ring_capacity,
                                         [this](caller_event event) { m_steering->handle(std::move(event)); }};
-    inbox<backend_event> m_backend_events{m_steering_duty, ring_capacity,
-                                          [this](backend_event event) { m_steering->handle(std::move(event)); }};
+    inbox<backend_event> m_backend_events{m_steering_duty, ring_capacity, [this](backend_event event) {
+                                              m_steering->handle(std::move(event));
+                                          }};
     inbox<peer_event> m_peer_events{m_steering_duty, ring_capacity,
                                     [this](peer_event event) { m_steering->handle(std::move(event)); }};
-    inbox<control_event> m_control_events{m_steering_duty, ring_capacity,
-                                          [this](control_event event) { m_steering->handle(std::move(event)); }};
+    inbox<control_event> m_control_events{m_steering_duty, ring_capacity, [this](control_event event) {
+                                              m_steering->handle(std::move(event));
+                                          }};
     // Away from it.
-    inbox<caller_reply> m_caller_replies{m_caller_duty, ring_capacity,
-                                         [this](caller_reply reply) { m_listener.deliver(std::move(reply)); }};
-    inbox<backend_command> m_backend_commands{
-        m_backend_duty, ring_capacity, [this](backend_command command) { m_backends.handle(std::move(command)); }};
-    inbox<peer_command> m_peer_commands{m_peer_duty, ring_capacity,
-                                        [this](peer_command command) { m_peers->handle(std::move(command)); }};
-    inbox<control_reply> m_control_replies{
-        m_control_duty, ring_capacity, [this](control_reply reply) { control_reply_arrived(std::move(reply)); }};
+    inbox<caller_reply> m_caller_replies{
+        m_caller_duty, ring_capacity, [this](caller_reply reply) { m_listener.deliver(std::move(reply)); }};
+    inbox<backend_command> m_backend_commands{m_backend_duty, ring_capacity, [this](backend_command command) {
+                                                  m_backends.handle(std::move(command));
+                                              }};
+    inbox<peer_command> m_peer_commands{
+        m_peer_duty, ring_capacity, [this](peer_command command) { m_peers->handle(std::move(command)); }};
+    inbox<control_reply> m_control_replies{m_control_duty, ring_capacity, [this](control_reply reply) {
+                                               control_reply_arrived(std::move(reply));
+                                           }};
 
     metrics::metric_registry m_metrics{metric_series_limit};
     std::optional<engine::entry_engine> m_engine;
--- a/carawayway/entry/operator_service.cpp
+++ b/carawayway/entry/operator_service.cpp
@@ -23,7 +23,8 @@
 
 class operator_service::implementation {
 public:
-    implementation(asio::io_context& context, const config::instance_settings& settings, submit_function submit)
+    implementation(asio::io_context& context, const config::instance_settings& settings,
+                   submit_function submit)
         : m_context(context), m_submit(std::move(submit)),
           m_listener(std::make_shared<http_listener>(
               context,
@@ -88,13 +89,15 @@
             auto reply = co_await ask<metrics_asked>();
             if (!reply) {
                 co_return to_response(
-                    engine::make_refusal(base::error_kind::overloaded, "the steering thread does not answer"), version);
+                    engine::make_refusal(base::error_kind::overloaded, "the steering thread does not answer"),
+                    version);
             }
             auto response = json_response(200, std::get<metrics_ready>(*reply).text, version);
             response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
             co_return response;
         }
-        co_return to_response(engine::make_refusal(base::error_kind::not_found, "no such operation"), version);
+        co_return to_response(engine::make_refusal(base::error_kind::not_found, "no such operation"),
+                              version);
     }
 
     asio::io_context& m_context;
--- a/carawayway/entry/operator_service.hpp
+++ b/carawayway/entry/operator_service.hpp
@@ -1,4 +1,5 @@
-// HTTP towards operators: metrics, status and policy. Runs on the control thread and listens apart from callers.
+// HTTP towards operators: metrics, status and policy. Runs on the control thread and listens apart from
+// callers.
 #pragma once
 
 #include "carawayway/base/error_kind.hpp"
--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -38,7 +38,9 @@
         base::log(base::log_level::info, "peer-linked", {{"peer", name}});
         m_events.send(peer_linked{name, remote});
     };
-    events.link_down = [this](const std::string& name, const peer::link_loss& loss) { link_lost(name, loss); };
+    events.link_down = [this](const std::string& name, const peer::link_loss& loss) {
+        link_lost(name, loss);
+    };
     events.message = [this](const std::string& name, wire::received_message&& message) {
         message_arrived(name, std::move(message));
     };
--- a/carawayway/entry/store_watcher.hpp
+++ b/carawayway/entry/store_watcher.hpp
@@ -1,5 +1,5 @@
-// Follows the policy and the platform's instance list in the store while this entry instance is one of the watchers
-// of its failure domain. Runs on the control thread.
+// Follows the policy and the platform's instance list in the store while this entry instance is one of the
+// watchers of its failure domain. Runs on the control thread.
 #pragma once
 
 #include "carawayway/base/log.hpp"
@@ -27,8 +27,8 @@
     store_watcher(boost::asio::io_context& context, Store& store, const config::instance_settings& settings,
                   report_function report)
         : m_store(store), m_policy_key(settings.policy_key), m_instance_prefix(settings.instance_prefix),
-          m_list_interval(settings.instance_list_interval), m_report(std::move(report)), m_retry_timer(context),
-          m_list_timer(context) {}
+          m_list_interval(settings.instance_list_interval), m_report(std::move(report)),
+          m_retry_timer(context), m_list_timer(context) {}
 
     void set(engine::store_watch state) {
         if (state == m_state) {
@@ -77,8 +77,7 @@
     void open_watch(std::int64_t start_revision) {
         m_next_revision = start_revision;
         m_watch = m_store.watch(
-            m_policy_key, "", start_revision,
-            in_round([this](platform::watch_batch batch) {
+            m_policy_key, "", start_revision, in_round([this](platform::watch_batch batch) {
                 m_retry_delay = shortest_retry;
                 for (auto& event : batch.events) {
                     m_next_revision = std::max(m_next_revision, event.item.mod_revision + 1);
@@ -107,10 +106,11 @@
         }));
     }
 
-    // The list changes seldom, and a lagging answer is as good as a late one: polling costs less than a watch on
-    // every record.
+    // The list changes seldom, and a lagging answer is as good as a late one: polling costs less than a watch
+    // on every record.
     void read_instances() {
-        m_store.range(m_instance_prefix, prefix_end(m_instance_prefix), in_round([this](platform::range_result result) {
+        m_store.range(m_instance_prefix, prefix_end(m_instance_prefix),
+                      in_round([this](platform::range_result result) {
                           if (result.outcome == platform::read_outcome::answered) {
                               m_report(instances_arrived{parse_instances(result.values)});
                           }
