--- a/carawayway/config/value_text.cpp
+++ b/carawayway/config/value_text.cpp
@@ -97,13 +97,15 @@
     return {};
 }
 
-constexpr std::array semantics_choices{choice{"idempotent", request_semantics::idempotent},
-                                       choice{"non-idempotent", request_semantics::non_idempotent}};
-constexpr std::array state_choices{choice{"active", administrative_state::active},
-                                   choice{"draining", administrative_state::draining}};
-constexpr std::array log_level_choices{
-    choice{"debug", base::log_level::debug}, choice{"info", base::log_level::info},
-    choice{"warning", base::log_level::warning}, choice{"error", base::log_level::error}};
+constexpr std::array semantics_choices{
+    choice<request_semantics>{"idempotent", request_semantics::idempotent},
+    choice<request_semantics>{"non-idempotent", request_semantics::non_idempotent}};
+constexpr std::array state_choices{choice<administrative_state>{"active", administrative_state::active},
+                                   choice<administrative_state>{"draining", administrative_state::draining}};
+constexpr std::array log_level_choices{choice<base::log_level>{"debug", base::log_level::debug},
+                                       choice<base::log_level>{"info", base::log_level::info},
+                                       choice<base::log_level>{"warning", base::log_level::warning},
+                                       choice<base::log_level>{"error", base::log_level::error}};
 
 // Equal addresses get equal text. Empty for wildcard addresses, which nobody can connect to, and for
 // IPv4-mapped IPv6 addresses, which would be a second text for an IPv4 address.
