--- a/Tests/requests/request_registry_test.cpp
+++ b/Tests/requests/request_registry_test.cpp
@@ -143,11 +143,16 @@
 
 class registry_model {
 public:
+    // With an acceptance much longer than the retention, records expire while later prefixes are still open.
+    explicit registry_model(base::duration acceptance_time)
+        : m_acceptance(acceptance_time),
+          m_table({"e", incarnation, start, acceptance_time, retention, limit, 7}) {}
+
     void run_step() {
         switch (*rc::gen::weightedElement<int>({{3, 0}, {8, 1}, {2, 2}, {3, 3}, {2, 4}, {1, 5}})) {
         case 0:
             m_accepts.push_back(parse(m_table.issue_prefix(m_now) + "n").accept);
-            RC_ASSERT(m_table.acceptance_left(m_now) <= acceptance + 1ms);
+            RC_ASSERT(m_table.acceptance_left(m_now) <= m_acceptance + 1ms);
             break;
         case 1:
             begin(any_id());
@@ -159,23 +164,23 @@
             finish(any_id());
             break;
         case 4:
-            m_now += base::duration(*rc::gen::inRange<std::int64_t>(0, 12'000'000));
+            m_now += *rc::gen::inRange<std::int64_t>(0, 1000) * m_acceptance / 2000;
             break;
         default:
             m_table.expire(m_now);
         }
         RC_ASSERT(m_table.size() <= limit);
         for (const auto& [id, history] : m_told) {
-            RC_ASSERT(!history.fresh || history.answer.has_value() || m_table.peek(id).has_value());
+            RC_ASSERT(!history.fresh || history.answer.has_value() || m_table.peek(parse(id)).has_value());
         }
     }
 
     void finish_all_and_expire() {
         for (const auto& [id, history] : m_told) {
-            m_table.finish(id, 0, m_now);
+            m_table.finish(parse(id), 0, m_now);
         }
         for (int call = 0; call < 3; ++call) {
-            m_now += acceptance + retention + 2s;
+            m_now += m_acceptance + retention + 2s;
             m_table.expire(m_now);
         }
         RC_ASSERT(m_table.size() == 0U);
@@ -186,14 +191,14 @@
     static constexpr std::size_t limit = 3;
 
     request_id any_id() {
-        const auto forged = start - start + std::chrono::milliseconds(*rc::gen::inRange(0, 200));
+        const base::duration forged = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
         const bool issued = !m_accepts.empty() && *rc::gen::inRange(0, 8) != 0;
         const auto accept = issued ? m_accepts[*rc::gen::inRange<std::size_t>(0, m_accepts.size())] : forged;
         return {"e", incarnation, accept, std::string(1, *rc::gen::elementOf(std::string("abcd")))};
     }
 
     void begin(const request_id& id) {
-        told& history = m_told[id];
+        told& history = m_told[to_string(id)];
         const auto fingerprint = static_cast<std::uint64_t>(*rc::gen::inRange(0, 5) == 0);
         const auto outcome = m_table.begin(id, fingerprint, ++m_waiter, m_now);
         switch (outcome.kind) {
@@ -201,7 +206,7 @@
             RC_ASSERT(!history.fresh);
             RC_ASSERT(!history.not_executed);
             RC_ASSERT(m_now - start <= id.accept);
-            RC_ASSERT(id.accept <= m_now - start + acceptance + 1ms);
+            RC_ASSERT(id.accept <= m_now - start + m_acceptance + 1ms);
             history.fresh = true;
             history.fingerprint = fingerprint;
             history.waiters.push_back(m_waiter);
@@ -231,14 +236,14 @@
     }
 
     void dispatch(const request_id& id) {
-        told& history = m_told[id];
+        told& history = m_told[to_string(id)];
         const bool allowed = m_table.dispatched(id);
         RC_ASSERT(allowed == (history.fresh && !history.dispatched && !history.answer));
         history.dispatched = history.dispatched || allowed;
     }
 
     void finish(const request_id& id) {
-        told& history = m_told[id];
+        told& history = m_told[to_string(id)];
         const auto waiters = m_table.finish(id, ++m_answer, m_now);
         if (!history.fresh || history.answer) {
             RC_ASSERT(waiters.empty());
@@ -248,16 +253,17 @@
         history.answer = m_answer;
     }
 
-    registry m_table = make_registry(limit);
+    base::duration m_acceptance;
+    registry m_table;
     base::time_point m_now = start;
     std::vector<base::duration> m_accepts;
-    std::map<request_id, told> m_told;
+    std::map<std::string, told> m_told; // by the text of the ID
     std::uint64_t m_waiter = 0;
     int m_answer = 0;
 };
 
 RC_GTEST_PROP(request_registry_test, no_order_of_events_runs_a_request_twice_or_breaks_a_refusal, ()) {
-    registry_model model;
+    registry_model model(*rc::gen::element(1, 20) * acceptance);
     const int steps = *rc::gen::inRange(50, 300);
     for (int step = 0; step < steps; ++step) {
         model.run_step();
--- a/carawayway/requests/request_id.hpp
+++ b/carawayway/requests/request_id.hpp
@@ -5,7 +5,6 @@
 #include "carawayway/base/error_kind.hpp"
 #include "carawayway/base/time.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -29,7 +28,6 @@
     std::string nonce; // [A-Za-z0-9_-]{1,64}
 
     bool operator==(const request_id&) const = default;
-    std::strong_ordering operator<=>(const request_id&) const = default;
 };
 
 // Accepts only the canonical form (lower-case hexadecimal digits, no leading zeros in ACCEPT), so that two
