--- a/carawayway/platform/config_store.hpp
+++ b/carawayway/platform/config_store.hpp
@@ -55,6 +55,8 @@
 struct lease_result {
     write_outcome outcome = write_outcome::unavailable;
     std::int64_t id = 0;
+    // From the moment the store handled the call; a holder counts it from the time it made the call, which is
+    // earlier.
     base::duration time_to_live{};
     std::string detail;
 
--- a/carawayway/platform/etcd_json_store.cpp
+++ b/carawayway/platform/etcd_json_store.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -133,7 +134,7 @@
             asio::detached);
     }
 
-    cancel_handle watch(watch_pointer state) {
+    cancel_handle watch(const watch_pointer& state) {
         m_watches.insert(state);
         asio::co_spawn(m_executor, run_watch(shared_from_this(), state), asio::detached);
         return cancel_handle([weak_self = weak_from_this(), weak_state = std::weak_ptr(state)] {
@@ -172,6 +173,8 @@
     static asio::awaitable<void> run_call(std::shared_ptr<implementation> self, call_kind kind,
                                           std::string target, std::string body, exchange_handler handler) {
         const time_point deadline = monotonic_now() + self->m_options.call_timeout;
+        // No handler may run inside the call that took it, even when there is nothing to wait for.
+        co_await asio::post(self->m_executor, asio::use_awaitable);
         const std::size_t count = self->m_options.addresses.size();
         exchange_result result;
         result.detail = "no address";
@@ -256,6 +259,7 @@
     }
 
     static asio::awaitable<void> run_watch(std::shared_ptr<implementation> self, watch_pointer state) {
+        co_await asio::post(self->m_executor, asio::use_awaitable);
         watch_closed closed;
         const std::size_t count = self->m_options.addresses.size();
         const time_point deadline = monotonic_now() + self->m_options.call_timeout;
@@ -335,8 +339,7 @@
         std::size_t start = 0;
         std::size_t end = state.line.find('\n');
         while (end != std::string::npos) {
-            const auto ended =
-                take_line(state, std::string_view(state.line).substr(start, end - start), opened);
+            auto ended = take_line(state, std::string_view(state.line).substr(start, end - start), opened);
             if (ended || state.cancelled) {
                 return ended;
             }
@@ -383,7 +386,7 @@
     m_implementation->shut_down();
 }
 
-void etcd_json_store::range(std::string key, std::string range_end, range_handler handler) {
+void etcd_json_store::range(std::string_view key, std::string_view range_end, range_handler handler) {
     m_implementation->call(
         call_kind::read, "/v3/kv/range", etcd_json::range_request(key, range_end),
         [handler = std::move(handler)](const exchange_result& exchanged) {
@@ -401,8 +404,8 @@
         });
 }
 
-void etcd_json_store::compare_and_swap(std::string key, std::int64_t expected_mod_revision, std::string value,
-                                       std::int64_t lease_id, write_handler handler) {
+void etcd_json_store::compare_and_swap(std::string_view key, std::int64_t expected_mod_revision,
+                                       std::string_view value, std::int64_t lease_id, write_handler handler) {
     if (value.size() > maximum_value_bytes) {
         asio::post(m_implementation->executor(), [handler = std::move(handler)] {
             handler({write_outcome::unavailable, 0, "value is larger than 1 MiB"});
@@ -425,13 +428,14 @@
         });
 }
 
-cancel_handle etcd_json_store::watch(std::string key, std::string range_end, std::int64_t start_revision,
-                                     watch_handler on_event, watch_closed_handler on_closed) {
+cancel_handle etcd_json_store::watch(std::string_view key, std::string_view range_end,
+                                     std::int64_t start_revision, watch_handler on_event,
+                                     watch_closed_handler on_closed) {
     auto state = std::make_shared<implementation::watch_state>(m_implementation->executor());
     state->request = etcd_json::watch_request(key, range_end, start_revision);
     state->on_event = std::move(on_event);
     state->on_closed = std::move(on_closed);
-    return m_implementation->watch(std::move(state));
+    return m_implementation->watch(state);
 }
 
 namespace {
--- a/carawayway/platform/etcd_json_store.hpp
+++ b/carawayway/platform/etcd_json_store.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace carawayway::platform {
@@ -37,14 +38,14 @@
     ~etcd_json_store();
 
     // Reads fail over to the next address on any failure.
-    void range(std::string key, std::string range_end, range_handler handler);
+    void range(std::string_view key, std::string_view range_end, range_handler handler);
 
     // Writes fail over only until a connection is open; after that the outcome may be unknown.
-    void compare_and_swap(std::string key, std::int64_t expected_mod_revision, std::string value,
+    void compare_and_swap(std::string_view key, std::int64_t expected_mod_revision, std::string_view value,
                           std::int64_t lease_id, write_handler handler);
 
     // The first batch, without events, says that the watch is open.
-    cancel_handle watch(std::string key, std::string range_end, std::int64_t start_revision,
+    cancel_handle watch(std::string_view key, std::string_view range_end, std::int64_t start_revision,
                         watch_handler on_event, watch_closed_handler on_closed);
 
     // A time to live is rounded up to whole seconds.
--- a/stand_ins/backend/load_reporter.hpp
+++ b/stand_ins/backend/load_reporter.hpp
@@ -20,7 +20,7 @@
 private:
     struct sample {
         carawayway::base::time_point time;
-        std::uint32_t in_flight;
+        std::uint32_t in_flight = 0;
     };
 
     std::deque<sample> m_samples; // in time order; the first is the newest that is at least as old as the lag
--- a/stand_ins/link/relay_route.cpp
+++ b/stand_ins/link/relay_route.cpp
@@ -83,9 +83,10 @@
     co_await relayed->target.async_connect(self->m_spec.target,
                                            asio::redirect_error(asio::use_awaitable, error));
     if (error || !self->m_sessions.contains(relayed)) {
-        self->drop(relayed);
+        // The listener closes before the reset, so that a client that saw the reset meets a refusal.
         self->m_target_refuses = self->m_target_refuses || error == asio::error::connection_refused;
         self->update_faults();
+        self->drop(relayed);
         co_return;
     }
     relayed->target.set_option(tcp::no_delay(true), error);
