--- a/Tests/steering_decisions/admission_queue_test.cpp
+++ b/Tests/steering_decisions/admission_queue_test.cpp
@@ -95,6 +95,29 @@
     EXPECT_EQ(in_time, total);
 }
 
+TEST(admission_queue_test, a_standing_queue_allows_less_waiting_than_a_burst) {
+    admission_queue queue;
+    constexpr base::duration latency = milliseconds{10};
+    std::uint64_t token = 0;
+    base::time_point now = start;
+    const auto fill = [&] {
+        admission last;
+        do {
+            last = queue.offer({++token, now + std::chrono::seconds{2}, now}, 1, latency, now);
+        } while (last.verdict == admission_verdict::queued);
+    };
+    fill();
+    EXPECT_GT(queue.size(), 100U) << "a burst may use the whole deadline";
+    for (int completion = 0; completion < 2000; ++completion) {
+        now += latency;
+        queue.completed(now);
+        queue.take(now, latency);
+        fill();
+        ASSERT_GT(queue.size(), 0U) << "capacity would be idle";
+    }
+    EXPECT_LE(queue.size(), 4U);
+}
+
 // A server that completes one request every `interval`, with more arrivals than it can serve.
 RC_GTEST_PROP(admission_queue_test, no_accepted_request_is_late_at_a_steady_rate, ()) {
     const auto interval = milliseconds{*rc::gen::inRange(1, 20)};
--- a/Tests/steering_decisions/server_pool_test.cpp
+++ b/Tests/steering_decisions/server_pool_test.cpp
@@ -293,6 +293,31 @@
     EXPECT_GE(probes, 5U) << "it must be tried again now and then";
 }
 
+TEST(server_pool_test, timeouts_that_are_common_on_all_servers_eject_none) {
+    server_pool<> pool;
+    std::mt19937_64 random{7};
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        pool.upsert(spec(name, 4), start);
+    }
+    base::time_point now = start;
+    std::uint32_t ejected = 0;
+    for (int request = 0; request < 20000; ++request, now += milliseconds{1}) {
+        const auto handle = pool.reserve(now);
+        const auto kind = random() % 10 < 4 ? completion_kind::timed_out : completion_kind::answered;
+        pool.complete(*handle, kind, milliseconds{20}, now);
+        ejected += request > 200 && pool.usable_slots(now) < 16 ? 1 : 0;
+    }
+    EXPECT_EQ(ejected, 0U);
+}
+
+TEST(server_pool_test, a_server_that_stalls_alone_is_ejected) {
+    server_pool<> pool;
+    pool.upsert(spec("a", 40), start);
+    pool.upsert(spec("dead", 8), start);
+    EXPECT_EQ(complete_all(pool, reserve_all(pool, start), start, completion_kind::timed_out), 8U);
+    EXPECT_EQ(reserve_all(pool, start).size(), 40U);
+}
+
 TEST(server_pool_test, the_last_usable_servers_are_never_ejected) {
     server_pool<> pool;
     pool.upsert(spec("a", 2), start);
@@ -329,6 +354,9 @@
         EXPECT_NE(handle, *isolated);
     }
     EXPECT_FALSE(pool.reserve_idle(start).has_value()) << "no idle server is left";
+    EXPECT_EQ(pool.usable_slots(start), 8U)
+        << "else waiting requests would be refused during an isolated run";
+    EXPECT_EQ(pool.free_slots(start), 0U);
     pool.complete(*isolated, completion_kind::answered, milliseconds{5}, start);
     EXPECT_EQ(reserve_all(pool, start).size(), 4U);
 }
--- a/carawayway/steering/admission_queue.cpp
+++ b/carawayway/steering/admission_queue.cpp
@@ -51,12 +51,16 @@
     }
     const std::size_t position = rank(request);
     const double wait = (static_cast<double>(position) + 1.0) * known->seconds_per_completion;
-    if (wait * m_limits.wait_margin > wait_budget(request.deadline, *known, now) ||
-        delays_accepted(position, *known, now)) {
+    const bool cushion = static_cast<double>(position) < 1.0 + std::sqrt(usable_slots);
+    const double share = cushion ? m_limits.cushion_share : m_limits.service_share;
+    const double budget =
+        std::min(wait_budget(request.deadline, share, *known, now), wait_allowance(*known, now));
+    if (wait * m_limits.wait_margin > budget || delays_accepted(position, *known, now)) {
         return {admission_verdict::refused_deadline, advice()};
     }
     if (m_waiting.empty()) {
         m_busy_since.reset();
+        m_standing_since = now;
     }
     m_waiting.insert(m_waiting.begin() + static_cast<std::ptrdiff_t>(position), request);
     return {};
@@ -161,13 +165,20 @@
     return result;
 }
 
+// The longest wait that is worth queueing for at present, whatever the deadline.
+double admission_queue::wait_allowance(const service_rate& rate, base::time_point now) const {
+    const double standing = m_waiting.empty() ? 0.0 : base::to_seconds(now - m_standing_since);
+    const double shrunk = base::to_seconds(m_limits.burst_wait) - m_limits.standing_slope * standing;
+    return std::max(shrunk, m_limits.standing_factor * rate.typical_seconds);
+}
+
 // How long a request may wait and still leave the server enough time. Requests with little time left keep a
 // share of it for waiting, since refusing all of them would waste capacity. Rises with the deadline.
-double admission_queue::wait_budget(base::time_point deadline, const service_rate& rate,
+double admission_queue::wait_budget(base::time_point deadline, double service_share, const service_rate& rate,
                                     base::time_point now) const {
     const double remaining = base::to_seconds(deadline - now);
     const double service =
-        std::max(rate.typical_seconds, std::min(rate.high_seconds, m_limits.service_share * remaining));
+        std::max(rate.typical_seconds, std::min(rate.high_seconds, service_share * remaining));
     return remaining - service;
 }
 
@@ -183,7 +194,7 @@
                                       base::time_point now) const {
     std::size_t position = rank;
     while (position < m_waiting.size()) {
-        const double budget = wait_budget(m_waiting[position].deadline, rate, now);
+        const double budget = wait_budget(m_waiting[position].deadline, m_limits.cushion_share, rate, now);
         const double allowed = budget / std::max(rate.seconds_per_completion, 1e-12);
         // After the insertion this request waits for position + 2 completions.
         if (allowed < static_cast<double>(position) + 2.0) {
--- a/carawayway/steering/admission_queue.hpp
+++ b/carawayway/steering/admission_queue.hpp
@@ -36,7 +36,16 @@
     std::size_t capacity = 4096;
     double tail_factor = 4.0;    // high latency / typical latency, when only the latter is known
     double service_share = 0.75; // most of the remaining time that is kept for the server's work
-    double wait_margin = 1.15;   // allows for errors in the observed completion rate
+    // The same for the first few waiting requests, 1 + sqrt(slots). In a small pool these alone keep the
+    // slots busy, and refusing them would waste more capacity than their late answers do.
+    double cushion_share = 0.5;
+    double wait_margin = 1.15; // allows for errors in the observed completion rate
+    // Waiting allowed at the start of a burst. While requests wait without a break, the allowance shrinks by
+    // standing_slope per second down to standing_factor typical latencies: a queue that never empties adds
+    // latency and no throughput.
+    base::duration burst_wait = std::chrono::seconds{2};
+    double standing_slope = 0.25;
+    double standing_factor = 4.0;
     base::duration shortest_retry = std::chrono::milliseconds{20};
     base::duration longest_retry = std::chrono::seconds{30};
     base::duration retry_without_capacity = std::chrono::seconds{1};
@@ -84,7 +93,9 @@
     std::optional<service_rate> rate(std::uint32_t usable_slots,
                                      std::optional<base::duration> typical_latency,
                                      std::optional<base::duration> high_latency, base::time_point now) const;
-    double wait_budget(base::time_point deadline, const service_rate& rate, base::time_point now) const;
+    double wait_allowance(const service_rate& rate, base::time_point now) const;
+    double wait_budget(base::time_point deadline, double service_share, const service_rate& rate,
+                       base::time_point now) const;
     std::size_t rank(const waiting_request& request) const;
     bool delays_accepted(std::size_t rank, const service_rate& rate, base::time_point now) const;
 
@@ -93,6 +104,7 @@
     std::uint32_t m_usable_slots = 0;      // as of the last offer
     double m_slot_seconds = 0.0;           // time a request occupies a slot, observed while requests waited
     std::uint32_t m_samples = 0;
+    base::time_point m_standing_since;            // when the queue was last empty
     std::optional<base::time_point> m_busy_since; // last completion, if requests have waited since then
 };
 
--- a/carawayway/steering/backend_server.cpp
+++ b/carawayway/steering/backend_server.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-constexpr std::uint32_t loss_points = 2;
-constexpr std::uint32_t timeout_points = 1;
+constexpr double loss_points = 2.0;
+// A timeout counts one point when the pool's share of timeouts is at most this.
+constexpr double rare_timeout_share = 0.01;
 constexpr std::uint32_t contacts_to_forget_ejections = 20;
 constexpr std::uint32_t largest_doubling = 16;
 // Bounds of a latency relative to the pool's typical one: an outlier moves a score by at most this much.
@@ -37,6 +38,13 @@
     return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(value));
 }
 
+// The evidence of a timeout against one server is the logarithm of its improbability: where short deadlines
+// make timeouts common on all servers, several in a row are no reason to eject one.
+double timeout_points(double timeout_share) {
+    const double share = std::clamp(timeout_share, rare_timeout_share, 1.0);
+    return std::log(share) / std::log(rare_timeout_share);
+}
+
 // Remaining weight of an observation of this age.
 double decay(base::duration age, base::duration half_life) {
     if (age <= base::duration::zero()) {
@@ -89,9 +97,11 @@
 }
 
 void backend_server::restart_warm_up(base::time_point now) {
-    m_points = 0;
+    m_points = 0.0;
     m_success = 1.0;
     m_share = 1.0;
+    m_shed_seen = false;
+    m_latency_seconds = 0.0;
     m_paused_until = now;
     m_ejected_until = now;
     if (state() == server_state::draining) {
@@ -119,9 +129,8 @@
     assert(m_in_flight <= ceiling());
 }
 
-void backend_server::completed(completion_kind kind, base::duration latency,
-                               std::optional<base::duration> typical, peer_success peers,
-                               double ejection_jitter, const pool_limits& limits, base::time_point now) {
+void backend_server::completed(completion_kind kind, base::duration latency, const pool_view& pool,
+                               const pool_limits& limits, base::time_point now) {
     assert(m_in_flight > 0);
     --m_in_flight;
     m_isolated = false;
@@ -129,26 +138,26 @@
     switch (kind) {
     case completion_kind::answered:
         learn_contact();
-        learn_latency(latency, typical, limits, now);
-        learn_success(1.0, typical, peers, limits, now);
+        learn_latency(latency, pool, limits, now);
+        learn_success(1.0, pool, limits, now);
         break;
     case completion_kind::failed:
         learn_contact();
-        learn_success(0.0, typical, peers, limits, now);
+        learn_success(0.0, pool, limits, now);
         break;
     case completion_kind::shed:
         learn_contact();
         learn_shed(limits, now);
-        learn_success(0.0, typical, peers, limits, now);
+        learn_success(0.0, pool, limits, now);
         break;
     case completion_kind::lost:
     case completion_kind::not_sent:
-        learn_success(0.0, typical, peers, limits, now);
-        learn_loss(loss_points, ejection_jitter, limits, now);
+        learn_success(0.0, pool, limits, now);
+        learn_loss(loss_points, pool.jitter, limits, now);
         break;
     case completion_kind::timed_out:
-        learn_latency(latency, typical, limits, now);
-        learn_loss(timeout_points, ejection_jitter, limits, now);
+        learn_latency(latency, pool, limits, now);
+        learn_loss(timeout_points(pool.timeout_share), pool.jitter, limits, now);
         break;
     case completion_kind::cancelled:
         break;
@@ -254,28 +263,29 @@
 
 // A share far below the pool's mean also pauses the server: a fast error frees its slot at once, and without
 // the pause it would draw the whole queue. Errors that all servers give alike reduce nobody's share.
-void backend_server::learn_success(double outcome, std::optional<base::duration> typical, peer_success peers,
-                                   const pool_limits& limits, base::time_point now) {
+void backend_server::learn_success(double outcome, const pool_view& pool, const pool_limits& limits,
+                                   base::time_point now) {
     const double before = current_success(limits, now);
     m_success = std::max(least_success, before + limits.success_weight * (outcome - before));
     m_success_at = now;
-    const double mean = (peers.sum + m_success) / (peers.count + 1);
+    const double mean = (pool.peers_success + m_success) / (pool.peers + 1);
     const double relative = m_success / mean;
     m_share = relative < limits.fair_success ? relative : 1.0;
     if (m_share == 1.0 || outcome > 0.0) {
         return;
     }
-    const double pause = seconds(typical.value_or(assumed_latency)) * (1.0 / relative - 1.0);
+    const double pause = seconds(pool.typical_latency.value_or(assumed_latency)) * (1.0 / relative - 1.0);
     m_paused_until = now + std::min(limits.longest_pause, from_seconds(pause));
 }
 
-void backend_server::learn_latency(base::duration latency, std::optional<base::duration> typical,
-                                   const pool_limits& limits, base::time_point now) {
+void backend_server::learn_latency(base::duration latency, const pool_view& pool, const pool_limits& limits,
+                                   base::time_point now) {
     const double sample = seconds(latency);
-    if (m_latency_seconds == 0.0 || !typical) {
+    if (m_latency_seconds == 0.0 || !pool.typical_latency) {
         m_latency_seconds = sample;
     } else {
-        const double before = relative_latency(typical, limits, now) * seconds(*typical);
+        const double before =
+            relative_latency(pool.typical_latency, limits, now) * seconds(*pool.typical_latency);
         m_latency_seconds = before + limits.latency_weight * (sample - before);
     }
     m_latency_at = now;
@@ -292,7 +302,7 @@
 }
 
 void backend_server::learn_contact() {
-    m_points = 0;
+    m_points = 0.0;
     ++m_contact_streak;
     if (m_contact_streak >= contacts_to_forget_ejections) {
         m_ejections = 0;
@@ -300,7 +310,7 @@
     m_lifecycle.apply(server_event::recover);
 }
 
-void backend_server::learn_loss(std::uint32_t points, double jitter, const pool_limits& limits,
+void backend_server::learn_loss(double points, double jitter, const pool_limits& limits,
                                 base::time_point now) {
     m_contact_streak = 0;
     m_points += points;
--- a/carawayway/steering/backend_server.hpp
+++ b/carawayway/steering/backend_server.hpp
@@ -18,10 +18,13 @@
     open,
 };
 
-// Success shares of the other servers of the pool that take part in normal operation.
-struct peer_success {
-    double sum = 0.0;
-    std::uint32_t count = 0;
+// What the pool knows at the completion of a request, to tell a fault of one server from one common to all.
+struct pool_view {
+    std::optional<base::duration> typical_latency;
+    double peers_success = 0.0; // sum over the other servers in normal operation
+    std::uint32_t peers = 0;    // number of these servers
+    double timeout_share = 0.0; // of the pool's recent requests, each after an answer of the same server
+    double jitter = 0.0;        // random in 0..1, spreads the end of ejections
 };
 
 class backend_server {
@@ -40,11 +43,11 @@
 
     void dispatched(base::time_point now);
     void isolate() { m_isolated = true; }
+    bool isolated() const { return m_isolated; }
 
-    // Counts the request out and learns from it. `ejection_jitter` in 0..1 spreads the end of ejections.
-    void completed(completion_kind kind, base::duration latency, std::optional<base::duration> typical,
-                   peer_success peers, double ejection_jitter, const pool_limits& limits,
-                   base::time_point now);
+    // Counts the request out and learns from it.
+    void completed(completion_kind kind, base::duration latency, const pool_view& pool,
+                   const pool_limits& limits, base::time_point now);
     void load_report(std::uint32_t in_flight, base::duration age, base::time_point now);
 
     const server_spec& spec() const { return m_spec; }
@@ -57,6 +60,8 @@
     bool healthy(base::time_point now) const;
     // Takes part in the mean success of the pool.
     bool compared() const;
+    // Its latest requests were lost or timed out.
+    bool in_doubt() const { return m_points > 0.0; }
     double success() const { return m_success; }
     // Lower is better. The caller passes the limit it has already computed.
     double score(std::uint32_t limit, std::optional<base::duration> typical, const pool_limits& limits,
@@ -67,13 +72,13 @@
 
 private:
     void open(base::time_point now, base::duration warmth);
-    void learn_success(double outcome, std::optional<base::duration> typical, peer_success peers,
-                       const pool_limits& limits, base::time_point now);
-    void learn_latency(base::duration latency, std::optional<base::duration> typical,
-                       const pool_limits& limits, base::time_point now);
+    void learn_success(double outcome, const pool_view& pool, const pool_limits& limits,
+                       base::time_point now);
+    void learn_latency(base::duration latency, const pool_view& pool, const pool_limits& limits,
+                       base::time_point now);
     void learn_shed(const pool_limits& limits, base::time_point now);
     void learn_contact();
-    void learn_loss(std::uint32_t points, double jitter, const pool_limits& limits, base::time_point now);
+    void learn_loss(double points, double jitter, const pool_limits& limits, base::time_point now);
     double ramp(base::time_point now) const;
     double shed_limit(const pool_limits& limits, base::time_point now) const;
     double error_share(const pool_limits& limits, base::time_point now) const;
@@ -104,7 +109,7 @@
     double m_latency_seconds = 0.0; // zero until the first answer
     base::time_point m_latency_at;
 
-    std::uint32_t m_points = 0;         // losses since the last contact
+    double m_points = 0.0;              // evidence of a fault since the last contact
     std::uint32_t m_ejections = 0;      // sets the length of the next ejection
     std::uint32_t m_contact_streak = 0; // contacts in a row
     std::uint32_t m_probes = 0;         // requests in flight since the ejection ended
--- a/carawayway/steering/server_pool.hpp
+++ b/carawayway/steering/server_pool.hpp
@@ -95,9 +95,11 @@
             return;
         }
         --m_in_flight;
+        learn_timeouts(server_at(handle.index), kind);
         const double jitter = static_cast<double>(m_random() >> 11U) * 0x1p-53;
         change(handle.index, now, [&](backend_server& server) {
-            server.completed(kind, latency, m_typical, {m_success_sum, m_compared}, jitter, m_limits, now);
+            const pool_view view{m_typical, m_success_sum, m_compared, m_timeout_share, jitter};
+            server.completed(kind, latency, view, m_limits, now);
         });
         learn_latency(kind, latency);
     }
@@ -124,7 +126,8 @@
         return found == m_by_name.end() ? 0 : server_at(found->second).in_flight();
     }
 
-    // Slots of the servers that requests go to at present. Isolated servers count nothing.
+    // Slots of the servers that requests go to at present. Isolated servers are included: they are back after
+    // one request.
     std::uint32_t usable_slots(base::time_point now) const {
         advance(now);
         return m_totals.healthy > 0 ? m_totals.open_slots : m_totals.held_slots;
@@ -135,6 +138,14 @@
         return m_totals.healthy > 0 ? m_totals.open_free : m_totals.held_free;
     }
 
+    // When a slot may next become usable by time alone: waiting requests should then be tried again.
+    std::optional<base::time_point> next_change() const {
+        if (m_changes.empty()) {
+            return std::nullopt;
+        }
+        return m_changes.begin()->first;
+    }
+
     // Moving average of answered requests.
     std::optional<base::duration> typical_latency() const { return m_typical; }
 
@@ -164,6 +175,7 @@
         std::uint32_t limit = 0;
         std::uint32_t free = 0;
         std::uint32_t healthy = 0;
+        std::uint32_t isolated_slots = 0;
     };
 
     struct place_entry {
@@ -175,7 +187,7 @@
 
     struct totals {
         std::uint32_t healthy = 0;
-        std::uint32_t open_slots = 0;
+        std::uint32_t open_slots = 0; // includes healthy isolated servers
         std::uint32_t open_free = 0;
         std::uint32_t held_slots = 0; // includes servers to probe
         std::uint32_t held_free = 0;
@@ -288,6 +300,15 @@
         return {index, m_places[index].generation};
     }
 
+    // A stalled server counts once, so that its own timeouts do not pass for common ones.
+    void learn_timeouts(const backend_server& server, completion_kind kind) {
+        if (server.in_doubt() || (kind != completion_kind::answered && kind != completion_kind::timed_out)) {
+            return;
+        }
+        const double timed_out = kind == completion_kind::timed_out ? 1.0 : 0.0;
+        m_timeout_share += (timed_out - m_timeout_share) / latency_samples;
+    }
+
     void learn_latency(completion_kind kind, base::duration latency) {
         if (kind != completion_kind::answered && kind != completion_kind::timed_out) {
             return;
@@ -322,6 +343,8 @@
         entry.counted.limit = server.limit(m_limits, now);
         entry.counted.free = entry.counted.limit - std::min(entry.counted.limit, server.in_flight());
         entry.counted.healthy = server.healthy(now) ? 1 : 0;
+        const bool isolated = server.isolated() && server.healthy(now);
+        entry.counted.isolated_slots = isolated ? entry.counted.limit : 0;
         add(entry.counted, +1);
         const bool room = entry.counted.free > 0;
         const bool idle = room && server.in_flight() == 0;
@@ -341,6 +364,7 @@
     void add(const contribution& part, int sign) const {
         const auto factor = static_cast<std::uint32_t>(sign);
         m_totals.healthy += factor * part.healthy;
+        m_totals.open_slots += factor * part.isolated_slots;
         if (part.place == placement::open) {
             m_totals.open_slots += factor * part.limit;
             m_totals.open_free += factor * part.free;
@@ -375,6 +399,7 @@
     std::optional<base::duration> m_typical;
     std::optional<base::duration> m_high;
     std::uint32_t m_samples = 0;
+    double m_timeout_share = 0.0;
 
     // What follows depends on time and is brought up to date by queries too.
     mutable std::vector<place_entry> m_places;
--- a/carawayway/steering/server_spec.hpp
+++ b/carawayway/steering/server_spec.hpp
@@ -61,7 +61,7 @@
     base::duration memory = std::chrono::seconds{5};           // half-life of unrefreshed observations
     double fair_success = 0.8;                              // of the pool's mean: below it the share shrinks
     base::duration longest_pause = std::chrono::seconds{1}; // between requests to a server that only fails
-    std::uint32_t suspect_points = 4;                       // two losses or four timeouts in a row
+    double suspect_points = 4.0; // two losses, or four timeouts in a row where timeouts are rare
     base::duration first_ejection = std::chrono::milliseconds{500};
     base::duration longest_ejection = std::chrono::seconds{10};
     base::duration report_lifetime = std::chrono::seconds{2}; // a load report counts nothing at this age
