--- a/carawayway/membership/member_table.cpp
+++ b/carawayway/membership/member_table.cpp
@@ -1,5 +1,6 @@
-// Status of the members and choice of links. Only direct contact replaces an incarnation at once; a relayed
-// one must be seen to make progress first, because relayed news about a dead incarnation can arrive late.
+// Status of the members and choice of links. Only direct contact replaces an incarnation at once and for
+// good. A relayed one must be seen to make progress first and can be replaced again, because relayed news
+// about a dead incarnation can arrive late, above all after a pause of this process.
 #include "carawayway/membership/member_table.hpp"
 
 #include "carawayway/base/hash.hpp"
@@ -85,20 +86,27 @@
     member& entry = found == m_members.end() ? insert(record, now) : found->second;
     m_replaced.erase({record.name, record.incarnation});
     if (entry.record.incarnation != record.incarnation) {
+        m_replaced.insert({record.name, entry.record.incarnation});
         replace_incarnation(entry, record, now);
     }
     entry.record = record;
+    entry.linked = true;
     progress(entry, now);
 }
 
+void member_table::link_down(std::string_view name) {
+    const auto found = m_members.find(name);
+    if (found != m_members.end()) {
+        found->second.linked = false;
+    }
+}
+
 void member_table::replace_incarnation(member& entry, const wire::member_record& record,
                                        base::time_point now) {
-    if (entry.record.incarnation != 0) {
-        m_replaced.insert({entry.record.name, entry.record.incarnation});
-    }
     entry.record = record;
     entry.counter = 0;
     entry.heard = false;
+    entry.linked = false;
     entry.running = wire::running_state::running;
     entry.last_progress = now;
     set_status(entry, member_status::suspected, now);
@@ -141,6 +149,9 @@
         }
         return;
     }
+    if (entry.linked) {
+        return;
+    }
     candidate& other = m_candidates[message.entry];
     if (other.incarnation == message.incarnation && message.counter > other.counter) {
         wire::member_record record = entry.record;
--- a/carawayway/membership/member_table.hpp
+++ b/carawayway/membership/member_table.hpp
@@ -52,8 +52,9 @@
     base::time_point status_since{};
     member_status status = member_status::suspected;
     wire::running_state running = wire::running_state::running;
-    bool seed = false;  // never forgotten
-    bool heard = false; // progress of this incarnation was seen
+    bool seed = false;   // never forgotten
+    bool linked = false; // a link to this incarnation is up; relayed news cannot replace it
+    bool heard = false;  // progress of this incarnation was seen
 };
 
 struct member_change {
@@ -80,6 +81,7 @@
 
     // An authenticated link to this incarnation; it replaces any other incarnation of the name.
     void link_up(const wire::member_record& record, base::time_point now);
+    void link_down(std::string_view name);
 
     // Any message that came directly from this incarnation.
     void heard(std::string_view name, std::uint64_t incarnation, base::time_point now);
--- a/carawayway/membership/server_ownership.cpp
+++ b/carawayway/membership/server_ownership.cpp
@@ -38,7 +38,8 @@
 server_ownership::server_ownership(const member_table& members, ownership_settings settings,
                                    in_flight_count in_flight, reachability reachable, base::time_point now)
     : m_members(members), m_settings(settings), m_in_flight(std::move(in_flight)),
-      m_reachable(std::move(reachable)), m_last_tick(now), m_started_at(now), m_unclaimed_hold(now) {}
+      m_reachable(std::move(reachable)), m_last_tick(now), m_awake_since(now), m_pause_began(now),
+      m_started_at(now), m_unclaimed_hold(now) {}
 
 void server_ownership::configure(const std::vector<owned_server_spec>& servers,
                                  base::duration longest_timeout) {
@@ -230,12 +231,20 @@
     }
 }
 
-// After a pause others may own the servers, and this entry instance may have missed claims and deaths.
+// After a pause others may own the servers, and this entry instance may have missed claims and deaths. After
+// a long one, an owner may even have come and died meanwhile, with requests that still run and nobody to
+// report them. Pauses in quick succession count as one, because the peers may have heard nothing in between.
 void server_ownership::detect_pause(base::time_point now) {
     if (now - m_last_tick <= m_settings.pause_limit) {
         return;
     }
+    if (m_last_tick - m_awake_since > m_settings.revalidation_time) {
+        m_pause_began = m_last_tick;
+    }
+    m_awake_since = now;
     m_last_tick = now;
+    const base::time_point requests_over = now + m_longest_timeout + m_settings.certain_death_margin;
+    const bool may_be_replaced = now - m_pause_began >= m_settings.term;
     m_round.reset();
     std::erase_if(m_claims, [](const auto& item) { return item.second.state == claim_state::proposed; });
     for (auto& [server, claim] : m_claims) {
@@ -243,8 +252,9 @@
             claim.state = claim_state::unconfirmed;
         }
         claim.confirmed = false;
+        claim.not_before = may_be_replaced ? requests_over : claim.not_before;
     }
-    m_unclaimed_hold = std::max(m_unclaimed_hold, now + m_longest_timeout + m_settings.certain_death_margin);
+    m_unclaimed_hold = std::max(m_unclaimed_hold, requests_over);
     m_unclaimed_since.clear();
     publish();
 }
--- a/carawayway/membership/server_ownership.hpp
+++ b/carawayway/membership/server_ownership.hpp
@@ -202,6 +202,8 @@
     std::uint64_t m_claims_version = 1;
     std::uint64_t m_next_token = 1;
     base::time_point m_last_tick;
+    base::time_point m_awake_since; // start or end of the last pause
+    base::time_point m_pause_began; // of the last pause, or of the first one of several in quick succession
     base::time_point m_started_at;
     base::time_point m_unclaimed_hold; // no server without an owner is claimed before this time
     bool m_configured = false;
