--- a/carawayway/peer/peer_link.cpp
+++ b/carawayway/peer/peer_link.cpp
@@ -1,5 +1,6 @@
 // Handshake, reading and writing of one peer link. The initiator sends its proof first: an acceptor proves
-// knowledge of the key only to a peer that proved it before.
+// knowledge of the key only to a peer that proved it before. Each co_await stands in a statement of its own:
+// g++ 12 destroys temporaries of conditional expressions around a co_await too early.
 #include "carawayway/peer/peer_link.hpp"
 
 #include "carawayway/wire/message_codec.hpp"
@@ -104,8 +105,8 @@
 }
 
 asio::awaitable<void> peer_link::run(std::optional<endpoint> address) {
-    if (address.has_value() && !co_await connect_socket(*address)) {
-        co_return;
+    if (address.has_value()) {
+        co_await connect_socket(*address);
     }
     if (m_state != link_state::connecting) {
         co_return;
@@ -115,7 +116,8 @@
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     watch_deadline(m_context->limits.handshake_timeout, close_reason::handshake_silent,
                    "no answer to the handshake");
-    if (!co_await authenticate() || m_state != link_state::authenticating) {
+    const bool valid = co_await authenticate();
+    if (!valid || m_state != link_state::authenticating) {
         co_return;
     }
     m_state = link_state::established;
@@ -126,12 +128,12 @@
     co_await read_messages();
 }
 
-asio::awaitable<bool> peer_link::connect_socket(endpoint address) {
+asio::awaitable<void> peer_link::connect_socket(endpoint address) {
     watch_deadline(m_context->limits.connect_timeout, close_reason::connect_timed_out, "no answer");
     error_code error;
     co_await m_socket.async_connect(address, with_error(error));
     if (m_state == link_state::closed) {
-        co_return false;
+        co_return;
     }
     if (error == asio::error::connection_refused) {
         close(close_reason::connect_refused, error.message());
@@ -140,22 +142,29 @@
     } else if (error) {
         close(close_reason::connect_failed, error.message());
     }
-    co_return !error;
 }
 
 asio::awaitable<bool> peer_link::authenticate() {
-    if (!co_await exchange_hellos()) {
-        co_return false;
+    bool valid = co_await exchange_hellos();
+    if (valid && m_side == wire::link_side::initiator) {
+        valid = co_await send_proof();
     }
-    if (m_side == wire::link_side::initiator) {
-        co_return co_await send_proof() && co_await check_proof();
+    if (valid) {
+        valid = co_await check_proof();
     }
-    co_return co_await check_proof() && co_await send_proof();
+    if (valid && m_side == wire::link_side::acceptor) {
+        valid = co_await send_proof();
+    }
+    co_return valid;
 }
 
 asio::awaitable<bool> peer_link::exchange_hellos() {
-    if (m_side == wire::link_side::initiator && !co_await write_directly(m_local)) {
-        co_return false;
+    const wire::peer_message greeting = m_local;
+    if (m_side == wire::link_side::initiator) {
+        const bool written = co_await write_directly(greeting);
+        if (!written) {
+            co_return false;
+        }
     }
     auto received = co_await read_message();
     if (!received.has_value()) {
@@ -173,17 +182,19 @@
         close(close_reason::handshake_refused, "envelope and hello differ");
         co_return false;
     }
+    bool written = true;
     if (m_side == wire::link_side::acceptor) {
-        co_return co_await write_directly(m_local);
+        written = co_await write_directly(greeting);
     }
-    co_return true;
+    co_return written;
 }
 
 asio::awaitable<bool> peer_link::send_proof() {
     const bool initiator = m_side == wire::link_side::initiator;
-    const wire::hello_proof proof{m_context->authenticator.prove(m_side, initiator ? m_local : m_remote,
-                                                                 initiator ? m_remote : m_local)};
-    co_return co_await write_directly(proof);
+    const wire::peer_message proof = wire::hello_proof{m_context->authenticator.prove(
+        m_side, initiator ? m_local : m_remote, initiator ? m_remote : m_local)};
+    const bool written = co_await write_directly(proof);
+    co_return written;
 }
 
 asio::awaitable<bool> peer_link::check_proof() {
--- a/carawayway/peer/peer_link.hpp
+++ b/carawayway/peer/peer_link.hpp
@@ -80,7 +80,7 @@
 
     void start(std::optional<endpoint> address);
     boost::asio::awaitable<void> run(std::optional<endpoint> address);
-    boost::asio::awaitable<bool> connect_socket(endpoint address);
+    boost::asio::awaitable<void> connect_socket(endpoint address);
     boost::asio::awaitable<bool> authenticate();
     boost::asio::awaitable<bool> exchange_hellos();
     boost::asio::awaitable<bool> send_proof();
