membership: Make takeover between failure domains safe without a full mesh

Delegates are chosen among live members first, a domain whose delegates are silent is contacted as a whole, nothing is taken over from members that were not tried to connect to, and an owner keeps links to all members of a domain whose servers it claims. A server that nobody takes after its release is not released again for 10 s.

--- a/Tests/membership/member_table_test.cpp
+++ b/Tests/membership/member_table_test.cpp
@@ -131,7 +131,9 @@
     for (const auto& self : all) {
         member_table table(self, {}, now);
         for (const auto& other : all) {
-            table.add_seed(other, now);
+            if (other.name != self.name) {
+                table.link_up(other, now);
+            }
         }
         const auto links = table.needed_links();
         most = std::max(most, links.size());
@@ -151,13 +153,46 @@
     const base::time_point now{1h};
     member_table table(record("entry-0", 1), {}, now);
     for (int number = 1; number < 16; ++number) {
-        table.add_seed(record("entry-" + std::to_string(number), 0, "domain-" + std::to_string(number % 6)),
-                       now);
+        table.link_up(record("entry-" + std::to_string(number), 1, "domain-" + std::to_string(number % 6)),
+                      now);
     }
     EXPECT_EQ(table.needed_links().size(), 15U);
-    table.add_seed(record("entry-16", 0, "domain-1"), now);
+    table.link_up(record("entry-16", 1, "domain-1"), now);
     EXPECT_LT(table.needed_links().size(), 16U);
 }
 
+// Otherwise the pause of the delegates would look like the death of their whole failure domain.
+TEST(needed_links_test, silent_delegates_of_a_neighbour_domain_are_bypassed) {
+    base::time_point now{1h};
+    member_settings settings;
+    settings.full_mesh_limit = 0;
+    member_table table(record("a-1", 1, "hki-a"), settings, now);
+    for (int number = 1; number <= 5; ++number) {
+        table.link_up(record("b-" + std::to_string(number), 1, "hki-b"), now);
+    }
+    const auto links = table.needed_links();
+    ASSERT_EQ(links.size(), 2U);
+    for (int count = 0; count < 12; ++count) {
+        now += 100ms;
+        table.tick(now);
+        for (int number = 1; number <= 5; ++number) {
+            const auto name = "b-" + std::to_string(number);
+            if (name != links.front().name) {
+                table.heard(name, 1, now);
+            }
+        }
+    }
+    const auto others = table.needed_links();
+    EXPECT_EQ(others.size(), 2U);
+    EXPECT_TRUE(std::none_of(others.begin(), others.end(),
+                             [&](const auto& one) { return one.name == links.front().name; }));
+    now += 400ms;
+    for (int count = 0; count < 12; ++count) {
+        now += 100ms;
+        table.tick(now);
+    }
+    EXPECT_EQ(table.needed_links().size(), 5U);
+}
+
 } // namespace
 } // namespace carawayway::membership
--- a/Tests/membership/ownership_harness.cpp
+++ b/Tests/membership/ownership_harness.cpp
@@ -37,6 +37,8 @@
     one.alive = true;
     member_settings settings;
     settings.silence_limit = m_settings.ownership.term + m_settings.longest_timeout;
+    settings.full_mesh_limit = m_settings.full_mesh_limit;
+    settings.delegates = m_settings.delegates;
     one.members = std::make_unique<member_table>(one.record, settings, m_now);
     for (const auto& [name, other] : m_processes) {
         wire::member_record seed = other.record;
@@ -113,12 +115,30 @@
     check();
 }
 
+bool ownership_harness::connected(const process& one, const process& other) const {
+    return one.needed.contains(other.record.name) || (other.alive && other.needed.contains(one.record.name));
+}
+
 // Opens missing links and reports what failed attempts tell. Attempts are made at every heartbeat interval.
 void ownership_harness::connect(process& one) {
+    if (m_now >= one.next_heartbeat) {
+        one.needed.clear();
+        for (const auto& peer : one.members->needed_links()) {
+            one.needed.insert(peer.name);
+        }
+        for (const auto& peer : one.ownership->needed_links()) {
+            one.needed.insert(peer.name);
+        }
+    }
     for (auto& [name, other] : m_processes) {
         if (name == one.record.name) {
             continue;
         }
+        if (!connected(one, other)) {
+            one.members->link_down(name);
+            one.linked.erase({name, other.record.incarnation});
+            continue;
+        }
         const std::pair key{name, other.record.incarnation};
         if (other.alive && !other.paused && one.linked.insert(key).second) {
             one.members->link_up(other.record, m_now);
@@ -132,6 +152,7 @@
             one.members->connect_failed(name, death_evidence::refused, m_now);
         } else if (other.paused && known != nullptr && m_now - known->last_progress > silent_evidence_after) {
             one.members->link_down(name);
+            one.linked.erase(key);
             one.members->connect_failed(name, death_evidence::accepted_silent, m_now);
         }
     }
@@ -164,7 +185,7 @@
 
 void ownership_harness::send(process& from, const std::string& to, wire::peer_message message) {
     process& receiver = m_processes.at(to);
-    if (!receiver.alive) {
+    if (!receiver.alive || !connected(from, receiver)) {
         return;
     }
     auto& queue = receiver.inbox[from.record.name];
@@ -194,7 +215,7 @@
     const wire::heartbeat message{++one.counter, state, one.sent_version, one.ownership->claims(),
                                   one.members->counters_to_relay(relayed_counters)};
     for (const auto& [name, other] : m_processes) {
-        if (name != one.record.name) {
+        if (name != one.record.name && connected(one, other)) {
             send(one, name, message);
         }
     }
--- a/Tests/membership/ownership_harness.hpp
+++ b/Tests/membership/ownership_harness.hpp
@@ -24,6 +24,8 @@
     base::duration step = std::chrono::milliseconds(10);
     base::duration delay_maximum = std::chrono::milliseconds(50); // of a message, one way
     std::uint64_t seed = 1;
+    std::size_t full_mesh_limit = 16; // as in member_settings
+    std::size_t delegates = 2;        // as in member_settings
 };
 
 // Whether the load generator keeps requests in flight that take up to the longest timeout.
@@ -80,6 +82,7 @@
         base::time_point next_heartbeat{};
         std::map<std::string, std::deque<delivery>> inbox; // by sender, in order
         std::set<std::pair<std::string, std::uint64_t>> linked;
+        std::set<std::string> needed; // peers that it keeps a link to
         std::uint64_t sent_version = 0;
         bool alive = false;
         bool paused = false;
@@ -96,6 +99,7 @@
     void deliver(process& receiver);
     void handle(process& receiver, const delivery& received);
     void connect(process& one);
+    bool connected(const process& one, const process& other) const;
     void send(process& from, const std::string& to, wire::peer_message message);
     void tick(process& one);
     void dispatch(process& one);
--- a/Tests/membership/server_ownership_test.cpp
+++ b/Tests/membership/server_ownership_test.cpp
@@ -37,7 +37,7 @@
         m_harness.run_until([this] { return m_harness.owned_servers() == 9; }, 10s);
     }
 
-    ~server_ownership_test() override { EXPECT_THAT(m_harness.violations(), testing::IsEmpty()); }
+    void TearDown() override { EXPECT_THAT(m_harness.violations(), testing::IsEmpty()); }
 
     std::vector<std::string> servers_of(const std::string& entry) const {
         std::vector<std::string> owned;
@@ -147,7 +147,7 @@
         m_harness.kill("b-1");
     }
 
-    ~neighbour_test() override { EXPECT_THAT(m_harness.violations(), testing::IsEmpty()); }
+    void TearDown() override { EXPECT_THAT(m_harness.violations(), testing::IsEmpty()); }
 
     ownership_harness m_harness{{}};
     std::set<std::string> m_reaching;
@@ -233,6 +233,17 @@
     }
 }
 
+// Only one entry instance of each failure domain has links to the other one; the rest learn by relayed news.
+TEST(ownership_property_test, no_two_entries_use_one_server_when_failure_domains_are_linked_by_delegates) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        harness_settings settings;
+        settings.seed = seed;
+        settings.full_mesh_limit = 0;
+        settings.delegates = 1;
+        EXPECT_THAT(run_random_faults(settings), testing::IsEmpty()) << "seed " << seed;
+    }
+}
+
 // Shows that the check above detects the fault that the start hold prevents.
 TEST(ownership_property_test, without_the_start_hold_a_server_is_used_twice) {
     std::size_t violations = 0;
--- a/Tests/peer/raw_peer.hpp
+++ b/Tests/peer/raw_peer.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carawayway::peer {
@@ -19,7 +20,7 @@
 class raw_peer {
 public:
     raw_peer(wire::hello local, std::vector<std::byte> key)
-        : m_local(std::move(local)), m_authenticator(key) {}
+        : m_local(std::move(local)), m_authenticator(std::move(key)) {}
 
     void connect(const config::socket_address& address);
     void send(const wire::peer_message& message); // with the next sequence
--- a/carawayway/membership/member_table.cpp
+++ b/carawayway/membership/member_table.cpp
@@ -43,6 +43,7 @@
     : m_self(std::move(self)), m_settings(settings), m_last_tick(now) {}
 
 member& member_table::insert(const wire::member_record& record, base::time_point now) {
+    m_delegates.clear();
     member& entry = m_members[record.name];
     entry.record = record;
     entry.last_progress = now;
@@ -75,6 +76,7 @@
     }
     if (entry.record.incarnation == 0) {
         entry.record = record;
+        m_delegates.clear();
     } else if (is_dead(entry.status)) {
         replace_incarnation(entry, record, now);
     }
@@ -90,6 +92,7 @@
         replace_incarnation(entry, record, now);
     }
     entry.record = record;
+    m_delegates.clear();
     entry.linked = true;
     progress(entry, now);
 }
@@ -104,9 +107,11 @@
 void member_table::replace_incarnation(member& entry, const wire::member_record& record,
                                        base::time_point now) {
     entry.record = record;
+    m_delegates.clear();
     entry.counter = 0;
     entry.heard = false;
     entry.linked = false;
+    entry.contact_failed = false;
     entry.running = wire::running_state::running;
     entry.last_progress = now;
     set_status(entry, member_status::suspected, now);
@@ -168,6 +173,7 @@
 void member_table::progress(member& entry, base::time_point now) {
     entry.last_progress = now;
     entry.heard = true;
+    entry.contact_failed = false;
     set_status(entry, member_status::alive, now);
 }
 
@@ -178,6 +184,7 @@
     m_changes.push_back({entry.record.name, entry.status, status});
     entry.status = status;
     entry.status_since = now;
+    m_delegates.clear();
 }
 
 void member_table::connect_failed(std::string_view name, death_evidence evidence, base::time_point now) {
@@ -186,6 +193,7 @@
         return;
     }
     member& entry = found->second;
+    entry.contact_failed = true;
     if (evidence == death_evidence::refused) {
         set_status(entry, member_status::dead_certain, now);
     } else if (evidence == death_evidence::accepted_silent && entry.status == member_status::suspected) {
@@ -203,19 +211,24 @@
     }
     for (auto& [name, entry] : m_members) {
         const base::duration silence = now - entry.last_progress;
+        const base::duration suspicion =
+            entry.linked ? m_settings.suspect_after : m_settings.suspect_unlinked_after;
         if (entry.status == member_status::dead_certain) {
             continue;
         }
         if (silence >= m_settings.silence_limit) {
             set_status(entry, member_status::dead_by_silence, now);
-        } else if (silence >= m_settings.suspect_after && entry.status == member_status::alive) {
+        } else if (silence >= suspicion && entry.status == member_status::alive) {
             set_status(entry, member_status::suspected, now);
         }
     }
-    std::erase_if(m_members, [this, now](const auto& item) {
+    const auto forgotten = std::erase_if(m_members, [this, now](const auto& item) {
         const member& entry = item.second;
         return !entry.seed && is_dead(entry.status) && now - entry.status_since > m_settings.forget_after;
     });
+    if (forgotten > 0) {
+        m_delegates.clear();
+    }
     return std::exchange(m_changes, {});
 }
 
@@ -229,35 +242,49 @@
     return entry != nullptr && !is_dead(entry->status);
 }
 
-// The live entry instances of the domain with the highest ranks for the key. A domain without a live one is
-// represented by those known of it, so that somebody notices when it is back.
-std::vector<const wire::member_record*> member_table::delegates_of(std::string_view domain,
-                                                                   std::string_view key) const {
-    std::vector<const wire::member_record*> chosen;
+// The entry instances of the domain with the highest ranks for the key. Those that are alive come before
+// those that are silent, and these before the dead, which represent a domain so that somebody notices its
+// return.
+std::vector<const wire::member_record*> member_table::choose_delegates(std::string_view domain,
+                                                                       std::string_view key) const {
+    struct choice {
+        int silence = 0; // 0 alive, 1 silent, 2 dead
+        std::uint64_t rank = 0;
+        const wire::member_record* record = nullptr;
+    };
+    std::vector<choice> choices;
     if (m_self.failure_domain == domain) {
-        chosen.push_back(&m_self);
+        choices.push_back({0, base::rendezvous_rank(key, m_self.name), &m_self});
     }
     for (const auto& [name, entry] : m_members) {
-        if (entry.record.failure_domain == domain && !is_dead(entry.status)) {
-            chosen.push_back(&entry.record);
-        }
-    }
-    if (chosen.empty()) {
-        for (const auto& [name, entry] : m_members) {
-            if (entry.record.failure_domain == domain) {
-                chosen.push_back(&entry.record);
-            }
+        if (entry.record.failure_domain == domain) {
+            const int silence = entry.status == member_status::alive ? 0 : is_dead(entry.status) ? 2 : 1;
+            choices.push_back({silence, base::rendezvous_rank(key, name), &entry.record});
         }
     }
-    std::sort(chosen.begin(), chosen.end(), [key](const auto* left, const auto* right) {
-        return base::rendezvous_rank(key, left->name) > base::rendezvous_rank(key, right->name);
+    std::sort(choices.begin(), choices.end(), [](const choice& left, const choice& right) {
+        return left.silence != right.silence ? left.silence < right.silence : left.rank > right.rank;
     });
-    chosen.resize(std::min(chosen.size(), m_settings.delegates));
+    choices.resize(std::min(choices.size(), m_settings.delegates));
+    std::vector<const wire::member_record*> chosen;
+    chosen.reserve(choices.size());
+    for (const auto& one : choices) {
+        chosen.push_back(one.record);
+    }
     return chosen;
 }
 
+const std::vector<const wire::member_record*>& member_table::delegates_of(std::string_view domain,
+                                                                          std::string_view key) const {
+    const auto [found, inserted] = m_delegates.try_emplace({std::string(domain), std::string(key)});
+    if (inserted) {
+        found->second = choose_delegates(domain, key);
+    }
+    return found->second;
+}
+
 bool member_table::delegate(std::string_view name, std::string_view domain, std::string_view key) const {
-    const auto chosen = delegates_of(domain, key);
+    const auto& chosen = delegates_of(domain, key);
     return std::any_of(chosen.begin(), chosen.end(), [name](const auto* one) { return one->name == name; });
 }
 
@@ -270,6 +297,14 @@
     return delegate(name, record.failure_domain, region_key(record.region));
 }
 
+void member_table::add_domain(std::vector<wire::member_record>& records, std::string_view domain) const {
+    for (const auto& [name, entry] : m_members) {
+        if (entry.record.failure_domain == domain) {
+            records.push_back(entry.record);
+        }
+    }
+}
+
 std::vector<wire::member_record> member_table::needed_links() const {
     std::vector<wire::member_record> needed;
     if (m_members.size() + 1 <= m_settings.full_mesh_limit) {
@@ -289,10 +324,19 @@
     for (const auto& [domain, region] : other_domains) {
         const std::string key =
             region == m_self.region ? region_key(region) : domain_pair_key(domain, m_self.failure_domain);
-        if (delegate(m_self.name, m_self.failure_domain, key)) {
-            for (const auto* record : delegates_of(domain, key)) {
-                needed.push_back(*record);
-            }
+        if (!delegate(m_self.name, m_self.failure_domain, key)) {
+            continue;
+        }
+        const auto& chosen = delegates_of(domain, key);
+        const bool all_alive = std::all_of(chosen.begin(), chosen.end(), [this](const auto* record) {
+            return m_members.find(record->name)->second.status == member_status::alive;
+        });
+        if (region == m_self.region && !all_alive) {
+            add_domain(needed, domain);
+            continue;
+        }
+        for (const auto* record : chosen) {
+            needed.push_back(*record);
         }
     }
     return needed;
--- a/carawayway/membership/member_table.hpp
+++ b/carawayway/membership/member_table.hpp
@@ -36,7 +36,9 @@
 enum class death_evidence : std::uint8_t { refused, timed_out, accepted_silent };
 
 struct member_settings {
-    base::duration suspect_after = std::chrono::milliseconds(1000); // four heartbeat intervals
+    base::duration suspect_after = std::chrono::milliseconds(1000); // with a link: four heartbeat intervals
+    // Without a link: each heartbeat of a peer relays only some counters.
+    base::duration suspect_unlinked_after = std::chrono::milliseconds(3000);
     base::duration silence_limit =
         std::chrono::milliseconds(5000);                         // ownership term + longest request timeout
     base::duration pause_limit = std::chrono::milliseconds(500); // longer gaps between ticks are own pauses
@@ -52,9 +54,10 @@
     base::time_point status_since{};
     member_status status = member_status::suspected;
     wire::running_state running = wire::running_state::running;
-    bool seed = false;   // never forgotten
-    bool linked = false; // a link to this incarnation is up; relayed news cannot replace it
-    bool heard = false;  // progress of this incarnation was seen
+    bool seed = false;           // never forgotten
+    bool linked = false;         // a link to this incarnation is up; relayed news cannot replace it
+    bool heard = false;          // progress of this incarnation was seen
+    bool contact_failed = false; // an own attempt to connect failed since the last progress
 };
 
 struct member_change {
@@ -103,7 +106,9 @@
     bool live(std::string_view name) const;
 
     // The members that this entry instance must keep a link to; the dead are included as long as they are
-    // known, so that a healed partition is noticed.
+    // known, so that a healed partition is noticed. When a failure domain of the own region has fewer live
+    // members than delegates, a delegate links to all its members: without direct contact, the silence of its
+    // delegates could not be told from the death of the whole domain.
     std::vector<wire::member_record> needed_links() const;
 
     // Whether `name` is one of the entry instances of its failure domain that keep links to the other failure
@@ -127,7 +132,11 @@
     void progress(member& entry, base::time_point now);
     void set_status(member& entry, member_status status, base::time_point now);
     void relayed(const wire::relayed_counter& message, base::time_point now);
-    std::vector<const wire::member_record*> delegates_of(std::string_view domain, std::string_view key) const;
+    const std::vector<const wire::member_record*>& delegates_of(std::string_view domain,
+                                                                std::string_view key) const;
+    std::vector<const wire::member_record*> choose_delegates(std::string_view domain,
+                                                             std::string_view key) const;
+    void add_domain(std::vector<wire::member_record>& records, std::string_view domain) const;
     bool delegate(std::string_view name, std::string_view domain, std::string_view key) const;
 
     wire::member_record m_self;
@@ -137,6 +146,9 @@
     std::set<std::pair<std::string, std::uint64_t>> m_replaced; // incarnations that are known to be gone
     std::vector<member_change> m_changes;                       // since the last tick
     base::time_point m_last_tick;
+    // By failure domain and key; emptied whenever a member or its status changes.
+    mutable std::map<std::pair<std::string, std::string>, std::vector<const wire::member_record*>>
+        m_delegates;
     std::string m_last_relayed; // where the turn of relayed counters stands
 };
 
--- a/carawayway/membership/server_ownership.cpp
+++ b/carawayway/membership/server_ownership.cpp
@@ -72,7 +72,7 @@
         return;
     }
     peer_claims& view = m_peers[std::string(entry)];
-    assert(view.incarnation == incarnation); // apply_deaths() ran before
+    assert(view.incarnation == incarnation); // apply_incarnation() ran before
     if (version < view.version) {
         return;
     }
@@ -92,7 +92,7 @@
 void server_ownership::observe_heartbeat(std::string_view entry, std::uint64_t incarnation,
                                          const wire::heartbeat& message, base::time_point now) {
     detect_pause(now);
-    apply_deaths(now);
+    apply_incarnation(entry, now);
     if (message.claims.has_value()) {
         observe_claims(entry, incarnation, message.claims_version, *message.claims);
         publish();
@@ -107,7 +107,7 @@
 wire::claims_report server_ownership::answer(std::string_view entry, std::uint64_t incarnation,
                                              const wire::claims_request& request, base::time_point now) {
     detect_pause(now);
-    apply_deaths(now);
+    apply_incarnation(entry, now);
     observe_claims(entry, incarnation, request.claims_version, request.claims);
     publish();
     wire::claims_report report{request.token, m_claims_version, m_published, {}};
@@ -129,7 +129,7 @@
 void server_ownership::observe_report(std::string_view entry, std::uint64_t incarnation,
                                       const wire::claims_report& report, base::time_point now) {
     detect_pause(now);
-    apply_deaths(now);
+    apply_incarnation(entry, now);
     observe_claims(entry, incarnation, report.claims_version, report.claims);
     const member* sender = m_members.find(entry);
     const bool current = sender != nullptr && sender->record.incarnation == incarnation;
@@ -143,8 +143,10 @@
 // Gives up claims to servers that the peer knows to belong to an entry instance without a link to this one.
 void server_ownership::withdraw_known_elsewhere(const wire::claims_report& report, base::time_point now) {
     for (const auto& known : report.known) {
-        const bool asked = m_round->servers.contains(known.claim.server);
-        if (asked && m_claims.contains(known.claim.server) && known_elsewhere(known)) {
+        const auto own = m_claims.find(known.claim.server);
+        const bool asked = own != m_claims.end() && m_round->servers.contains(known.claim.server);
+        if (asked && known_elsewhere(known) &&
+            yields(known.claim.server, own->second, known.entry, known.claim)) {
             give_up(known.claim.server);
             m_retry_after[known.claim.server] = now + m_settings.revalidation_time;
         }
@@ -152,7 +154,7 @@
 }
 
 bool server_ownership::known_elsewhere(const wire::entry_claim& known) const {
-    if (known.entry == m_members.self().name || known.claim.state == claim_state::proposed) {
+    if (known.entry == m_members.self().name) {
         return false;
     }
     const member* owner = m_members.find(known.entry);
@@ -217,9 +219,27 @@
     view.dead = true;
 }
 
+// An entry instance of another failure domain that claims servers of this one keeps a link to all its
+// members. Without a link for the time of a takeover, what it last said is outdated.
+void server_ownership::drop_outdated(const member& entry, peer_claims& view, base::time_point now) {
+    if (entry.linked || entry.record.failure_domain == m_members.self().failure_domain) {
+        view.linked_at = now;
+    } else if (now - view.linked_at >= m_settings.term + m_longest_timeout) {
+        drop_claims(entry.record.name, view);
+    }
+}
+
+void server_ownership::apply_incarnation(std::string_view entry, base::time_point now) {
+    const member* known = m_members.find(entry);
+    if (known != nullptr) {
+        apply_death(*known, now);
+    }
+}
+
 void server_ownership::apply_deaths(base::time_point now) {
     for (const auto& [name, entry] : m_members.members()) {
         apply_death(entry, now);
+        drop_outdated(entry, m_peers.at(name), now);
     }
     for (auto view = m_peers.begin(); view != m_peers.end();) {
         if (m_members.find(view->first) == nullptr) {
@@ -256,6 +276,9 @@
     }
     m_unclaimed_hold = std::max(m_unclaimed_hold, requests_over);
     m_unclaimed_since.clear();
+    for (auto& [name, view] : m_peers) {
+        view.linked_at = now;
+    }
     publish();
 }
 
@@ -328,8 +351,9 @@
     if (entry.record.failure_domain == self.failure_domain) {
         return true;
     }
-    return entry.record.region == self.region && m_members.region_delegate(self.name) &&
-           m_members.region_delegate(entry.record.name);
+    const bool delegates =
+        m_members.region_delegate(entry.record.name) && m_members.region_delegate(self.name);
+    return entry.record.region == self.region && (entry.linked || delegates);
 }
 
 std::vector<std::string> server_ownership::round_peers() const {
@@ -381,6 +405,23 @@
     m_round.reset();
 }
 
+std::vector<wire::member_record> server_ownership::needed_links() const {
+    std::set<std::string_view> domains;
+    for (const auto& [server, claim] : m_claims) {
+        const auto spec = m_servers.find(server);
+        if (spec != m_servers.end() && spec->second.failure_domain != m_members.self().failure_domain) {
+            domains.insert(spec->second.failure_domain);
+        }
+    }
+    std::vector<wire::member_record> needed;
+    for (const auto& [name, entry] : m_members.members()) {
+        if (domains.contains(entry.record.failure_domain)) {
+            needed.push_back(entry.record);
+        }
+    }
+    return needed;
+}
+
 void server_ownership::become_owner(base::time_point now) {
     for (auto& [server, claim] : m_claims) {
         const bool agreed = waiting(claim.state) && claim.confirmed && now >= claim.not_before;
@@ -464,7 +505,7 @@
     }
 }
 
-void server_ownership::release_surplus() {
+void server_ownership::release_surplus(base::time_point now) {
     if (m_stopping || !m_start_complete) {
         return;
     }
@@ -481,6 +522,10 @@
         }
     }
     for (const auto service : services) {
+        const auto paused = m_release_after.find(service);
+        if (paused != m_release_after.end() && now < paused->second) {
+            continue;
+        }
         release_one(service, share_of(service, sharers));
     }
 }
@@ -581,15 +626,16 @@
     return std::max(free, *domain_free);
 }
 
-// When the last requests of a failure domain without live entry instances are over; nothing while one lives.
-// Its claims may be unknown here, so all its entry instances count.
+// When the last requests of a failure domain without live entry instances are over; nothing while one lives
+// or was not tried to connect to: those that relay its counters may be the silent ones. Its claims may be
+// unknown here, so all its entry instances count.
 std::optional<base::time_point> server_ownership::domain_free_at(std::string_view domain) const {
     base::time_point free{};
     for (const auto& [name, entry] : m_members.members()) {
         if (entry.record.failure_domain != domain) {
             continue;
         }
-        if (!is_dead(entry.status)) {
+        if (!is_dead(entry.status) || !entry.contact_failed) {
             return std::nullopt;
         }
         if (entry.status == member_status::dead_certain) {
@@ -664,6 +710,11 @@
     if (now < since + static_cast<std::int64_t>(*position) * m_settings.claim_stagger) {
         return;
     }
+    const bool own_domain = server.failure_domain == m_members.self().failure_domain;
+    if (own_domain && *position > 0) {
+        // Those before this entry instance do not want the server. Releasing it again would only idle it.
+        m_release_after[server.service] = now + m_settings.release_pause;
+    }
     local_claim claim;
     claim.epoch = ++m_epochs[server.name];
     claim.not_before = *free;
@@ -721,7 +772,7 @@
     resolve_conflicts();
     finish_round(now);
     become_owner(now);
-    release_surplus();
+    release_surplus(now);
     finish_releases();
     propose(now);
     start_round(now);
--- a/carawayway/membership/server_ownership.hpp
+++ b/carawayway/membership/server_ownership.hpp
@@ -32,6 +32,7 @@
     base::duration revalidation_time = std::chrono::seconds(1);
     base::duration certain_death_margin = std::chrono::milliseconds(200);
     base::duration claim_stagger = std::chrono::milliseconds(500);    // per place in the rendezvous order
+    base::duration release_pause = std::chrono::seconds(10);          // after a released server was not taken
     base::duration request_interval = std::chrono::milliseconds(200); // between repeated claims requests
     start_hold hold = start_hold::wait;
 };
@@ -106,6 +107,10 @@
     // A dispatch that was decided must not be written after this time.
     base::time_point permission_until() const { return m_last_tick + m_settings.pause_limit; }
 
+    // Members to keep a link to besides those of the member table: as long as this entry instance claims
+    // servers of another failure domain, all members of that domain must hear of it.
+    std::vector<wire::member_record> needed_links() const;
+
     // For heartbeats and reports.
     const std::vector<wire::server_claim>& claims() const { return m_published; }
     std::uint64_t claims_version() const { return m_claims_version; }
@@ -130,6 +135,7 @@
         bool known = false;              // claims of this incarnation were received
         bool dead = false;               // the claims were turned into reservations
         base::time_point next_request{}; // not asked again before this time
+        base::time_point linked_at{};    // when a link to it was last seen
     };
 
     // One round of questions to the peers about the claims that are proposed or unconfirmed.
@@ -149,6 +155,7 @@
     bool known_elsewhere(const wire::entry_claim& known) const;
     void drop_claims(std::string_view entry, peer_claims& view);
     void bury(std::string_view entry, peer_claims& view, base::time_point until);
+    void apply_incarnation(std::string_view entry, base::time_point now);
     void apply_deaths(base::time_point now);
     void apply_death(const member& entry, base::time_point now);
     void detect_pause(base::time_point now);
@@ -163,7 +170,8 @@
     bool round_peer(const member& entry) const;
     void become_owner(base::time_point now);
     void release_removed();
-    void release_surplus();
+    void drop_outdated(const member& entry, peer_claims& view, base::time_point now);
+    void release_surplus(base::time_point now);
     void release_one(std::string_view service, std::size_t share);
     bool may_release(const owned_server_spec& server, std::string_view service, std::size_t share) const;
     void finish_releases();
@@ -195,7 +203,8 @@
     std::map<std::string, base::time_point, std::less<>> m_reserved_until; // after the death of an owner
     std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_claimants; // peers per server
     std::map<std::string, base::time_point, std::less<>> m_unclaimed_since;             // for the stagger
-    std::map<std::string, base::time_point, std::less<>> m_retry_after; // after a claim known by hearsay
+    std::map<std::string, base::time_point, std::less<>> m_retry_after;   // after a claim known by hearsay
+    std::map<std::string, base::time_point, std::less<>> m_release_after; // by service
     std::optional<confirmation_round> m_round;
     std::vector<ownership_change> m_changes;
     std::vector<wire::server_claim> m_published;
--- a/carawayway/peer/peer_link.cpp
+++ b/carawayway/peer/peer_link.cpp
@@ -79,25 +79,25 @@
     m_local.nonce = wire::link_authenticator::make_nonce();
 }
 
-std::shared_ptr<peer_link> peer_link::connect(asio::any_io_executor executor,
-                                              std::shared_ptr<link_context> context, endpoint address,
+std::shared_ptr<peer_link> peer_link::connect(const asio::any_io_executor& executor,
+                                              std::shared_ptr<link_context> context, const endpoint& address,
                                               std::string expected_name, callbacks handlers) {
-    const std::shared_ptr<peer_link> link(new peer_link(socket(std::move(executor)), std::move(context),
-                                                        wire::link_side::initiator, std::move(expected_name),
-                                                        std::move(handlers)));
+    std::shared_ptr<peer_link> link(new peer_link(socket(executor), std::move(context),
+                                                  wire::link_side::initiator, std::move(expected_name),
+                                                  std::move(handlers)));
     link->start(address);
     return link;
 }
 
 std::shared_ptr<peer_link> peer_link::accept(socket connection, std::shared_ptr<link_context> context,
                                              callbacks handlers) {
-    const std::shared_ptr<peer_link> link(new peer_link(std::move(connection), std::move(context),
-                                                        wire::link_side::acceptor, {}, std::move(handlers)));
+    std::shared_ptr<peer_link> link(new peer_link(std::move(connection), std::move(context),
+                                                  wire::link_side::acceptor, {}, std::move(handlers)));
     link->start(std::nullopt);
     return link;
 }
 
-void peer_link::start(std::optional<endpoint> address) {
+void peer_link::start(const std::optional<endpoint>& address) {
     asio::co_spawn(
         m_socket.get_executor(),
         [self = shared_from_this(), address]() -> asio::awaitable<void> { co_await self->run(address); },
--- a/carawayway/peer/peer_link.hpp
+++ b/carawayway/peer/peer_link.hpp
@@ -48,8 +48,8 @@
     };
 
     // Connects to `address` and expects the peer to have this name.
-    static std::shared_ptr<peer_link> connect(boost::asio::any_io_executor executor,
-                                              std::shared_ptr<link_context> context, endpoint address,
+    static std::shared_ptr<peer_link> connect(const boost::asio::any_io_executor& executor,
+                                              std::shared_ptr<link_context> context, const endpoint& address,
                                               std::string expected_name, callbacks handlers);
 
     // Takes over a connection that was accepted.
@@ -78,7 +78,7 @@
     peer_link(socket connection, std::shared_ptr<link_context> context, wire::link_side side,
               std::string expected_name, callbacks handlers);
 
-    void start(std::optional<endpoint> address);
+    void start(const std::optional<endpoint>& address);
     boost::asio::awaitable<void> run(std::optional<endpoint> address);
     boost::asio::awaitable<void> connect_socket(endpoint address);
     boost::asio::awaitable<bool> authenticate();
