--- a/carawayway/entry/steering_loop.cpp
+++ b/carawayway/entry/steering_loop.cpp
@@ -53,7 +53,7 @@
 template <class Event>
 void steering_loop::process(Event& event) {
     m_now = base::monotonic_now();
-    std::visit([this](auto& specific) { on(specific); }, event);
+    std::visit([this](auto& specific) { this->on(specific); }, event);
     carry_out_all();
 }
 
--- a/carawayway/entry/store_watcher.hpp
+++ b/carawayway/entry/store_watcher.hpp
@@ -110,7 +110,7 @@
     // on every record.
     void read_instances() {
         m_store.range(m_instance_prefix, prefix_end(m_instance_prefix),
-                      in_round([this](platform::range_result result) {
+                      in_round([this](const platform::range_result& result) {
                           if (result.outcome == platform::read_outcome::answered) {
                               m_report(instances_arrived{parse_instances(result.values)});
                           }
--- a/carawayway/metrics/metric_registry.hpp
+++ b/carawayway/metrics/metric_registry.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace carawayway::metrics {
@@ -18,7 +19,10 @@
     std::string name;
     std::string value;
 
-    auto operator<=>(const label&) const = default;
+    bool operator==(const label&) const = default;
+    bool operator<(const label& other) const {
+        return std::tie(name, value) < std::tie(other.name, other.value);
+    }
 };
 
 using label_set = std::vector<label>;
