--- a/Tests/base/error_kind_test.cpp
+++ b/Tests/base/error_kind_test.cpp
@@ -2,8 +2,11 @@
 #include "carawayway/base/error_kind.hpp"
 #include "carawayway/base/log.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <iterator>
 #include <set>
 
 namespace carawayway::base {
@@ -37,6 +40,19 @@
     }
 }
 
+// A caller's author relies on the page: a kind that is missing there, or stands with another status,
+// misleads.
+TEST(error_kind_test, the_callers_page_lists_every_kind_as_the_table_has_it) {
+    std::ifstream file(CALLERS_PAGE);
+    const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    for (std::size_t index = 0; index < error_kind_count; ++index) {
+        const auto& answer = answer_for(static_cast<error_kind>(index));
+        const auto row = fmt::format("| `{}` | {} | {} | {} |\n", answer.name, answer.status,
+                                     to_string(answer.execution), to_string(answer.advice));
+        EXPECT_NE(page.find(row), std::string::npos) << row;
+    }
+}
+
 TEST(log_test, a_value_with_control_characters_cannot_forge_a_second_line) {
     EXPECT_EQ(format_log_line(log_level::info, "test", {{"a", 1}, {"b", "x\ny \"z\""}}),
               "level=info event=test a=1 b=\"x\\x0ay \\\"z\\\"\"");
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -135,9 +135,34 @@
         return answer;
     }
     answer.lifetime = policy->content().lookup_lifetime;
+    add_prefix(answer, preferred, now);
+    return answer;
+}
+
+// A prefix binds the caller's non-idempotent requests to this entry instance. It is only given when that is
+// no detour: a caller whose home region has other entry instances asks one of those.
+void entry_engine::add_prefix(lookup_answer& answer, const std::string& preferred_region,
+                              base::time_point now) {
+    const auto in_region = [&preferred_region](const lookup_entry& entry) {
+        return entry.region == preferred_region;
+    };
+    const bool home_has_entries = std::any_of(answer.entries.begin(), answer.entries.end(), in_region);
+    const bool detour = home_has_entries && m_identity.region != preferred_region;
+    if (detour || m_state != run_state::running) {
+        return;
+    }
     answer.request_id_prefix = m_requests.issue_prefix(now);
     answer.acceptance = m_requests.acceptance_left(now);
-    return answer;
+    if (!m_requests.is_non_idempotent(answer.service)) {
+        return;
+    }
+    const auto self =
+        std::find_if(answer.entries.begin(), answer.entries.end(),
+                     [this](const lookup_entry& entry) { return entry.name == m_identity.name; });
+    if (self != answer.entries.end()) {
+        std::rotate(answer.entries.begin(), self,
+                    self + 1); // the owner of the ID first: no hop between entries
+    }
 }
 
 std::optional<std::string> entry_engine::not_ready_reason() const {
@@ -266,6 +291,7 @@
         return;
     }
     m_state = run_state::leaving;
+    m_requests.set_id_issue(id_issue::stopped);
     m_state_since = now;
     m_next_heartbeat = now;
     base::log(base::log_level::info, "stop-begun");
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -98,6 +98,7 @@
 private:
     // entry_engine.cpp
     std::vector<member_report> members() const;
+    void add_prefix(lookup_answer& answer, const std::string& preferred_region, base::time_point now);
     void revalidate_after_pause(base::time_point now, effects& out);
     void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
     void apply_policy(base::time_point now, effects& out);
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -188,6 +188,10 @@
     return sum;
 }
 
+std::string request_engine::issue_prefix(base::time_point now) {
+    return m_id_issue == id_issue::running ? m_registry.issue_prefix(now) : std::string{};
+}
+
 std::vector<std::string> request_engine::take_drain_evidence() {
     return std::exchange(m_drain_evidence, {});
 }
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -47,6 +47,10 @@
 // Whether requests from callers are taken.
 enum class intake : std::uint8_t { open, closed };
 
+// Whether callers get prefixes for new request IDs. Not while stopping: the incarnation would be gone before
+// they are used up.
+enum class id_issue : std::uint8_t { running, stopped };
+
 // Whether a lost message can have reached the peer.
 enum class loss_evidence : std::uint8_t { never_sent, may_have_arrived };
 
@@ -69,11 +73,14 @@
     // Attempts decided from now on must not be written after this time: until then the ownership is certain.
     void set_dispatch_permission(base::time_point until) { m_dispatch_until = until; }
     void set_intake(intake state) { m_intake = state; }
+    void set_id_issue(id_issue state) { m_id_issue = state; }
+    bool is_non_idempotent(const std::string& service) const;
 
     // Callers.
     void caller_request(std::uint64_t token, request_ptr request, base::time_point now, effects& out);
     void caller_left(std::uint64_t token, base::time_point now, effects& out);
-    std::string issue_prefix(base::time_point now) { return m_registry.issue_prefix(now); }
+    // Empty when no IDs are issued.
+    std::string issue_prefix(base::time_point now);
     base::duration acceptance_left(base::time_point now) const { return m_registry.acceptance_left(now); }
 
     // Backend servers.
@@ -162,7 +169,6 @@
     void expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out);
     void expire_call(std::uint64_t call_number, base::time_point now, effects& out);
     void abandon(std::uint64_t waiter_number, base::time_point now, effects& out);
-    bool is_non_idempotent(const std::string& service) const;
 
     // request_placement.cpp
     void place(pending_call& call, base::time_point now, effects& out);
@@ -216,6 +222,7 @@
     shifting::shift_limiter m_shifts;
     peer_view m_peers;
     intake m_intake = intake::open;
+    id_issue m_id_issue = id_issue::running;
     base::time_point m_dispatch_until = base::time_point::max();
 
     // Every waiter belongs to exactly one call or to one record of the registry.
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -204,7 +204,7 @@
         is_non_idempotent(item.service) && std::holds_alternative<caller_origin>(item.origin);
     if (brings_prefix) {
         service_answer with_prefix = *answer;
-        with_prefix.request_id_prefix = m_registry.issue_prefix(now);
+        with_prefix.request_id_prefix = issue_prefix(now);
         answer = std::make_shared<const service_answer>(std::move(with_prefix));
     }
     send_answer(item.origin, std::move(answer), out);
@@ -230,7 +230,7 @@
         // anything.
         answer.execution = base::execution_state::unknown;
     } else if (m_policy && is_non_idempotent(request.service)) {
-        answer.request_id_prefix = m_registry.issue_prefix(now);
+        answer.request_id_prefix = issue_prefix(now);
     }
     send_answer(origin, std::make_shared<const service_answer>(std::move(answer)), out);
 }
