engine: Run suspect content at its recorder; keep the grace out of the server's time

Cause: found in review. (1) Content with one strike was refused at every entry but the recorder, so harmless popular content was locked out for callers of other entries until a request happened to reach the recorder. (2) The grace of 250 ms was part of the time given to the server, which could outlast the hold of longest timeout + 200 ms before a takeover. (3) A request that was refused by a peer and waits in the own queue was answered 'unknown' at its deadline although it certainly had not run. Change: (1) such requests are passed to the recorder, within the shift cap; (2) the server's time and the connection's time are separate; (3) a queued request is answered as not executed.

--- a/carawayway/engine/peer_view.cpp
+++ b/carawayway/engine/peer_view.cpp
@@ -88,6 +88,11 @@
     return known != nullptr && known->link == link_status::up;
 }
 
+std::string peer_view::region_of(const std::string& entry) const {
+    const auto* known = find(entry);
+    return known == nullptr ? std::string{} : known->region;
+}
+
 bool peer_view::has_room(const std::string& entry, std::size_t bytes) const {
     const auto* known = find(entry);
     return known != nullptr && known->calls < m_limits.requests_in_flight &&
--- a/carawayway/engine/peer_view.hpp
+++ b/carawayway/engine/peer_view.hpp
@@ -53,6 +53,7 @@
     void call_ended(const std::string& entry, std::size_t bytes);
 
     bool linked(const std::string& entry) const;
+    std::string region_of(const std::string& entry) const; // empty when not known
     bool has_room(const std::string& entry, std::size_t bytes) const;
     base::duration round_trip(const std::string& entry) const;
     incarnation_state state_of(const std::string& entry, std::uint64_t incarnation) const;
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -172,6 +172,7 @@
 
     // request_placement.cpp
     void place(pending_call& call, base::time_point now, effects& out);
+    bool send_to_recorder(pending_call& call, base::time_point now, effects& out);
     bool refuse_by_guard(pending_call& call, base::time_point now, effects& out);
     void place_isolated(pending_call& call, service_lane* lane, base::time_point now, effects& out);
     bool try_local(pending_call& call, service_lane* lane, base::time_point now, effects& out);
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -252,7 +252,8 @@
     const std::uint64_t call_number = item.call;
     auto* call = find_call(call_number);
     if (item.id) {
-        if (m_registry.peek(*item.id) == requests::request_state::received && call != nullptr) {
+        // Whatever was tried before is known not to have run, or the call would not wait for another attempt.
+        if (call != nullptr && call->stage == call_stage::queued) {
             cancel_work(*call, out);
             finish_error(call_number, base::error_kind::deadline_exceeded_before_dispatch, "", {}, now, out);
             return;
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -74,8 +74,12 @@
     case steering::guard_verdict::clear:
     case steering::guard_verdict::run_isolated:
         return false;
-    case steering::guard_verdict::refuse_quarantined:
     case steering::guard_verdict::refuse_elsewhere:
+        if (send_to_recorder(call, now, out)) {
+            return true;
+        }
+        break;
+    case steering::guard_verdict::refuse_quarantined:
     case steering::guard_verdict::refuse_busy:
         break;
     }
@@ -85,6 +89,23 @@
     return true;
 }
 
+// Suspect content may be harmless: the entry instance that recorded it runs it alone and so clears it.
+bool request_engine::send_to_recorder(pending_call& call, base::time_point now, effects& out) {
+    const std::string recorder = m_guard.recorder(call.fingerprint, now);
+    const bool usable = call.scope == placement_scope::anywhere && call.attempts < m_limits.placements &&
+                        m_peers.linked(recorder) && m_peers.has_room(recorder, wire_size(*call.request));
+    if (!usable) {
+        return false;
+    }
+    refusal_reason ignored;
+    const bool leaves_home = !call.home_region.empty() && m_peers.region_of(recorder) != call.home_region;
+    if (leaves_home && !may_move(call, ignored, now)) {
+        return false;
+    }
+    send_call(call, recorder, call_stage::at_peer, now, out);
+    return true;
+}
+
 void request_engine::place_isolated(pending_call& call, service_lane* lane, base::time_point now,
                                     effects& out) {
     const auto handle = lane->pool.reserve_idle(now);
@@ -235,7 +256,8 @@
     m_attempts.emplace(call.attempt, running_attempt{call.number, lane.name, call.server, handle,
                                                      call.fingerprint, mode, now});
     const auto* server = m_policy->find_server(call.server);
-    base::duration timeout = attempt_time(call, lane, now);
+    const base::duration server_time = attempt_time(call, lane, now);
+    base::duration timeout = server_time;
     if (call.semantics == config::request_semantics::non_idempotent) {
         timeout += m_limits.grace; // an answer that is about to arrive tells more than a closed connection
     }
@@ -246,7 +268,8 @@
     }
     m_metrics.observe("carawayway_queue_wait_seconds", {{"service", lane.name}}, now - call.arrived);
     out.emplace_back(start_attempt{call.attempt, call.server, server == nullptr ? "" : server->address,
-                                   std::move(request_id), call.request, timeout, m_dispatch_until});
+                                   std::move(request_id), call.request, server_time, timeout,
+                                   m_dispatch_until});
 }
 
 void request_engine::pump(service_lane& lane, base::time_point now, effects& out) {
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -77,7 +77,7 @@
     message.set(http::field::host, start.address);
     message.set("X-Request-Id", start.request_id);
     message.set("X-Request-Timeout-Ms",
-                std::to_string(std::max<std::int64_t>(1, base::to_milliseconds(start.timeout))));
+                std::to_string(std::max<std::int64_t>(1, base::to_milliseconds(start.server_time))));
     if (!request.request_id.empty()) {
         message.set("Idempotency-Key", request.request_id);
     }
--- a/carawayway/steering/crash_guard.cpp
+++ b/carawayway/steering/crash_guard.cpp
@@ -30,6 +30,11 @@
     return known->running ? guard_verdict::refuse_busy : guard_verdict::run_isolated;
 }
 
+std::string crash_guard::recorder(std::uint64_t fingerprint, base::time_point now) const {
+    const record* known = find(fingerprint, now);
+    return known == nullptr || known->count >= quarantine_count ? std::string{} : known->recorded_by;
+}
+
 void crash_guard::started_isolated(std::uint64_t fingerprint) {
     const auto found = m_records.find(fingerprint);
     if (found != m_records.end()) {
--- a/carawayway/steering/crash_guard.hpp
+++ b/carawayway/steering/crash_guard.hpp
@@ -50,6 +50,9 @@
 
     guard_verdict check(std::uint64_t fingerprint, base::time_point now) const;
 
+    // The entry instance that alone may run this content; empty when the content is clear or quarantined.
+    std::string recorder(std::uint64_t fingerprint, base::time_point now) const;
+
     // An isolated run begins. It ends with finished(), server_lost(), or abandoned_isolated().
     void started_isolated(std::uint64_t fingerprint);
     // An isolated run ended without proof either way: timed out, cancelled, never sent or shed.
