entry: Export the traffic of peer links as metrics

Cause: control traffic per instance is a stated limit and could not be seen. Change: bytes and messages on peer links by kind and direction, once a second.

--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr auto flush_interval = std::chrono::milliseconds(1);
+constexpr auto flush_interval = std::chrono::milliseconds(5);
+constexpr auto traffic_report_interval = std::chrono::seconds(1);
 // A steering thread that is this far behind cannot answer in time; its peers then go elsewhere.
 constexpr std::size_t backlog_limit = 20000; // messages
 
@@ -59,11 +60,20 @@
     m_flush_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             m_events.flush();
+            report_traffic();
             flush_later();
         }
     });
 }
 
+void peer_adapter::report_traffic() {
+    const auto now = base::monotonic_now();
+    if (now >= m_next_report) {
+        m_next_report = now + traffic_report_interval;
+        m_events.send(peer_traffic{m_network.traffic()});
+    }
+}
+
 void peer_adapter::handle(peer_command command) {
     std::visit([this](auto& specific) { carry_out(specific); }, command);
 }
--- a/carawayway/entry/peer_adapter.hpp
+++ b/carawayway/entry/peer_adapter.hpp
@@ -30,12 +30,14 @@
     void message_arrived(const std::string& peer, wire::received_message&& message);
     void link_lost(const std::string& peer, const peer::link_loss& loss);
     void flush_later();
+    void report_traffic();
     peer::network_events make_events();
 
     outbox<peer_event> m_events;
     peer_call_table m_calls;
     peer::peer_network m_network;
     boost::asio::steady_timer m_flush_timer;
+    base::time_point m_next_report;
 };
 
 } // namespace carawayway::entry
--- a/carawayway/entry/peer_event.hpp
+++ b/carawayway/entry/peer_event.hpp
@@ -4,6 +4,7 @@
 #include "carawayway/engine/effect.hpp"
 #include "carawayway/engine/request_engine.hpp"
 #include "carawayway/membership/member_table.hpp"
+#include "carawayway/peer/peer_types.hpp"
 #include "carawayway/wire/messages.hpp"
 
 #include <cstdint>
@@ -37,7 +38,13 @@
     engine::loss_evidence evidence = engine::loss_evidence::may_have_arrived;
 };
 
-using peer_event = std::variant<peer_linked, peer_unlinked, peer_spoke, peer_not_reached, peer_call_lost>;
+// All traffic on peer links since the start, about once a second.
+struct peer_traffic {
+    peer::traffic_counters counters;
+};
+
+using peer_event =
+    std::variant<peer_linked, peer_unlinked, peer_spoke, peer_not_reached, peer_call_lost, peer_traffic>;
 
 using peer_command = std::variant<engine::send_to_peer, engine::broadcast_to_peers, engine::set_peer_targets,
                                   engine::publish_revision>;
--- a/carawayway/entry/steering_loop.cpp
+++ b/carawayway/entry/steering_loop.cpp
@@ -18,7 +18,12 @@
                              steering_outlets outlets)
     : m_engine(engine), m_metrics(metrics), m_callers(outlets.callers), m_backends(outlets.backends),
       m_control(outlets.control), m_peers(outlets.peers), m_peer_outbox(outlets.peers),
-      m_timer(owner.context()) {}
+      m_timer(owner.context()) {
+    m_metrics.declare("carawayway_peer_bytes_total", metrics::metric_type::counter,
+                      "Bytes on peer links by kind of message and direction.");
+    m_metrics.declare("carawayway_peer_messages_total", metrics::metric_type::counter,
+                      "Messages on peer links by kind of message and direction.");
+}
 
 void steering_loop::start() {
     m_timer.expires_after(std::chrono::nanoseconds(0));
@@ -132,6 +137,19 @@
     m_engine.peer_call_lost(event.peer, event.call, event.evidence, m_now, m_effects);
 }
 
+void steering_loop::on(const peer_traffic& event) {
+    for (std::size_t kind = 0; kind < wire::message_kind_count; ++kind) {
+        const std::string name(wire::message_kind_name(kind));
+        const auto set = [&](std::string_view direction, const peer::message_traffic& traffic) {
+            const metrics::label_set labels{{"kind", name}, {"direction", std::string(direction)}};
+            m_metrics.set("carawayway_peer_bytes_total", labels, static_cast<double>(traffic.bytes));
+            m_metrics.set("carawayway_peer_messages_total", labels, static_cast<double>(traffic.messages));
+        };
+        set("sent", event.counters.sent.at(kind));
+        set("received", event.counters.received.at(kind));
+    }
+}
+
 void steering_loop::on(policy_arrived& event) {
     m_engine.policy_read(event.revision, std::move(event.document), m_now, m_effects);
 }
--- a/carawayway/entry/steering_loop.hpp
+++ b/carawayway/entry/steering_loop.hpp
@@ -46,6 +46,7 @@
     void on(peer_spoke& event);
     void on(peer_not_reached& event);
     void on(peer_call_lost& event);
+    void on(const peer_traffic& event);
     void on(policy_arrived& event);
     void on(instances_arrived& event);
     void on(status_asked& event);
