entry: Log each change of a peer link once

Cause: both the network of links and its adapter logged it. Change: the adapter's lines are removed. Result: one line per change in the example deployment.

--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -1,8 +1,6 @@
 // Translation of link events and of the engine's effects.
 #include "carawayway/entry/peer_adapter.hpp"
 
-#include "carawayway/base/log.hpp"
-
 #include <utility>
 #include <variant>
 
@@ -36,7 +34,6 @@
 peer::network_events peer_adapter::make_events() {
     peer::network_events events;
     events.link_up = [this](const std::string& name, const wire::hello& remote) {
-        base::log(base::log_level::info, "peer-linked", {{"peer", name}});
         m_events.send(peer_linked{name, remote});
     };
     events.link_down = [this](const std::string& name, const peer::link_loss& loss) {
@@ -120,8 +117,6 @@
 }
 
 void peer_adapter::link_lost(const std::string& peer, const peer::link_loss& loss) {
-    base::log(base::log_level::info, "peer-unlinked",
-              {{"peer", peer}, {"reason", peer::to_string(loss.reason)}, {"detail", loss.detail}});
     m_events.send(peer_unlinked{peer});
     for (const auto& lost : m_calls.link_lost(peer, loss)) {
         m_events.send(peer_call_lost{peer, lost.call, lost.evidence});
