Tests/engine: Run entry engines in virtual time

Cause: the engine was only covered through its parts; no test drove several engines through faults.

It records a history and checks it.

--- /dev/null
+++ b/Tests/engine/engine_world.cpp
@@ -0,0 +1,515 @@
+// Processes, the effects of their engines, and the platform.
+#include "Tests/engine/engine_world.hpp"
+
+#include "carawayway/base/hash.hpp"
+#include "carawayway/base/log.hpp"
+#include "carawayway/config/policy_writer.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace carawayway::engine_test {
+
+namespace {
+
+using engine::attempt_outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto tick_interval = milliseconds(10);
+constexpr auto client_delay = milliseconds(3);
+constexpr auto connect_timeout = milliseconds(500);
+constexpr auto server_delay = milliseconds(1);
+constexpr int thread_delay_limit = 500; // microseconds between two threads of an entry instance
+
+constexpr std::array<std::string_view, 8> rule_names{"executed-at-most-once",     "not-executed-is-true",
+                                                     "answer-belongs-to-request", "server-capacity",
+                                                     "region-capacity",           "shift-cap",
+                                                     "no-work-after-drain",       "revision-never-reverts"};
+
+} // namespace
+
+std::string domain_of_entry(const std::string& entry) {
+    return entry.substr(0, entry.find('-'));
+}
+
+std::string region_of_domain(const std::string& domain) {
+    return domain.starts_with('n') ? "north" : "south";
+}
+
+config::policy base_policy() {
+    config::policy made;
+    made.change_id = "base";
+    made.lookup_lifetime = seconds(2);
+    made.regions = {{"north", std::nullopt}, {"south", std::nullopt}};
+    made.client_blocks = {{"10.1.0.0/16", "north"}, {"10.2.0.0/16", "south"}};
+    made.services.resize(2);
+    made.services[0].name = "stock";
+    made.services[1].name = "booking";
+    made.services[1].semantics = config::request_semantics::non_idempotent;
+    for (auto& service : made.services) {
+        service.default_timeout = milliseconds(1000);
+        service.maximum_timeout = milliseconds(1500);
+        service.warm_up = milliseconds(200);
+        service.cap = {0.2, seconds(2), std::nullopt};
+    }
+    int port = 8000;
+    for (const auto& domain : domain_names) {
+        made.failure_domains.push_back({domain, region_of_domain(domain)});
+        for (const auto& service : made.services) {
+            for (const auto* suffix : {"1", "2"}) {
+                made.servers.push_back({service.name + "-" + domain + "-" + suffix, service.name, domain,
+                                        fmt::format("127.0.0.1:{}", ++port), 3});
+            }
+        }
+    }
+    return made;
+}
+
+engine_world::engine_world(std::uint64_t seed, config::policy policy, engine::engine_limits limits)
+    : m_random(seed), m_servers(m_events, m_random, m_history), m_policy(std::move(policy)),
+      m_limits(limits) {
+    base::set_log_level(base::log_level::error);
+    std::uint16_t port = 7000;
+    for (const auto& name : entry_names) {
+        auto& record = m_processes[name].record;
+        record.name = name;
+        record.failure_domain = domain_of_entry(name);
+        record.region = region_of_domain(record.failure_domain);
+        record.caller_address = {"127.0.0.1", ++port};
+        record.peer_address = {"127.0.0.1", ++port};
+    }
+    for (const auto& server : m_policy.servers) {
+        m_servers.add(server, region_of_domain(server.failure_domain));
+        m_check_limits.server_slots[server.name] = server.slots;
+    }
+    for (const auto& region : m_policy.regions) {
+        if (region.capacity) {
+            m_check_limits.region_capacity[region.name] = *region.capacity;
+        }
+    }
+    for (const auto& service : m_policy.services) {
+        m_check_limits.shift_caps[service.name] = service.cap;
+    }
+    m_check_limits.receiving_entries = static_cast<std::uint32_t>(entry_names.size());
+    m_servers.on_start([this](const std::string& server, const engine::start_attempt& attempt) {
+        const auto& home = m_homes[attempt.request_id];
+        const auto& region = m_servers.region(server);
+        mark(step::awaiting_answer, m_last_user[server], server);
+        if (!home.empty() && home != region) {
+            record(test_support::request_moved{attempt.request->service, home, region});
+            mark(step::shift, m_last_user[server], server);
+        }
+    });
+    m_servers.on_answer([this](const std::string& server, const engine::start_attempt&) {
+        mark(step::relaying_answer, m_last_user[server], server);
+    });
+    put_policy(m_policy);
+    maintain_links();
+}
+
+void engine_world::mark(step value, const std::string& entry, const std::string& server) {
+    if (m_on_step) {
+        m_on_step(value, entry, server);
+    }
+}
+
+void engine_world::start_entry(const std::string& name) {
+    auto& one = m_processes.at(name);
+    one.record.incarnation = m_random();
+    one.metrics = std::make_unique<metrics::metric_registry>(1000);
+    one.engine = std::make_unique<entry_engine>(
+        engine::engine_identity{name, one.record.failure_domain, one.record.region, one.record.incarnation,
+                                now()},
+        one.record, engine::control_settings{}, m_limits, m_random(), *one.metrics, now());
+    for (const auto& [peer, other] : m_processes) {
+        if (peer != name) {
+            auto seed = other.record;
+            seed.incarnation = 0;
+            one.engine->add_seed(seed, now());
+        }
+    }
+    one.state = process_state::running;
+    one.host = host_state::up;
+    one.published = 0;
+    one.watch = engine::store_watch::off;
+    one.calls.clear();
+    end_disturbance(one);
+    one.ticks = ++m_last_number;
+    tick(name, one.ticks);
+}
+
+void engine_world::begin_disturbance(process& one) {
+    one.disturbances.emplace_back(now(), base::time_point::max());
+}
+
+void engine_world::end_disturbance(process& one) {
+    if (!one.disturbances.empty()) {
+        one.disturbances.back().second = now();
+    }
+}
+
+bool engine_world::disturbed(const std::string& name, base::time_point from, base::time_point until) const {
+    const auto& intervals = m_processes.at(name).disturbances;
+    return std::any_of(intervals.begin(), intervals.end(), [&](const auto& interval) {
+        return interval.first <= until && interval.second >= from;
+    });
+}
+
+void engine_world::kill_entry(const std::string& name, host_state host) {
+    auto& one = m_processes.at(name);
+    if (one.state == process_state::dead) {
+        return;
+    }
+    if (one.state == process_state::running) {
+        begin_disturbance(one);
+    }
+    one.state = process_state::dead;
+    one.host = host;
+    one.inbox.clear();
+    for (const auto& [attempt, open] : std::exchange(one.attempts, {})) {
+        m_servers.close(open.connection);
+    }
+    one.calls.clear();
+    // Broken connections: the callers hear of it when the host is up, and wait for their timeout otherwise.
+    for (const auto& [token, handler] : std::exchange(one.callers, {})) {
+        m_events.after(host == host_state::up ? client_delay : milliseconds(1500),
+                       [handler = handler] { handler(nullptr); });
+    }
+    for (const auto& peer : entry_names) {
+        if (peer != name && link_of(name, peer).up && host == host_state::up && !blocked(name, peer)) {
+            lose_link(name, peer);
+        }
+    }
+}
+
+void engine_world::pause_entry(const std::string& name) {
+    auto& one = m_processes.at(name);
+    if (one.state == process_state::running) {
+        one.state = process_state::paused;
+        begin_disturbance(one);
+    }
+}
+
+// What arrived during the pause is handled before the next tick, when the process does not know of its pause.
+void engine_world::resume_entry(const std::string& name) {
+    auto& one = m_processes.at(name);
+    if (one.state != process_state::paused) {
+        return;
+    }
+    one.state = process_state::running;
+    end_disturbance(one);
+    for (const auto& peer : entry_names) {
+        if (peer != name) {
+            link_of(name, peer).last_heard[name] = now();
+        }
+    }
+    for (const auto& work : std::exchange(one.inbox, {})) {
+        run(one, work);
+    }
+    one.ticks = ++m_last_number;
+    tick(name, one.ticks);
+}
+
+void engine_world::stop_entry(const std::string& name) {
+    post({}, name, [this](entry_engine& engine, effects& out) { engine.begin_stop(now(), out); });
+}
+
+std::string engine_world::owner(const std::string& server) const {
+    for (const auto& [name, one] : m_processes) {
+        if (one.state != process_state::dead && one.engine->ownership().owns(server, now())) {
+            return name;
+        }
+    }
+    return {};
+}
+
+void engine_world::post(base::duration delay, const std::string& name, engine_action work) {
+    const auto incarnation = m_processes.at(name).record.incarnation;
+    m_events.after(delay, [this, name, incarnation, work = std::move(work)]() mutable {
+        auto& one = m_processes.at(name);
+        if (one.record.incarnation == incarnation) {
+            deliver(one, std::move(work));
+        }
+    });
+}
+
+void engine_world::deliver(process& one, engine_action work) {
+    if (one.state == process_state::paused) {
+        one.inbox.push_back(std::move(work));
+    } else if (one.state == process_state::running) {
+        run(one, work);
+    }
+}
+
+void engine_world::run(process& one, const engine_action& work) {
+    effects out;
+    work(*one.engine, out);
+    for (auto& effect : out) {
+        std::visit([this, &one](auto& specific) { carry_out(one, specific); }, effect);
+    }
+}
+
+void engine_world::tick(const std::string& name, std::uint64_t ticks) {
+    auto& one = m_processes.at(name);
+    if (one.state != process_state::running || one.ticks != ticks) {
+        return;
+    }
+    run(one, [this](entry_engine& engine, effects& out) { engine.tick(now(), out); });
+    m_events.after(tick_interval, [this, name, ticks] { tick(name, ticks); });
+}
+
+void engine_world::carry_out(process& one, engine::answer_caller& effect) {
+    const auto found = one.callers.find(effect.token);
+    if (found == one.callers.end()) {
+        m_faults.push_back(one.record.name + " answered a caller twice");
+        return;
+    }
+    m_events.after(client_delay, [handler = found->second, answer = effect.answer] { handler(answer); });
+    one.callers.erase(found);
+}
+
+void engine_world::carry_out(process& one, engine::start_attempt& effect) {
+    const std::string name = one.record.name;
+    mark(step::dispatch, name, effect.server);
+    auto& user = m_last_user[effect.server];
+    if (!user.empty() && user != name) {
+        mark(step::takeover, name, effect.server);
+    }
+    user = name;
+    one.attempts[effect.attempt] = {0, ++m_last_number};
+    post(std::chrono::microseconds(choose(thread_delay_limit)), name,
+         [this, name, attempt = effect](entry_engine&, effects&) {
+             connect_attempt(m_processes.at(name), attempt);
+         });
+}
+
+// A cut between failure domains also separates entry instances from the servers of the other domain.
+bool engine_world::server_reachable(const std::string& entry, const std::string& server) const {
+    const auto* known = m_policy.find_server(server);
+    return std::none_of(entry_names.begin(), entry_names.end(), [&](const std::string& other) {
+        return domain_of_entry(other) == known->failure_domain && blocked(entry, other);
+    });
+}
+
+void engine_world::connect_attempt(process& one, const engine::start_attempt& attempt) {
+    const std::string name = one.record.name;
+    const auto found = one.attempts.find(attempt.attempt);
+    if (found == one.attempts.end()) {
+        return; // cancelled before it began
+    }
+    const auto serial = found->second.serial;
+    const auto end = [this, name, serial, number = attempt.attempt](engine::server_result result) {
+        end_attempt(name, serial, number, std::move(result));
+    };
+    if (now() > attempt.not_after) {
+        end(failed_attempt(attempt_outcome::not_sent));
+        return;
+    }
+    if (!server_reachable(name, attempt.server)) {
+        m_events.after(std::min<base::duration>(connect_timeout, attempt.timeout),
+                       [end] { end(failed_attempt(attempt_outcome::not_sent)); });
+        return;
+    }
+    m_events.after(server_delay, [this, name, serial, attempt, end] {
+        auto& sender = m_processes.at(name);
+        const auto open = sender.attempts.find(attempt.attempt);
+        if (open != sender.attempts.end() && open->second.serial == serial) {
+            open->second.connection = m_servers.open(attempt, end);
+        }
+    });
+    m_events.after(attempt.timeout, [end] { end(failed_attempt(attempt_outcome::timed_out)); });
+}
+
+// The first result counts. Timers and results of a paused process wait for it.
+void engine_world::end_attempt(const std::string& entry, std::uint64_t serial, std::uint64_t attempt,
+                               engine::server_result result) {
+    auto& one = m_processes.at(entry);
+    const auto current = one.attempts.find(attempt);
+    if (current == one.attempts.end() || current->second.serial != serial) {
+        return;
+    }
+    deliver(one,
+            [this, entry, serial, attempt, result = std::move(result)](entry_engine& engine, effects& out) {
+                auto& attempts = m_processes.at(entry).attempts;
+                const auto found = attempts.find(attempt);
+                if (found == attempts.end() || found->second.serial != serial) {
+                    return;
+                }
+                m_servers.close(found->second.connection);
+                attempts.erase(found);
+                engine.attempt_finished(attempt, result, now(), out);
+            });
+}
+
+void engine_world::carry_out(process& one, engine::cancel_attempt& effect) {
+    const auto found = one.attempts.find(effect.attempt);
+    if (found != one.attempts.end()) {
+        // The backend thread closes the connection and reports back.
+        post(std::chrono::microseconds(choose(thread_delay_limit)), one.record.name,
+             [this, name = one.record.name, serial = found->second.serial,
+              attempt = effect.attempt](entry_engine&, effects&) {
+                 end_attempt(name, serial, attempt, failed_attempt(attempt_outcome::cancelled));
+             });
+    }
+}
+
+void engine_world::carry_out(process& one, engine::send_to_peer& effect) {
+    if (effect.call) {
+        mark(step::passing_to_peer, one.record.name);
+    }
+    if (std::holds_alternative<wire::policy_document>(effect.message)) {
+        mark(step::policy_spread, one.record.name);
+    }
+    send(one, effect.entry, effect.message, effect.call);
+}
+
+void engine_world::carry_out(process& one, engine::broadcast_to_peers& effect) {
+    for (const auto& peer : entry_names) {
+        if (peer != one.record.name && link_of(one.record.name, peer).up) {
+            send(one, peer, effect.message, std::nullopt);
+        }
+    }
+}
+
+void engine_world::carry_out(process& one, engine::probe_server& effect) {
+    const bool reachable = m_servers.up(effect.server) && server_reachable(one.record.name, effect.server);
+    using result = entry_engine::reachability;
+    post(milliseconds(2), one.record.name,
+         [this, server = effect.server, seen = reachable ? result::reachable : result::unreachable](
+             entry_engine& engine, effects&) { engine.server_probed(server, seen, now()); });
+}
+
+// All entry instances keep links to each other at this size.
+void engine_world::carry_out(process&, engine::set_peer_targets&) {}
+
+void engine_world::carry_out(process& one, engine::publish_revision& effect) {
+    one.published = effect.revision;
+    record(test_support::revision_seen{one.record.name, one.record.incarnation, effect.revision});
+    const bool drains = m_document.find("draining") != std::string::npos;
+    mark(drains ? step::drain : step::policy_apply, one.record.name);
+}
+
+void engine_world::carry_out(process& one, engine::set_store_watch& effect) {
+    one.watch = effect.state;
+    policy_to_watcher(one.record.name);
+    list_to_watcher(one.record.name);
+}
+
+// Platform.
+
+void engine_world::watchers(void (engine_world::*notify)(const std::string&)) {
+    for (const auto& name : entry_names) {
+        (this->*notify)(name);
+    }
+}
+
+void engine_world::policy_to_watcher(const std::string& name) {
+    const auto& one = m_processes.at(name);
+    const bool watches = one.state != process_state::dead && one.watch == engine::store_watch::on;
+    if (watches && m_platform_up && !blocked(name, "platform")) {
+        deliver_policy(name, m_revision, m_document);
+    }
+}
+
+void engine_world::deliver_policy(const std::string& entry, std::int64_t revision, std::string document) {
+    post(m_platform_lag, entry,
+         [this, revision, document = std::move(document)](entry_engine& engine, effects& out) {
+             engine.policy_read(revision, document, now(), out);
+         });
+}
+
+void engine_world::list_to_watcher(const std::string& name) {
+    const auto& one = m_processes.at(name);
+    const bool watches = one.state != process_state::dead && one.watch == engine::store_watch::on;
+    if (!watches || !m_platform_up || blocked(name, "platform")) {
+        return;
+    }
+    std::vector<engine::instance_record> records;
+    for (const auto& server : m_policy.servers) {
+        const auto found = m_instances.find(server.name);
+        records.push_back({server.service, server.address,
+                           found == m_instances.end() ? engine::instance_state::live : found->second});
+    }
+    post(m_platform_lag, name,
+         [this, records](entry_engine& engine, effects& out) { engine.instances_read(records, now(), out); });
+}
+
+void engine_world::put_policy(const config::policy& policy) {
+    m_policy = policy;
+    store_unchecked(config::to_ini(policy));
+}
+
+void engine_world::store_unchecked(std::string document) {
+    ++m_revision;
+    m_document = std::move(document);
+    watchers(&engine_world::policy_to_watcher);
+}
+
+void engine_world::set_leaving(const std::string& server, engine::instance_state state) {
+    m_instances[server] = state;
+    if (state == engine::instance_state::leaving) {
+        record(test_support::drain_effective{server});
+    } else {
+        record(test_support::drain_ended{server});
+    }
+    watchers(&engine_world::list_to_watcher);
+}
+
+void engine_world::platform_up() {
+    m_platform_up = true;
+    m_platform_lag = milliseconds(5);
+    watchers(&engine_world::policy_to_watcher);
+    watchers(&engine_world::list_to_watcher);
+}
+
+// Callers.
+
+engine::lookup_answer engine_world::lookup(const std::string& entry, const std::string& service,
+                                           const std::string& client) {
+    mark(step::look_up, entry);
+    return m_processes.at(entry).engine->lookup(service, client, now());
+}
+
+void engine_world::submit(const std::string& entry, engine::service_request request, answer_handler handler) {
+    auto shared = std::make_shared<const engine::service_request>(std::move(request));
+    m_events.after(client_delay, [this, entry, shared, handler = std::move(handler)] {
+        auto& one = m_processes.at(entry);
+        if (one.state == process_state::dead) {
+            m_events.after(one.host == host_state::up ? client_delay : connect_timeout,
+                           [handler] { handler(nullptr); });
+            return;
+        }
+        const std::uint64_t token = ++m_last_number;
+        one.callers[token] = handler;
+        deliver(one, [this, entry, token, shared](entry_engine& engine, effects& out) {
+            mark(step::admission, entry);
+            const auto before = out.size();
+            engine.caller_request(token, shared, now(), out);
+            const bool placed =
+                std::any_of(out.begin() + static_cast<std::ptrdiff_t>(before), out.end(),
+                            [](const engine::effect& effect) {
+                                return !std::holds_alternative<engine::broadcast_to_peers>(effect);
+                            });
+            if (!placed) {
+                mark(step::queue, entry);
+            }
+        });
+    });
+}
+
+std::vector<std::string> engine_world::violations() const {
+    std::vector<std::string> lines = m_faults;
+    for (const auto& found : test_support::check(m_history, m_check_limits)) {
+        lines.push_back(fmt::format(
+            "{} at {} ms: {}", rule_names.at(static_cast<std::size_t>(found.rule)),
+            base::to_milliseconds(found.time.time_since_epoch() - std::chrono::hours(1)), found.detail));
+    }
+    return lines;
+}
+
+} // namespace carawayway::engine_test
