--- a/Tests/engine/callers.cpp
+++ b/Tests/engine/callers.cpp
@@ -72,10 +72,13 @@
         if (!m_world.running(name)) {
             continue;
         }
-        for (const auto& item : m_world.lookup(name, plan.service, client).entries) {
+        const auto answer = m_world.lookup(name, plan.service, client);
+        for (const auto& item : answer.entries) {
             entries.push_back(item.name);
         }
-        break;
+        if (!answer.kind) {
+            break;
+        }
     }
     for (const auto& name : entry_names) {
         entries.push_back(name);
@@ -155,7 +158,9 @@
     }
     --record.plan.resends;
     const base::duration advised = answer ? answer->retry_after : base::duration::zero();
-    const bool fresh_id = outcome == execution_state::not_executed || record.request.request_id.empty();
+    // IDs of idempotent requests only name one submission: nothing is kept about them.
+    const bool fresh_id =
+        idempotent || outcome == execution_state::not_executed || record.request.request_id.empty();
     m_world.events().after(std::max<base::duration>(advised, shortest_resend_wait),
                            [this, &record, fresh_id] { submit(record, fresh_id); });
 }
@@ -175,6 +180,25 @@
         }));
 }
 
+std::vector<std::string> callers::refusals_without_advice() const {
+    std::vector<std::string> lines;
+    for (const auto& item : m_calls) {
+        for (const auto& one : item.submissions) {
+            if (!one.answer || !one.answer->kind) {
+                continue;
+            }
+            const auto& row = base::answer_for(*one.answer->kind);
+            // After a refused request ID the caller may come back at once.
+            const bool id_refused = row.status < 500;
+            if (row.advice == base::retry_advice::fresh_request_id && !id_refused &&
+                one.answer->retry_after <= base::duration::zero()) {
+                lines.push_back(fmt::format("{} through {}: {}", one.id, one.entry, row.name));
+            }
+        }
+    }
+    return lines;
+}
+
 std::vector<std::string> callers::late_answers() const {
     std::vector<std::string> lines;
     for (const auto& item : m_calls) {
@@ -182,10 +206,8 @@
             const auto limit = one.sent + one.timeout + answer_slack;
             const bool in_time = one.ended && *one.ended <= limit;
             if (!in_time && limit < m_world.now() && !m_world.disturbed(one.entry, one.sent, limit)) {
-                lines.push_back(
-                    fmt::format("{} through {} sent at {} ms was {}", one.id, one.entry,
-                                base::to_milliseconds(one.sent.time_since_epoch() - std::chrono::hours(1)),
-                                one.ended ? "answered late" : "not answered"));
+                lines.push_back(fmt::format("{} through {} sent at {} ms was {}", one.id, one.entry,
+                                            elapsed(one.sent), one.ended ? "answered late" : "not answered"));
             }
         }
     }
--- a/Tests/engine/callers.hpp
+++ b/Tests/engine/callers.hpp
@@ -57,6 +57,8 @@
     std::size_t count(base::execution_state outcome, base::time_point since) const;
     std::size_t sent(base::time_point since) const;
 
+    // Refusals that tell the caller to come back but not when, one line each.
+    std::vector<std::string> refusals_without_advice() const;
     // Submissions that were not answered by their deadline plus a round trip, one line each. Those to an
     // entry instance that was dead or paused in the meantime cannot be.
     std::vector<std::string> late_answers() const;
--- a/Tests/engine/engine_world.cpp
+++ b/Tests/engine/engine_world.cpp
@@ -33,6 +33,10 @@
 
 } // namespace
 
+std::int64_t elapsed(base::time_point time) {
+    return base::to_milliseconds(time.time_since_epoch() - std::chrono::hours(1));
+}
+
 std::string domain_of_entry(const std::string& entry) {
     return entry.substr(0, entry.find('-'));
 }
@@ -260,6 +264,10 @@
         return;
     }
     run(one, [this](entry_engine& engine, effects& out) { engine.tick(now(), out); });
+    if (one.engine->state() == engine::run_state::stopped) {
+        kill_entry(name); // the process ends
+        return;
+    }
     m_events.after(tick_interval, [this, name, ticks] { tick(name, ticks); });
 }
 
@@ -319,12 +327,24 @@
         auto& sender = m_processes.at(name);
         const auto open = sender.attempts.find(attempt.attempt);
         if (open != sender.attempts.end() && open->second.serial == serial) {
+            check_single_owner(name, attempt.server);
             open->second.connection = m_servers.open(attempt, end);
         }
     });
     m_events.after(attempt.timeout, [end] { end(failed_attempt(attempt_outcome::timed_out)); });
 }
 
+// An entry instance may still use a server shortly after it gave it up, but never one that another owns.
+void engine_world::check_single_owner(const std::string& sender, const std::string& server) {
+    for (const auto& [name, one] : m_processes) {
+        if (name != sender && one.state != process_state::dead &&
+            one.engine->ownership().owns(server, now())) {
+            m_faults.push_back(
+                fmt::format("{} used {}, which {} owns, at {} ms", sender, server, name, elapsed(now())));
+        }
+    }
+}
+
 // The first result counts. Timers and results of a paused process wait for it.
 void engine_world::end_attempt(const std::string& entry, std::uint64_t serial, std::uint64_t attempt,
                                engine::server_result result) {
--- a/Tests/engine/engine_world.hpp
+++ b/Tests/engine/engine_world.hpp
@@ -54,6 +54,8 @@
 inline const std::vector<std::string> entry_names{"n1-a", "n1-b", "n2-a", "s1-a"};
 inline const std::vector<std::string> domain_names{"n1", "n2", "s1"};
 
+// Milliseconds since the start of a world.
+std::int64_t elapsed(base::time_point time);
 std::string domain_of_entry(const std::string& entry);
 std::string region_of_domain(const std::string& domain);
 config::policy base_policy();
@@ -175,6 +177,7 @@
     void carry_out(process& one, engine::publish_revision& effect);
     void carry_out(process& one, engine::set_store_watch& effect);
     bool server_reachable(const std::string& entry, const std::string& server) const;
+    void check_single_owner(const std::string& sender, const std::string& server);
     void connect_attempt(process& one, const engine::start_attempt& attempt);
     void end_attempt(const std::string& entry, std::uint64_t serial, std::uint64_t attempt,
                      engine::server_result result);
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -89,12 +89,18 @@
     }
 }
 
+wire::running_state entry_engine::running_state() const {
+    if (m_state != run_state::running) {
+        return wire::running_state::stopping;
+    }
+    return m_ownership.start_complete() ? wire::running_state::running : wire::running_state::starting;
+}
+
 void entry_engine::send_heartbeats(base::time_point, effects& out) {
     ++m_heartbeat_counter;
     wire::heartbeat message;
     message.counter = m_heartbeat_counter;
-    message.running =
-        m_state == run_state::running ? wire::running_state::running : wire::running_state::stopping;
+    message.running = running_state();
     message.claims_version = m_ownership.claims_version();
     message.relayed = m_members.counters_to_relay(m_control.relayed_counters);
     for (const auto& link : m_links) {
@@ -153,6 +159,13 @@
 
 void entry_engine::refresh_targets(effects& out) {
     auto targets = m_members.needed_links();
+    for (auto& record : m_ownership.needed_links()) {
+        const bool known = std::any_of(targets.begin(), targets.end(),
+                                       [&record](const auto& target) { return target.name == record.name; });
+        if (!known) {
+            targets.push_back(std::move(record));
+        }
+    }
     if (targets != m_targets) {
         m_targets = targets;
         out.emplace_back(set_peer_targets{std::move(targets)});
@@ -237,6 +250,10 @@
     m_links.insert(peer);
     m_claims_sent.erase(peer);
     out.emplace_back(send_to_peer{peer, m_members.member_list(), std::nullopt});
+    // Strikes that were sent while there was no link are lost, and a new incarnation knows none.
+    for (const auto& record : m_requests.strikes(now)) {
+        out.emplace_back(send_to_peer{peer, record, std::nullopt});
+    }
     m_next_heartbeat = now;
     m_next_summary = now;
 }
@@ -244,6 +261,7 @@
 void entry_engine::link_down(const std::string& peer, base::time_point now, effects& out) {
     revalidate_after_pause(now, out);
     m_links.erase(peer);
+    m_members.link_down(peer);
     m_claims_sent.erase(peer);
     m_requests.peers().set_link(peer, link_status::down);
     m_summaries.remove(peer);
@@ -270,9 +288,9 @@
 void entry_engine::handle(const message_context& context, wire::heartbeat& message) {
     m_members.heartbeat(context.peer, context.incarnation, message, context.now);
     m_ownership.observe_heartbeat(context.peer, context.incarnation, message, context.now);
-    m_requests.peers().set_state(context.peer, message.running == wire::running_state::running
-                                                   ? config::administrative_state::active
-                                                   : config::administrative_state::draining);
+    m_requests.peers().set_state(context.peer, message.running == wire::running_state::stopping
+                                                   ? config::administrative_state::draining
+                                                   : config::administrative_state::active);
 }
 
 void entry_engine::handle(const message_context& context, wire::claims_request& message) {
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -114,9 +114,9 @@
         const bool usable = member.heard && member.status == membership::member_status::alive &&
                             member.record.caller_address.port != 0;
         if (usable) {
-            add(member.record, member.running == wire::running_state::running
-                                   ? shifting::entry_state::active
-                                   : shifting::entry_state::stopping);
+            add(member.record, member.running == wire::running_state::stopping
+                                   ? shifting::entry_state::stopping
+                                   : shifting::entry_state::active);
         }
     }
     answer.service = service;
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -101,6 +101,7 @@
     void advance_stop(base::time_point now, effects& out);
     void apply_list_draining(base::time_point now, effects& out);
     base::duration interval(base::duration shortest) const;
+    wire::running_state running_state() const;
 
     // entry_control.cpp
     void control_tick(base::time_point now, effects& out);
--- a/carawayway/engine/pending_call.hpp
+++ b/carawayway/engine/pending_call.hpp
@@ -63,6 +63,7 @@
 
     call_stage stage = call_stage::placing;
     std::uint32_t attempts = 0;             // times it was sent to a server or a peer
+    bool may_have_run = false;              // an earlier attempt may have been executed
     std::uint64_t attempt = 0;              // stage at_server
     std::string server;                     // the last one that it was sent to, for the answer's detail
     std::string peer;                       // stage at_peer, forwarded
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// A summary follows each new link. A rate over a shorter time would be far off and with it the shift
+// allowance.
+constexpr auto shortest_rate_window = std::chrono::milliseconds(400);
+
 steering::server_spec to_spec(const compiled_policy& policy, const config::server_policy& server) {
     const auto* service = policy.find_service(server.service);
     return {server.name, policy.effective_slots(server.name), server.connections,
@@ -28,7 +32,8 @@
                   .limit = limits.request_table,
                   .hash_seed = m_random()}),
       m_guard(m_identity.name, steering::crash_guard_limits{}),
-      m_peers(m_identity.failure_domain, m_identity.region), m_arrivals_since(m_identity.started) {
+      m_peers(m_identity.failure_domain, m_identity.region), m_arrivals_since(m_identity.started),
+      m_last_number(m_identity.incarnation >> 16U) {
     declare_metrics();
 }
 
@@ -107,10 +112,14 @@
 
 void request_engine::server_owned(const std::string& server, base::time_point now, effects& out) {
     const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
-    if (known == nullptr || m_policy->effective_slots(server) == 0) {
+    if (known == nullptr) {
         return;
     }
     auto* lane = find_lane(known->service);
+    if (m_policy->effective_slots(server) == 0) {
+        lane->set_not_owned(server, now); // an earlier policy may have given it slots
+        return;
+    }
     lane->set_owned(to_spec(*m_policy, *known), now);
     pump(*lane, now, out);
 }
@@ -158,25 +167,26 @@
 
 wire::entry_summary request_engine::summary(base::time_point now) {
     wire::entry_summary result;
-    const double seconds = std::max(base::to_seconds(now - m_arrivals_since), 1e-3);
+    if (now - m_arrivals_since >= shortest_rate_window) {
+        m_home_rates.clear();
+        for (const auto& [key, count] : std::exchange(m_arrivals, {})) {
+            const double rate = static_cast<double>(count) / base::to_seconds(now - m_arrivals_since);
+            m_home_rates[key.first].push_back({key.second, rate});
+        }
+        m_arrivals_since = now;
+    }
     for (auto& [name, lane] : m_lanes) {
         wire::service_summary item;
         item.service = name;
-        item.free_slots = lane->pool.free_slots(now);
+        item.free_slots = lane->pool.reliable(now) ? lane->pool.free_slots(now) : 0;
         item.usable_slots = lane->pool.usable_slots(now);
         item.in_flight = lane->pool.in_flight();
         item.queued = static_cast<std::uint32_t>(lane->queue.size());
         item.typical_latency_us = static_cast<std::uint32_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(lane->typical_latency()).count());
-        for (const auto& [key, count] : m_arrivals) {
-            if (key.first == name) {
-                item.home_rates.push_back({key.second, static_cast<double>(count) / seconds});
-            }
-        }
+        item.home_rates = m_home_rates[name];
         result.services.push_back(std::move(item));
     }
-    m_arrivals.clear();
-    m_arrivals_since = now;
     return result;
 }
 
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -89,6 +89,8 @@
                         base::time_point now, effects& out);
     void merge_strike(const wire::strike& record, base::time_point now);
     void clear_strike(const wire::strike_cleared& record);
+    // All strikes known here, for a peer that may have missed them.
+    std::vector<wire::strike> strikes(base::time_point now) const;
     peer_view& peers() { return m_peers; }
     const peer_view& peers() const { return m_peers; }
 
@@ -124,6 +126,9 @@
         bool operator>(const deadline_entry& other) const { return time > other.time; }
     };
 
+    // Whether the loss of the server that an attempt runs on was already held against its content.
+    enum class loss_record : std::uint8_t { none, recorded };
+
     // One attempt at an own server. It outlives its call when the call is answered first, because the
     // server's slot is free only when the attempt has ended.
     struct running_attempt {
@@ -134,6 +139,7 @@
         std::uint64_t fingerprint = 0;
         steering::isolation isolation = steering::isolation::shared;
         base::time_point started;
+        loss_record loss = loss_record::none;
     };
 
     // Why a request could not be placed; turned into its refusal.
@@ -157,7 +163,6 @@
     void refuse_unadmitted(const request_origin& origin, const service_request& request,
                            placement_scope scope, base::error_kind kind, std::string detail,
                            base::time_point now, effects& out);
-    bool knows(const service_request& request) const;
     void send_answer(const request_origin& origin, answer_ptr answer, effects& out);
     void expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out);
     void expire_call(std::uint64_t call_number, base::time_point now, effects& out);
@@ -179,6 +184,7 @@
                   steering::isolation mode, base::time_point now, effects& out);
     void send_call(pending_call& call, const std::string& entry, call_stage stage, base::time_point now,
                    effects& out);
+    base::duration retry_advice_of(const pending_call& call, base::time_point now) const;
     base::duration attempt_time(const pending_call& call, const service_lane& lane,
                                 base::time_point now) const;
     void pump(service_lane& lane, base::time_point now, effects& out);
@@ -226,10 +232,13 @@
     std::unordered_map<std::uint64_t, running_attempt> m_attempts;
     std::priority_queue<deadline_entry, std::vector<deadline_entry>, std::greater<>> m_deadlines;
     std::map<std::pair<std::string, std::string>, std::uint64_t>
-        m_arrivals; // (service, home) since last summary
+        m_arrivals; // (service, home) since m_arrivals_since
+    std::map<std::string, std::vector<wire::home_rate>> m_home_rates; // by service, before m_arrivals_since
     base::time_point m_arrivals_since;
     std::vector<std::string> m_drain_evidence;
-    std::uint64_t m_last_number = 0; // calls, waiters and attempts share one sequence
+    // Calls, waiters and attempts share one sequence. It starts at a place of its own in each incarnation: a
+    // peer's result for a call of the incarnation before must not match a call of this one.
+    std::uint64_t m_last_number;
 };
 
 } // namespace carawayway::engine
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -47,7 +47,10 @@
                           out);
         return;
     }
-    if (m_intake == intake::closed && !knows(*request)) {
+    // The registry and the owners of foreign IDs say what became of requests with an ID.
+    const bool asks_by_id =
+        service->semantics == config::request_semantics::non_idempotent && scope == placement_scope::anywhere;
+    if (m_intake == intake::closed && !asks_by_id) {
         refuse_unadmitted(origin, *request, scope, base::error_kind::stopping, "use another entry instance",
                           now, out);
         return;
@@ -81,9 +84,7 @@
     call.waiter = waiter_number;
 
     // A request that a peer passed on for execution keeps its ID, but the peer's registry decides about it.
-    const bool controls_id =
-        service->semantics == config::request_semantics::non_idempotent && scope == placement_scope::anywhere;
-    if (controls_id) {
+    if (asks_by_id) {
         admit_once(waiter_number, request, std::move(call), now, out);
         return;
     }
@@ -124,6 +125,14 @@
     case requests::begin_kind::fresh:
         break;
     }
+    if (m_intake == intake::closed) {
+        // Stored as final, so that the promise also holds for a resend.
+        const auto answer = std::make_shared<const service_answer>(
+            make_refusal(base::error_kind::stopping, "use another entry instance", retry_after_not_ready));
+        m_registry.finish(*id, answer, now);
+        answer_waiter(waiter_number, answer, now, out);
+        return;
+    }
     find_lane(item.service)->retries.first_attempt(now);
     ++m_arrivals[{item.service, prepared.home_region}];
     m_shifts.arrival({item.service, prepared.home_region}, shifting::arrival_kind::first_time, now);
@@ -201,7 +210,8 @@
                       now - item.arrived);
     const bool brings_prefix =
         answer->kind && base::answer_for(*answer->kind).advice == base::retry_advice::fresh_request_id &&
-        is_non_idempotent(item.service) && std::holds_alternative<caller_origin>(item.origin);
+        is_non_idempotent(item.service) && std::holds_alternative<caller_origin>(item.origin) &&
+        m_intake == intake::open;
     if (brings_prefix) {
         service_answer with_prefix = *answer;
         with_prefix.request_id_prefix = m_registry.issue_prefix(now);
@@ -210,13 +220,6 @@
     send_answer(item.origin, std::move(answer), out);
 }
 
-// Whether this incarnation has a record of the request's ID, so that a resend can be answered.
-bool request_engine::knows(const service_request& request) const {
-    base::failure ignored;
-    const auto id = requests::parse_request_id(request.request_id, ignored);
-    return id && m_registry.owns(*id) && m_registry.peek(*id).has_value();
-}
-
 void request_engine::refuse_unadmitted(const request_origin& origin, const service_request& request,
                                        placement_scope scope, base::error_kind kind, std::string detail,
                                        base::time_point now, effects& out) {
@@ -229,7 +232,7 @@
         // A request with this ID may have run before; this entry has not looked and must not promise
         // anything.
         answer.execution = base::execution_state::unknown;
-    } else if (m_policy && is_non_idempotent(request.service)) {
+    } else if (m_policy && m_intake == intake::open && is_non_idempotent(request.service)) {
         answer.request_id_prefix = m_registry.issue_prefix(now);
     }
     send_answer(origin, std::make_shared<const service_answer>(std::move(answer)), out);
@@ -254,7 +257,8 @@
     if (item.id) {
         if (m_registry.peek(*item.id) == requests::request_state::received && call != nullptr) {
             cancel_work(*call, out);
-            finish_error(call_number, base::error_kind::deadline_exceeded_before_dispatch, "", {}, now, out);
+            finish_error(call_number, base::error_kind::deadline_exceeded_before_dispatch, "",
+                         retry_advice_of(*call, now), now, out);
             return;
         }
         m_registry.remove_waiter(*item.id, waiter_number);
@@ -272,7 +276,7 @@
     finish_error(call_number,
                  sent ? base::error_kind::deadline_exceeded
                       : base::error_kind::deadline_exceeded_before_dispatch,
-                 "", {}, now, out);
+                 "", retry_advice_of(*call, now), now, out);
 }
 
 // A peer that is alive answers before this. Its link was replaced or it lost the call: the outcome stays
--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -86,6 +86,7 @@
     case attempt_outcome::answered: {
         const bool server_error = result.status >= 500;
         if (server_error && may_retry(call, now)) {
+            call.may_have_run = true;
             place(call, now, out);
             return;
         }
@@ -133,6 +134,7 @@
 
 void request_engine::may_have_run(pending_call& call, base::error_kind kind, base::time_point now,
                                   effects& out) {
+    call.may_have_run = true;
     if (may_retry(call, now)) {
         place(call, now, out);
         return;
@@ -152,9 +154,23 @@
     return lane->retries.try_spend(now);
 }
 
-// Strikes go out before any caller is answered, so that a resend meets them wherever it arrives.
+// Strikes go out before any caller is answered, so that a resend meets them wherever it arrives. All that was
+// in flight on the server is judged at its first loss, since each lost attempt alone would look like the
+// culprit.
 void request_engine::record_loss(const running_attempt& attempt, base::time_point now, effects& out) {
-    const std::array<std::uint64_t, 1> lost{attempt.fingerprint};
+    if (attempt.loss == loss_record::recorded) {
+        if (attempt.isolation == steering::isolation::isolated) {
+            m_guard.abandoned_isolated(attempt.fingerprint);
+        }
+        return;
+    }
+    std::vector<std::uint64_t> lost{attempt.fingerprint};
+    for (auto& [number, other] : m_attempts) {
+        if (other.server == attempt.server && other.service == attempt.service) {
+            other.loss = loss_record::recorded;
+            lost.push_back(other.fingerprint);
+        }
+    }
     for (const auto& record : m_guard.server_lost(lost, attempt.isolation, now)) {
         out.emplace_back(
             broadcast_to_peers{wire::strike{record.fingerprint, record.count, record.recorded_by}});
@@ -172,6 +188,14 @@
     m_guard.merge({record.fingerprint, record.count, record.recorded_by}, now);
 }
 
+std::vector<wire::strike> request_engine::strikes(base::time_point now) const {
+    std::vector<wire::strike> result;
+    for (const auto& record : m_guard.records(now)) {
+        result.push_back({record.fingerprint, record.count, record.recorded_by});
+    }
+    return result;
+}
+
 void request_engine::clear_strike(const wire::strike_cleared& record) {
     m_guard.clear(record.fingerprint, record.recorded_by);
 }
@@ -255,6 +279,10 @@
     }
     const pending_call call = std::move(found->second);
     m_calls.erase(found);
+    if (call.may_have_run && answer.execution == base::execution_state::not_executed) {
+        // The last attempt did not run, but an earlier one may have.
+        answer.execution = base::execution_state::unknown;
+    }
     const auto shared = std::make_shared<const service_answer>(std::move(answer));
     if (!call.id) {
         if (m_waiters.contains(call.waiter)) {
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -25,7 +25,13 @@
 void request_engine::place(pending_call& call, base::time_point now, effects& out) {
     call.stage = call_stage::placing;
     if (now >= call.deadline) {
-        finish_error(call.number, base::error_kind::deadline_exceeded_before_dispatch, "", {}, now, out);
+        finish_error(call.number, base::error_kind::deadline_exceeded_before_dispatch, "",
+                     retry_advice_of(call, now), now, out);
+        return;
+    }
+    if (m_policy->find_service(call.request->service) == nullptr) {
+        // A policy removed the service while the request was on its way.
+        finish_error(call.number, base::error_kind::service_unknown, call.request->service, {}, now, out);
         return;
     }
     if (refuse_by_guard(call, now, out)) {
@@ -47,12 +53,17 @@
                      out);
         return;
     }
-    if (home && try_local(call, lane, now, out)) {
+    // Own servers that all fail are the last choice, since their callers would see nothing but failures.
+    const bool reliable = lane->pool.reliable(now);
+    if (home && reliable && try_local(call, lane, now, out)) {
         return;
     }
     if (try_peers(call, shifting::region_crossing::serves_home_region, reason, now, out)) {
         return;
     }
+    if (home && !reliable && try_local(call, lane, now, out)) {
+        return;
+    }
     if (home && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
         return;
     }
@@ -87,10 +98,18 @@
 
 void request_engine::place_isolated(pending_call& call, service_lane* lane, base::time_point now,
                                     effects& out) {
+    refusal_reason reason;
+    reason.kind = base::error_kind::overloaded;
+    reason.detail = "no idle server for an isolated run";
+    reason.retry_after = retry_after_isolation;
+    const bool moves = call.scope == placement_scope::anywhere && !serves_home(call);
+    if (moves && !may_move(call, reason, now)) {
+        finish_error(call.number, reason.kind, reason.detail, reason.retry_after, now, out);
+        return;
+    }
     const auto handle = lane->pool.reserve_idle(now);
     if (!handle) {
-        finish_error(call.number, base::error_kind::overloaded, "no idle server for an isolated run",
-                     retry_after_isolation, now, out);
+        finish_error(call.number, reason.kind, reason.detail, reason.retry_after, now, out);
         return;
     }
     m_guard.started_isolated(call.fingerprint);
@@ -249,13 +268,18 @@
                                    std::move(request_id), call.request, timeout, m_dispatch_until});
 }
 
+// When a caller whose time is over should come back.
+base::duration request_engine::retry_advice_of(const pending_call& call, base::time_point now) const {
+    const auto* lane = find_lane(call.request->service);
+    return lane->queue.retry_after(call.number, lane->pool.usable_slots(now), lane->pool.typical_latency(),
+                                   now);
+}
+
 void request_engine::pump(service_lane& lane, base::time_point now, effects& out) {
     const base::duration needed = lane.typical_latency();
     for (const auto& expired : lane.queue.take_expired(now, needed)) {
-        const auto retry_after = lane.queue.retry_after(expired.token, lane.pool.usable_slots(now),
-                                                        lane.pool.typical_latency(), now);
         finish_error(expired.token, base::error_kind::deadline_exceeded_before_dispatch, "waited too long",
-                     retry_after, now, out);
+                     retry_advice_of(m_calls.at(expired.token), now), now, out);
     }
     while (lane.queue.size() > 0 && lane.pool.free_slots(now) > 0) {
         const auto next = lane.queue.take(now, needed);
--- a/carawayway/steering/crash_guard.cpp
+++ b/carawayway/steering/crash_guard.cpp
@@ -103,6 +103,16 @@
     entry->expires = now + m_limits.expiry;
 }
 
+std::vector<strike> crash_guard::records(base::time_point now) const {
+    std::vector<strike> result;
+    for (const auto& [fingerprint, known] : m_records) {
+        if (known.expires > now) {
+            result.push_back({fingerprint, known.count, known.recorded_by});
+        }
+    }
+    return result;
+}
+
 void crash_guard::clear(std::uint64_t fingerprint, std::string_view recorded_by) {
     const auto found = m_records.find(fingerprint);
     if (found == m_records.end() || found->second.count >= quarantine_count ||
--- a/carawayway/steering/crash_guard.hpp
+++ b/carawayway/steering/crash_guard.hpp
@@ -66,6 +66,8 @@
 
     // A record arrived from a peer.
     void merge(const strike& record, base::time_point now);
+    // All records in force, in no particular order.
+    std::vector<strike> records(base::time_point now) const;
     // A peer cleared the record that `recorded_by` made.
     void clear(std::uint64_t fingerprint, std::string_view recorded_by);
 
--- a/carawayway/steering/server_pool.hpp
+++ b/carawayway/steering/server_pool.hpp
@@ -138,6 +138,13 @@
         return m_totals.healthy > 0 ? m_totals.open_free : m_totals.held_free;
     }
 
+    // Whether a server is healthy or due for a probe. Otherwise requests are better sent elsewhere, if there
+    // is an elsewhere.
+    bool reliable(base::time_point now) const {
+        advance(now);
+        return m_totals.healthy > 0 || !m_probes.empty();
+    }
+
     // When a slot may next become usable by time alone: waiting requests should then be tried again.
     std::optional<base::time_point> next_change() const {
         if (m_changes.empty()) {
@@ -263,6 +270,9 @@
 
     std::optional<std::uint32_t> choose(base::time_point now) {
         if (m_totals.healthy == 0) {
+            if (!m_probes.empty()) {
+                return m_probes[random_below(m_probes.size())];
+            }
             // The last usable servers are never ejected.
             return m_held.empty() ? std::nullopt : std::optional(best_of_two(m_held, now));
         }
