operators: Add the operators' calls over HTTP

Operators could read metrics only; the policy had to be written into the store by hand.

The entry's operator_service carries the calls as POST /v1/CALL with a bearer token. The engine explains what it would do with a request. The store adapter can erase a key, which pruning the kept documents needs.

--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -85,20 +85,10 @@
     }
 }
 
-lookup_answer entry_engine::lookup(const std::string& service, const std::string& client_address,
-                                   base::time_point now) {
-    lookup_answer answer;
+// Live entry instances in the order in which the client should try them.
+std::vector<lookup_entry> entry_engine::lookup_entries(const std::string& home_region,
+                                                       const std::string& client_address) const {
     const auto* policy = m_requests.policy();
-    if (const auto reason = not_ready_reason()) {
-        answer.kind = base::error_kind::not_ready;
-        answer.detail = *reason;
-        return answer;
-    }
-    if (policy->find_service(service) == nullptr) {
-        answer.kind = base::error_kind::service_unknown;
-        answer.detail = service;
-        return answer;
-    }
     std::vector<shifting::known_entry> entries;
     std::vector<const wire::member_record*> records;
     const auto add = [&](const wire::member_record& record, shifting::entry_state state) {
@@ -119,17 +109,35 @@
                                    : shifting::entry_state::stopping);
         }
     }
-    answer.service = service;
-    answer.home_region = policy->home_region(client_address);
-    const std::string preferred = answer.home_region.empty() ? m_identity.region : answer.home_region;
+    std::vector<lookup_entry> result;
+    const std::string preferred = home_region.empty() ? m_identity.region : home_region;
     for (const auto index : shifting::lookup_order(preferred, client_address, entries)) {
-        if (answer.entries.size() == m_control.lookup_entries) {
+        if (result.size() == m_control.lookup_entries) {
             break;
         }
         const auto& record = *records[index];
-        answer.entries.push_back(
-            {record.name, to_text(record.caller_address), record.failure_domain, record.region});
+        result.push_back({record.name, to_text(record.caller_address), record.failure_domain, record.region});
+    }
+    return result;
+}
+
+lookup_answer entry_engine::lookup(const std::string& service, const std::string& client_address,
+                                   base::time_point now) {
+    lookup_answer answer;
+    const auto* policy = m_requests.policy();
+    if (const auto reason = not_ready_reason()) {
+        answer.kind = base::error_kind::not_ready;
+        answer.detail = *reason;
+        return answer;
+    }
+    if (policy->find_service(service) == nullptr) {
+        answer.kind = base::error_kind::service_unknown;
+        answer.detail = service;
+        return answer;
     }
+    answer.service = service;
+    answer.home_region = policy->home_region(client_address);
+    answer.entries = lookup_entries(answer.home_region, client_address);
     if (answer.entries.empty()) {
         answer.kind = base::error_kind::stopping;
         answer.detail = "no entry instance takes new callers";
@@ -293,13 +301,16 @@
 std::vector<member_report> entry_engine::members() const {
     std::vector<member_report> result;
     result.push_back({m_identity.name, m_identity.failure_domain, m_identity.region,
-                      std::string(to_string(m_state)), m_spread.revision()});
+                      std::string(to_string(m_state)), m_spread.revision(), member_reach::reachable});
     for (const auto& [name, member] : m_members.members()) {
         const auto revision = m_peer_revisions.find(name);
         const bool stopping = member.running == wire::running_state::stopping;
         result.push_back({name, member.record.failure_domain, member.record.region,
                           stopping ? "stopping" : std::string(membership::to_string(member.status)),
-                          revision == m_peer_revisions.end() ? 0 : revision->second});
+                          revision == m_peer_revisions.end() ? 0 : revision->second,
+                          member.heard && member.status == membership::member_status::alive
+                              ? member_reach::reachable
+                              : member_reach::not_reachable});
     }
     return result;
 }
@@ -313,6 +324,7 @@
     report.incarnation = m_identity.incarnation;
     report.revision = m_spread.revision();
     report.policy_document = m_spread.document();
+    report.not_ready_reason = not_ready_reason();
     report.members = members();
     for (const auto& [name, lane] : m_requests.lanes()) {
         service_report service;
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "carawayway/engine/effect.hpp"
+#include "carawayway/engine/explain_report.hpp"
 #include "carawayway/engine/instance_record.hpp"
 #include "carawayway/engine/request_engine.hpp"
 #include "carawayway/engine/status_report.hpp"
@@ -87,6 +88,9 @@
     const request_engine& requests() const { return m_requests; }
     const membership::server_ownership& ownership() const { return m_ownership; }
     status_report status(base::time_point now) const;
+    // `kind` is set for an unknown service, an invalid client address, and without a policy.
+    explain_report explain(const std::string& service, const std::string& client_address,
+                           base::time_point now) const;
     std::int64_t revision() const { return m_spread.revision(); }
     const std::string& policy_document() const { return m_spread.document(); }
     const engine_identity& identity() const { return m_identity; }
@@ -95,6 +99,8 @@
 private:
     // entry_engine.cpp
     std::vector<member_report> members() const;
+    std::vector<lookup_entry> lookup_entries(const std::string& home_region,
+                                             const std::string& client_address) const;
     void revalidate_after_pause(base::time_point now, effects& out);
     void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
     void apply_policy(base::time_point now, effects& out);
--- /dev/null
+++ b/carawayway/engine/explain_report.hpp
@@ -0,0 +1,61 @@
+// What this entry instance would do with a request of a client now, and why.
+#pragma once
+
+#include "carawayway/base/error_kind.hpp"
+#include "carawayway/engine/lookup_answer.hpp"
+#include "carawayway/shifting/shift_limiter.hpp"
+#include "carawayway/shifting/site_selector.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawayway::engine {
+
+enum class server_use : std::uint8_t {
+    usable,
+    no_free_slot,
+    not_owned, // by this entry instance
+    draining,
+    not_ready, // starting, or ejected after losses
+    region_not_allowed,
+};
+
+struct explained_server {
+    std::string name;
+    std::string failure_domain;
+    server_use use = server_use::not_owned;
+    std::string reason; // empty when usable
+    std::uint32_t usable_slots = 0;
+    std::uint32_t in_flight = 0;
+
+    bool operator==(const explained_server&) const = default;
+};
+
+// Another entry instance that the request could be passed to.
+struct explained_candidate {
+    shifting::entry_summary summary;
+    shifting::region_crossing crossing = shifting::region_crossing::serves_home_region;
+    std::string refusal; // why it would not be chosen; empty: it may be chosen
+
+    bool operator==(const explained_candidate&) const = default;
+};
+
+struct explain_report {
+    std::optional<base::error_kind> kind; // set: there is nothing to explain
+    std::string detail;
+    std::string entry;
+    std::int64_t revision = 0;
+    std::string service;
+    std::string client_address;
+    std::string home_region;          // empty: no client block contains the address
+    std::vector<lookup_entry> lookup; // most preferred first
+    std::vector<explained_server> servers;
+    std::vector<explained_candidate> candidates;
+    std::optional<shifting::shift_status> shift; // none: nothing was counted for this service and home region
+
+    bool operator==(const explain_report&) const = default;
+};
+
+} // namespace carawayway::engine
--- a/carawayway/engine/status_report.hpp
+++ b/carawayway/engine/status_report.hpp
@@ -12,6 +12,8 @@
 
 namespace carawayway::engine {
 
+enum class member_reach : std::uint8_t { reachable, not_reachable };
+
 // One member as seen from here.
 struct member_report {
     std::string name;
@@ -19,6 +21,7 @@
     std::string region;
     std::string status;
     std::int64_t revision = 0; // last heard; 0: none
+    member_reach reach = member_reach::not_reachable;
 
     bool operator==(const member_report&) const = default;
 };
@@ -43,6 +46,7 @@
     std::uint64_t incarnation = 0;
     std::int64_t revision = 0; // of the policy in force; 0: none
     std::string policy_document;
+    std::optional<std::string> not_ready_reason; // none: ready for callers
     std::vector<member_report> members;
     std::vector<service_report> services;
     std::vector<shifting::shift_status> shifts;
--- a/carawayway/entry/control_event.hpp
+++ b/carawayway/entry/control_event.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/engine/effect.hpp"
+#include "carawayway/engine/explain_report.hpp"
 #include "carawayway/engine/instance_record.hpp"
 #include "carawayway/engine/status_report.hpp"
 
@@ -29,10 +30,16 @@
     std::uint64_t token = 0;
 };
 
+struct explain_asked {
+    std::uint64_t token = 0;
+    std::string service;
+    std::string client_address;
+};
+
 struct stop_asked {};
 
 using control_event =
-    std::variant<policy_arrived, instances_arrived, status_asked, metrics_asked, stop_asked>;
+    std::variant<policy_arrived, instances_arrived, status_asked, metrics_asked, explain_asked, stop_asked>;
 
 struct status_ready {
     std::uint64_t token = 0;
@@ -44,8 +51,14 @@
     std::string text; // Prometheus text form
 };
 
+struct explain_ready {
+    std::uint64_t token = 0;
+    engine::explain_report report;
+};
+
 struct entry_stopped {};
 
-using control_reply = std::variant<engine::set_store_watch, status_ready, metrics_ready, entry_stopped>;
+using control_reply =
+    std::variant<engine::set_store_watch, status_ready, metrics_ready, explain_ready, entry_stopped>;
 
 } // namespace carawayway::entry
--- a/carawayway/entry/operator_service.cpp
+++ b/carawayway/entry/operator_service.cpp
@@ -2,11 +2,15 @@
 #include "carawayway/entry/operator_service.hpp"
 
 #include "carawayway/entry/http_listener.hpp"
+#include "carawayway/operators/bearer_token.hpp"
+#include "carawayway/operators/call_handler.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 
+#include <chrono>
 #include <unordered_map>
 #include <utility>
 
@@ -18,19 +22,58 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto reply_timeout = std::chrono::seconds(2); // for the steering thread to answer
+constexpr std::uint32_t body_limit = 1U << 20U;         // bytes
+constexpr std::string_view call_prefix = "/v1/";
+constexpr std::string_view json_type = "application/json";
+constexpr std::string_view binary_type = "application/octet-stream";
+
+std::string_view field_of(const http_request& request, boost::beast::http::field name) {
+    const auto value = request[name];
+    return {value.data(), value.size()};
+}
+
+// Without parameters such as the character set.
+std::string_view media_type(std::string_view field) {
+    field = field.substr(0, field.find(';'));
+    const auto last = field.find_last_not_of(' ');
+    return field.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+
+std::int64_t wall_clock_milliseconds() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+http_response to_response(const operators::call_answer& answer, unsigned version) {
+    auto response = json_response(answer.status, answer.body, version);
+    response.set(boost::beast::http::field::content_type, answer.content_type);
+    if (answer.kind == base::error_kind::unauthorized) {
+        response.set(boost::beast::http::field::www_authenticate, "Bearer");
+    }
+    if (answer.kind) {
+        response.set("X-Execution", base::to_string(base::answer_for(*answer.kind).execution));
+    }
+    return response;
+}
+
+http_response refuse(base::error_kind kind, std::string detail, unsigned version) {
+    return to_response(operators::to_answer({kind, std::move(detail), {}, {}}), version);
+}
 
 } // namespace
 
 class operator_service::implementation {
 public:
-    implementation(asio::io_context& context, const config::instance_settings& settings,
+    implementation(asio::io_context& context, platform::etcd_json_store& store,
+                   const config::instance_settings& settings, const std::string& token,
                    submit_function submit)
-        : m_context(context), m_submit(std::move(submit)),
-          m_listener(std::make_shared<http_listener>(
-              context,
-              listener_limits{settings.caller_connections, settings.header_limit, settings.body_limit,
-                              settings.idle_timeout},
-              [this](http_exchange& exchange) { return handle(exchange); })) {}
+        : m_context(context), m_submit(std::move(submit)), m_token(token),
+          m_editor(context.get_executor(), store, settings.policy_key, wall_clock_milliseconds),
+          m_calls(m_editor, view()), m_listener(std::make_shared<http_listener>(
+                                         context,
+                                         listener_limits{settings.caller_connections, settings.header_limit,
+                                                         body_limit, settings.idle_timeout},
+                                         [this](http_exchange& exchange) { return handle(exchange); })) {}
 
     bool listen(const config::socket_address& address, base::failure& last_failure) {
         try {
@@ -65,53 +108,133 @@
         if (const auto* status = std::get_if<status_ready>(&reply)) {
             return status->token;
         }
+        if (const auto* explained = std::get_if<explain_ready>(&reply)) {
+            return explained->token;
+        }
         const auto* metrics = std::get_if<metrics_ready>(&reply);
         return metrics == nullptr ? 0 : metrics->token;
     }
 
-    template <class Event>
-    asio::awaitable<std::optional<control_reply>> ask() {
+    // `Event` gets the token as its first member, followed by the arguments.
+    template <class Event, class... Arguments>
+    asio::awaitable<std::optional<control_reply>> ask(Arguments... arguments) {
         const std::uint64_t token = ++m_last_token;
         const auto pending = std::make_shared<pending_reply>(m_context.get_executor());
         m_pending.emplace(token, pending);
-        m_submit(Event{token});
+        m_submit(Event{token, std::move(arguments)...});
         co_await pending->arrived.async_wait(use_tuple);
         m_pending.erase(token);
         co_return std::move(pending->reply);
     }
 
+    asio::awaitable<std::optional<engine::status_report>> ask_status() {
+        auto reply = co_await ask<status_asked>();
+        if (!reply) {
+            co_return std::nullopt;
+        }
+        co_return std::move(std::get<status_ready>(*reply).report);
+    }
+
+    asio::awaitable<std::optional<engine::explain_report>> ask_explanation(std::string service,
+                                                                           std::string client) {
+        auto asked = ask<explain_asked>(std::move(service), std::move(client));
+        auto reply = co_await std::move(asked);
+        if (!reply) {
+            co_return std::nullopt;
+        }
+        co_return std::move(std::get<explain_ready>(*reply).report);
+    }
+
+    operators::entry_view view() {
+        return {[this] { return ask_status(); },
+                [this](std::string service, std::string client) {
+                    return ask_explanation(std::move(service), std::move(client));
+                }};
+    }
+
     asio::awaitable<std::optional<http_response>> handle(http_exchange& exchange) {
+        const auto target = exchange.request.target();
         const unsigned version = exchange.request.version();
-        if (exchange.request.target() == "/health") {
+        if (target == "/health") {
             co_return json_response(200, "{\"status\":\"alive\"}\n", version);
         }
-        if (exchange.request.target() == "/metrics") {
-            auto reply = co_await ask<metrics_asked>();
-            if (!reply) {
-                co_return to_response(
-                    engine::make_refusal(base::error_kind::overloaded, "the steering thread does not answer"),
-                    version);
-            }
-            auto response = json_response(200, std::get<metrics_ready>(*reply).text, version);
-            response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
-            co_return response;
+        if (target == "/ready") {
+            co_return co_await readiness(version);
+        }
+        if (target == "/metrics") {
+            co_return co_await metrics_text(version);
+        }
+        if (target.starts_with(call_prefix)) {
+            co_return co_await answer_call(exchange.request);
         }
-        co_return to_response(engine::make_refusal(base::error_kind::not_found, "no such operation"),
-                              version);
+        co_return refuse(base::error_kind::not_found, "no such operation", version);
+    }
+
+    asio::awaitable<http_response> readiness(unsigned version) {
+        const auto report = co_await ask_status();
+        if (report && !report->not_ready_reason) {
+            co_return json_response(200, "{\"status\":\"ready\"}\n", version);
+        }
+        co_return refuse(base::error_kind::not_ready,
+                         report ? *report->not_ready_reason : "the steering thread does not answer", version);
+    }
+
+    asio::awaitable<http_response> metrics_text(unsigned version) {
+        auto reply = co_await ask<metrics_asked>();
+        if (!reply) {
+            co_return refuse(base::error_kind::overloaded, "the steering thread does not answer", version);
+        }
+        auto response = json_response(200, std::get<metrics_ready>(*reply).text, version);
+        response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
+        co_return response;
+    }
+
+    asio::awaitable<http_response> answer_call(const http_request& request) {
+        using boost::beast::http::field;
+        const unsigned version = request.version();
+        if (!m_token.accepts(field_of(request, field::authorization))) {
+            co_return refuse(
+                base::error_kind::unauthorized,
+                "calls need the header \"Authorization: Bearer TOKEN\" with the operators' token", version);
+        }
+        if (request.method() != boost::beast::http::verb::post) {
+            co_return refuse(base::error_kind::request_invalid, "calls are made with POST", version);
+        }
+        const auto type = media_type(field_of(request, field::content_type));
+        const bool binary = boost::beast::iequals(type, binary_type);
+        if (!binary && !type.empty() && !boost::beast::iequals(type, json_type)) {
+            co_return refuse(base::error_kind::request_invalid,
+                             "Content-Type must be application/json or application/octet-stream", version);
+        }
+        using operators::message_encoding;
+        operators::call call;
+        call.name = std::string(request.target().substr(call_prefix.size()));
+        call.body = request.body();
+        call.body_encoding = binary ? message_encoding::binary : message_encoding::json;
+        const auto accepted = media_type(field_of(request, field::accept));
+        call.answer_encoding =
+            boost::beast::iequals(accepted, binary_type) ? message_encoding::binary : message_encoding::json;
+        auto operation = m_calls.handle(std::move(call));
+        const auto answer = co_await std::move(operation);
+        co_return to_response(answer, version);
     }
 
     asio::io_context& m_context;
     submit_function m_submit;
+    operators::bearer_token m_token;
+    operators::policy_editor<platform::etcd_json_store> m_editor;
+    operators::call_handler<platform::etcd_json_store> m_calls;
     config::socket_address m_address;
     std::uint64_t m_last_token = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<pending_reply>> m_pending;
     std::shared_ptr<http_listener> m_listener;
 };
 
-operator_service::operator_service(asio::io_context& context, platform::etcd_json_store&,
-                                   const config::instance_settings& settings, std::string,
+operator_service::operator_service(asio::io_context& context, platform::etcd_json_store& store,
+                                   const config::instance_settings& settings, const std::string& token,
                                    submit_function submit)
-    : m_implementation(std::make_shared<implementation>(context, settings, std::move(submit))) {}
+    : m_implementation(std::make_shared<implementation>(context, store, settings, token, std::move(submit))) {
+}
 
 operator_service::~operator_service() = default;
 
--- a/carawayway/entry/operator_service.hpp
+++ b/carawayway/entry/operator_service.hpp
@@ -19,9 +19,10 @@
 public:
     using submit_function = std::function<void(control_event)>;
 
-    // `store` outlives the service. An empty token refuses all calls but /health and /metrics.
+    // `store` outlives the service. An empty token refuses all calls; /health, /ready and /metrics need none.
     operator_service(boost::asio::io_context& context, platform::etcd_json_store& store,
-                     const config::instance_settings& settings, std::string token, submit_function submit);
+                     const config::instance_settings& settings, const std::string& token,
+                     submit_function submit);
     ~operator_service();
     operator_service(const operator_service&) = delete;
     operator_service& operator=(const operator_service&) = delete;
@@ -32,7 +33,7 @@
     bool listen(const config::socket_address& address, base::failure& last_failure);
     config::socket_address listening_address() const;
 
-    // The answer to a `status_asked` or `metrics_asked` of this service.
+    // The answer to a `status_asked`, `metrics_asked` or `explain_asked` of this service.
     void deliver(control_reply reply);
 
 private:
--- a/carawayway/entry/steering_loop.cpp
+++ b/carawayway/entry/steering_loop.cpp
@@ -149,6 +149,10 @@
     m_control.send(metrics_ready{event.token, m_metrics.to_prometheus()});
 }
 
+void steering_loop::on(explain_asked& event) {
+    m_control.send(explain_ready{event.token, m_engine.explain(event.service, event.client_address, m_now)});
+}
+
 void steering_loop::on(stop_asked&) {
     m_engine.begin_stop(m_now, m_effects);
 }
--- a/carawayway/entry/steering_loop.hpp
+++ b/carawayway/entry/steering_loop.hpp
@@ -50,6 +50,7 @@
     void on(instances_arrived& event);
     void on(status_asked& event);
     void on(metrics_asked& event);
+    void on(explain_asked& event);
     void on(stop_asked& event);
 
     void carry_out(engine::answer_caller& effect);
--- /dev/null
+++ b/carawayway/operators/store_call.hpp
@@ -0,0 +1,53 @@
+// Calls of a configuration store as coroutines.
+#pragma once
+
+#include "carawayway/platform/config_store.hpp"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace carawayway::operators {
+
+// `start` takes the handler of the call. Resumes inside the handler, on the store's executor.
+template <class Result, class Start>
+boost::asio::awaitable<Result> store_call(Start start) {
+    return boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&, void(Result)>(
+        [](auto handler, Start begin) {
+            // Store handlers are copyable functions, and a coroutine's handler can only be moved.
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            begin([shared](Result result) { std::move (*shared)(std::move(result)); });
+        },
+        boost::asio::use_awaitable, std::move(start));
+}
+
+template <platform::config_store Store>
+boost::asio::awaitable<platform::range_result> read_key(Store& store, std::string key) {
+    return store_call<platform::range_result>(
+        [&store, key = std::move(key)](platform::range_handler handler) {
+            store.range(key, "", std::move(handler));
+        });
+}
+
+template <platform::config_store Store>
+boost::asio::awaitable<platform::write_result> write_key(Store& store, std::string key,
+                                                         std::int64_t expected_revision, std::string value) {
+    return store_call<platform::write_result>([&store, key = std::move(key), expected_revision,
+                                               value = std::move(value)](platform::write_handler handler) {
+        store.compare_and_swap(key, expected_revision, value, 0, std::move(handler));
+    });
+}
+
+template <platform::config_store Store>
+boost::asio::awaitable<platform::write_result> erase_key(Store& store, std::string key) {
+    return store_call<platform::write_result>(
+        [&store, key = std::move(key)](platform::write_handler handler) {
+            store.erase(key, std::move(handler));
+        });
+}
+
+} // namespace carawayway::operators
--- a/carawayway/platform/config_store.hpp
+++ b/carawayway/platform/config_store.hpp
@@ -110,6 +110,8 @@
     // Writes when the key's modification revision is the expected one; 0: the key must not exist. A lease ID
     // of 0 attaches no lease.
     { store.compare_and_swap(text, number, text, number, on_write) } -> std::same_as<void>;
+    // The one key, whatever its revision; written also when there is no such key.
+    { store.erase(text, on_write) } -> std::same_as<void>;
     // Key, range end, start revision (0: from now on). After cancel() neither handler runs.
     { store.watch(text, text, number, on_event, on_closed) } -> std::same_as<cancel_handle>;
     { store.grant_lease(duration, on_lease) } -> std::same_as<void>;
--- a/carawayway/platform/etcd_json_codec.cpp
+++ b/carawayway/platform/etcd_json_codec.cpp
@@ -168,6 +168,12 @@
         object{{"compare", std::move(comparisons)}, {"success", std::move(operations)}});
 }
 
+std::string erase_request(std::string_view key) {
+    array operations;
+    operations.emplace_back(object{{"request_delete_range", object{{"key", encode(key)}}}});
+    return boost::json::serialize(object{{"success", std::move(operations)}});
+}
+
 std::string watch_request(std::string_view key, std::string_view range_end, std::int64_t start_revision) {
     object create{{"key", encode(key)}};
     if (!range_end.empty()) {
--- a/carawayway/platform/etcd_json_codec.hpp
+++ b/carawayway/platform/etcd_json_codec.hpp
@@ -16,6 +16,8 @@
 // A transaction that puts the key when its modification revision is the expected one; 0: it must not exist.
 std::string compare_and_swap_request(std::string_view key, std::int64_t expected_mod_revision,
                                      std::string_view value, std::int64_t lease_id);
+// A transaction that erases the key.
+std::string erase_request(std::string_view key);
 std::string watch_request(std::string_view key, std::string_view range_end, std::int64_t start_revision);
 std::string lease_grant_request(std::int64_t seconds);
 std::string lease_request(std::int64_t id); // for keepalive and revoke
--- a/carawayway/platform/etcd_json_store.cpp
+++ b/carawayway/platform/etcd_json_store.cpp
@@ -100,6 +100,20 @@
     return "status " + std::to_string(result.status) + ": " + etcd_json::error_detail(result.body);
 }
 
+auto transaction_handler(write_handler handler) {
+    return [handler = std::move(handler)](const exchange_result& exchanged) {
+        base::failure failure{base::error_kind::store_unavailable, failure_detail(exchanged)};
+        if (exchanged.progress == exchange_progress::answered && exchanged.status == status_ok) {
+            if (const auto reply = etcd_json::parse_transaction_reply(exchanged.body, failure)) {
+                const auto outcome = reply->succeeded ? write_outcome::written : write_outcome::conflict;
+                handler({outcome, reply->revision, {}});
+                return;
+            }
+        }
+        handler({failed_write_outcome(exchanged), 0, std::move(failure.detail)});
+    };
+}
+
 } // namespace
 
 std::string_view to_string(write_outcome outcome) {
@@ -412,20 +426,14 @@
         });
         return;
     }
-    m_implementation->call(
-        call_kind::write, "/v3/kv/txn",
-        etcd_json::compare_and_swap_request(key, expected_mod_revision, value, lease_id),
-        [handler = std::move(handler)](const exchange_result& exchanged) {
-            base::failure failure{base::error_kind::store_unavailable, failure_detail(exchanged)};
-            if (exchanged.progress == exchange_progress::answered && exchanged.status == status_ok) {
-                if (const auto reply = etcd_json::parse_transaction_reply(exchanged.body, failure)) {
-                    const auto outcome = reply->succeeded ? write_outcome::written : write_outcome::conflict;
-                    handler({outcome, reply->revision, {}});
-                    return;
-                }
-            }
-            handler({failed_write_outcome(exchanged), 0, std::move(failure.detail)});
-        });
+    m_implementation->call(call_kind::write, "/v3/kv/txn",
+                           etcd_json::compare_and_swap_request(key, expected_mod_revision, value, lease_id),
+                           transaction_handler(std::move(handler)));
+}
+
+void etcd_json_store::erase(std::string_view key, write_handler handler) {
+    m_implementation->call(call_kind::write, "/v3/kv/txn", etcd_json::erase_request(key),
+                           transaction_handler(std::move(handler)));
 }
 
 cancel_handle etcd_json_store::watch(std::string_view key, std::string_view range_end,
--- a/carawayway/platform/etcd_json_store.hpp
+++ b/carawayway/platform/etcd_json_store.hpp
@@ -44,6 +44,8 @@
     void compare_and_swap(std::string_view key, std::int64_t expected_mod_revision, std::string_view value,
                           std::int64_t lease_id, write_handler handler);
 
+    void erase(std::string_view key, write_handler handler);
+
     // The first batch, without events, says that the watch is open.
     cancel_handle watch(std::string_view key, std::string_view range_end, std::int64_t start_revision,
                         watch_handler on_event, watch_closed_handler on_closed);
