--- a/carawayway/cli/main.cpp
+++ b/carawayway/cli/main.cpp
@@ -32,6 +32,12 @@
          {"entry", "service", "method", "path", "body", "request_id", "customer", "source_address",
           "timeout_ms"},
          run_request},
+        {"ctl",
+         "Operates a deployment through any entry instance; without an action it lists the actions.",
+         "ACTION [words] [flags]",
+         {"operator", "token_file", "json", "timeout_ms", "expected_revision", "dry_run", "wait", "wait_ms",
+          "revision", "comment", "share", "window_ms", "requests_per_second", "service", "client"},
+         run_ctl},
     };
     return dispatch(argc, argv, subcommands);
 }
