--- a/Tests/platform/etcd_json_store_test.cpp
+++ b/Tests/platform/etcd_json_store_test.cpp
@@ -200,6 +200,18 @@
     EXPECT_FALSE(cancelled.closed.has_value());
 }
 
+TEST_F(etcd_json_store_test, an_erased_key_is_gone_and_can_be_erased_again) {
+    const auto erase = [this] {
+        return finish<write_result>([&](auto handler) { store.erase("key", handler); }).outcome;
+    };
+    ASSERT_EQ(write(store, 0, "x").outcome, write_outcome::written);
+    EXPECT_EQ(erase(), write_outcome::written);
+    EXPECT_TRUE(read(store).values.empty());
+    EXPECT_EQ(erase(), write_outcome::written);
+    command(R"({"down":true})");
+    EXPECT_EQ(erase(), write_outcome::outcome_unknown);
+}
+
 TEST_F(etcd_json_store_test, a_lease_holds_its_key_until_it_is_revoked) {
     const auto granted = finish<lease_result>(
         [&](auto handler) { store.grant_lease(std::chrono::milliseconds(59500), handler); });
--- a/carawayway/cli/main.cpp
+++ b/carawayway/cli/main.cpp
@@ -1,12 +1,20 @@
 // The subcommands of the one binary.
 #include "carawayway/cli/arguments.hpp"
 #include "carawayway/config/check_file.hpp"
+#include "carawayway/config/key_table.hpp"
 
 #include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_bool(key_reference, false, "print the reference of all sections and keys as Markdown instead");
 
 namespace {
 
 int run_check(const std::vector<std::string>& positional) {
+    if (FLAGS_key_reference && positional.empty()) {
+        fmt::print("{}", carawayway::config::key_reference_markdown());
+        return carawayway::cli::to_int(carawayway::cli::exit_code::done);
+    }
     if (positional.size() != 1) {
         fmt::print(stderr, "carawayway check: exactly one FILE is required\n");
         return carawayway::cli::to_int(carawayway::cli::exit_code::bad_input);
@@ -20,7 +28,7 @@
     using namespace carawayway::cli;
     const std::vector<subcommand> subcommands{
         {"entry", "Runs one entry instance until SIGTERM.", "--settings FILE", {"settings"}, run_entry},
-        {"check", "Checks a settings or policy file.", "FILE", {}, run_check},
+        {"check", "Checks a settings or policy file.", "FILE", {"key_reference"}, run_check},
         {"lookup",
          "Asks an entry instance which entry instances a caller should use.",
          "--service NAME [flags]",
--- a/carawayway/operators/policy_change.cpp
+++ b/carawayway/operators/policy_change.cpp
@@ -75,8 +75,8 @@
     return config::read_policy(text, "policy", unused).value_or(config::policy{});
 }
 
-std::string with_comment(const std::string& document, const std::string& given, std::string made) {
-    return with_value(document, "policy", "comment", given.empty() ? std::move(made) : given);
+std::string with_comment(const std::string& document, const std::string& given, const std::string& made) {
+    return with_value(document, "policy", "comment", given.empty() ? made : given);
 }
 
 // The text of a comment must stay one line: a line break would add lines to the document.
