--- a/carawayway/cli/request_command.cpp
+++ b/carawayway/cli/request_command.cpp
@@ -13,7 +13,7 @@
 DEFINE_string(path, "/", "path behind /service/NAME");
 DEFINE_string(body, "", "request body");
 DEFINE_string(request_id, "",
-              "request ID, sent as Idempotency-Key: a look-up's prefix, a dot, and a name of your own");
+              "request ID, sent as Idempotency-Key: a look-up's prefix with a name of your own appended");
 DEFINE_string(customer, "", "customer name for the metrics");
 
 namespace carawayway::cli {
