--- a/carawayway/config/key_table.cpp
+++ b/carawayway/config/key_table.cpp
@@ -86,7 +86,7 @@
     key_description{settings, "peer", "region", value_kind::name, "", required, "", 0, 0,
                     "Region of the peer's failure domain."},
     key_description{settings, "peer", "peer_address", value_kind::remote_address, "", required, "", 0, 0,
-                    "Address that the peer accepts other entry instances on."},
+                    "Address that this instance connects to, even when the peer advertises another one."},
     key_description{settings, "peer", "caller_address", value_kind::remote_address, "", required, "", 0, 0,
                     "Address that the peer accepts callers on; given in look-up answers."},
     key_description{settings, "timing", "heartbeat_ms", value_kind::milliseconds, "ms", optional, "250", 1,
--- a/carawayway/entry/instance.cpp
+++ b/carawayway/entry/instance.cpp
@@ -80,7 +80,7 @@
                                                                     ": " + error.code().message()};
             return false;
         }
-        m_peers.emplace(m_peer_duty, network_settings(), m_peer_events);
+        m_peers.emplace(m_peer_duty, network_settings(), configured_addresses(), m_peer_events);
         if (!m_peers->listen(last_failure) ||
             !m_operators.listen(m_settings.operator_address, last_failure)) {
             return false;
@@ -141,6 +141,14 @@
         return limits;
     }
 
+    peer_adapter::address_map configured_addresses() const {
+        peer_adapter::address_map addresses;
+        for (const auto& seed : m_settings.seeds) {
+            addresses.emplace(seed.name, seed.peer_address);
+        }
+        return addresses;
+    }
+
     peer::network_settings network_settings() const {
         peer::network_settings network;
         network.local.name = m_identity.name;
--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-peer_adapter::peer_adapter(duty& owner, peer::network_settings settings, inbox<peer_event>& events)
-    : m_events(events), m_network(owner.context().get_executor(), std::move(settings), make_events()),
+peer_adapter::peer_adapter(duty& owner, peer::network_settings settings, address_map configured,
+                           inbox<peer_event>& events)
+    : m_events(events), m_configured(std::move(configured)), m_network(owner.context().get_executor(), std::move(settings), make_events()),
       m_flush_timer(owner.context()) {}
 
 peer::network_events peer_adapter::make_events() {
@@ -45,11 +46,18 @@
         message_arrived(name, std::move(message));
     };
     events.evidence = [this](const std::string& name, peer::connect_evidence evidence) {
-        m_events.send(peer_not_reached{name, to_evidence(evidence)});
+        report_evidence(name, evidence);
     };
     return events;
 }
 
+// A refusal proves the death of a process only at the address that this process itself listens on.
+void peer_adapter::report_evidence(const std::string& peer, peer::connect_evidence evidence) {
+    const bool unproven = evidence == peer::connect_evidence::refused && m_rerouted.contains(peer);
+    m_events.send(peer_not_reached{
+        peer, unproven ? membership::death_evidence::timed_out : to_evidence(evidence)});
+}
+
 void peer_adapter::start() {
     flush_later();
 }
@@ -88,8 +96,14 @@
 
 void peer_adapter::carry_out(engine::set_peer_targets& command) {
     std::vector<peer::peer_target> targets;
+    m_rerouted.clear();
     for (const auto& record : command.peers) {
-        targets.push_back({record.name, record.peer_address});
+        const auto configured = m_configured.find(record.name);
+        const bool own_route = configured != m_configured.end();
+        targets.push_back({record.name, own_route ? configured->second : record.peer_address});
+        if (own_route && configured->second != record.peer_address) {
+            m_rerouted.insert(record.name);
+        }
     }
     m_network.set_peers(targets);
 }
--- a/carawayway/entry/peer_adapter.hpp
+++ b/carawayway/entry/peer_adapter.hpp
@@ -8,11 +8,20 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
+#include <set>
+#include <string>
+
 namespace carawayway::entry {
 
 class peer_adapter {
 public:
-    peer_adapter(duty& owner, peer::network_settings settings, inbox<peer_event>& events);
+    using address_map = std::map<std::string, config::socket_address, std::less<>>;
+
+    // Peers in `configured` are connected to at that address, whatever address they advertise: the route from
+    // here may differ from the one that other instances use.
+    peer_adapter(duty& owner, peer::network_settings settings, address_map configured,
+                 inbox<peer_event>& events);
 
     // Binds the peer address; false with a reason when that fails. To be called before the duty starts.
     bool listen(base::failure& last_failure) { return m_network.listen(last_failure); }
@@ -32,7 +41,11 @@
     void flush_later();
     peer::network_events make_events();
 
+    void report_evidence(const std::string& peer, peer::connect_evidence evidence);
+
     outbox<peer_event> m_events;
+    address_map m_configured;
+    std::set<std::string, std::less<>> m_rerouted; // peers whose configured address is not the advertised one
     peer_call_table m_calls;
     peer::peer_network m_network;
     boost::asio::steady_timer m_flush_timer;
