--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -30,7 +30,8 @@
 
 peer_adapter::peer_adapter(duty& owner, peer::network_settings settings, address_map configured,
                            inbox<peer_event>& events)
-    : m_events(events), m_configured(std::move(configured)), m_network(owner.context().get_executor(), std::move(settings), make_events()),
+    : m_events(events), m_configured(std::move(configured)),
+      m_network(owner.context().get_executor(), std::move(settings), make_events()),
       m_flush_timer(owner.context()) {}
 
 peer::network_events peer_adapter::make_events() {
@@ -54,8 +55,8 @@
 // A refusal proves the death of a process only at the address that this process itself listens on.
 void peer_adapter::report_evidence(const std::string& peer, peer::connect_evidence evidence) {
     const bool unproven = evidence == peer::connect_evidence::refused && m_rerouted.contains(peer);
-    m_events.send(peer_not_reached{
-        peer, unproven ? membership::death_evidence::timed_out : to_evidence(evidence)});
+    m_events.send(
+        peer_not_reached{peer, unproven ? membership::death_evidence::timed_out : to_evidence(evidence)});
 }
 
 void peer_adapter::start() {
