engine: Never answer not-executed after an attempt that may have run

Found by at_most_once_test.a_crash_causing_request_takes_at_most_two_servers: an idempotent request whose first attempt was lost with its server was placed again, refused by the crash guard, and answered not-executed, although the server had started it. The same held for every refusal of a second attempt (deadline, queue, shift cap). The outcome is now unknown once an attempt may have run. The backend's history shows the start; a wrong record of the checker was ruled out by sending each idempotent request under an ID of its own. Non-idempotent requests are not affected: they are not placed again.

The same test showed that a request spent all four placements on two own servers that were down and was refused, while a neighbour had free servers. After an own server that gave no answer, peers that serve the home region are now asked before the next own server.

--- a/carawayway/engine/pending_call.hpp
+++ b/carawayway/engine/pending_call.hpp
@@ -67,6 +67,8 @@
     std::string server;                     // the last one that it was sent to, for the answer's detail
     std::string peer;                       // stage at_peer, forwarded
     std::vector<std::string> refused_peers; // not asked again for this call
+    bool started = false;                   // an attempt may have run: "not executed" is no longer true
+    bool own_server_failed = false; // an own server gave no answer: peers are asked before the next one
 };
 
 } // namespace carawayway::engine
--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -82,9 +82,12 @@
 void request_engine::complete_call(pending_call& call, std::string server, server_result result,
                                    base::time_point now, effects& out) {
     call.stage = call_stage::placing;
+    call.own_server_failed =
+        result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::refused_before_work;
     switch (result.outcome) {
     case attempt_outcome::answered: {
         const bool server_error = result.status >= 500;
+        call.started = true;
         if (server_error && may_retry(call, now)) {
             place(call, now, out);
             return;
@@ -133,6 +136,7 @@
 
 void request_engine::may_have_run(pending_call& call, base::error_kind kind, base::time_point now,
                                   effects& out) {
+    call.started = true;
     if (may_retry(call, now)) {
         place(call, now, out);
         return;
@@ -255,6 +259,10 @@
     }
     const pending_call call = std::move(found->second);
     m_calls.erase(found);
+    if (call.started && answer.execution == base::execution_state::not_executed) {
+        // The reason holds for the last attempt only.
+        answer.execution = base::execution_state::unknown;
+    }
     const auto shared = std::make_shared<const service_answer>(std::move(answer));
     if (!call.id) {
         if (m_waiters.contains(call.waiter)) {
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -47,12 +47,16 @@
                      out);
         return;
     }
-    if (home && try_local(call, lane, now, out)) {
+    const bool local_first = home && !call.own_server_failed;
+    if (local_first && try_local(call, lane, now, out)) {
         return;
     }
     if (try_peers(call, shifting::region_crossing::serves_home_region, reason, now, out)) {
         return;
     }
+    if (home && !local_first && try_local(call, lane, now, out)) {
+        return;
+    }
     if (home && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
         return;
     }
