--- a/Tests/support/deployment.cpp
+++ b/Tests/support/deployment.cpp
@@ -112,10 +112,10 @@
                        time);
         return;
     case stand_ins::backend_event_kind::finish:
-        m_recorder.add(execution_finished{event.request_id, event.server,
-                                          answer_hash(event.server, event.request_id, event.body_hash,
-                                                      event.execution)},
-                       time);
+        m_recorder.add(
+            execution_finished{event.request_id, event.server,
+                               answer_hash(event.server, event.request_id, event.body_hash, event.execution)},
+            time);
         return;
     case stand_ins::backend_event_kind::cancel:
         m_recorder.add(execution_cancelled{event.request_id, event.server}, time);
@@ -147,9 +147,8 @@
 }
 
 std::size_t deployment::index_of(const std::string& name) const {
-    const auto found =
-        std::find_if(m_options.entries.begin(), m_options.entries.end(),
-                     [&name](const entry_spec& entry) { return entry.name == name; });
+    const auto found = std::find_if(m_options.entries.begin(), m_options.entries.end(),
+                                    [&name](const entry_spec& entry) { return entry.name == name; });
     return static_cast<std::size_t>(found - m_options.entries.begin());
 }
 
@@ -234,8 +233,8 @@
     call.address = m_platform.address();
     call.method = "POST";
     call.target = "/v3/kv/put";
-    call.body = fmt::format(R"({{"key":"{}","value":"{}"}})", json::base64_encode(key),
-                            json::base64_encode(value));
+    call.body =
+        fmt::format(R"({{"key":"{}","value":"{}"}})", json::base64_encode(key), json::base64_encode(value));
     cli::call_failure failure{};
     std::string reason;
     const auto reply = cli::perform(call, failure, reason);
@@ -247,10 +246,10 @@
     const auto settings_file = name + ".ini";
     m_folder.write(settings_file, settings_text(m_options.entries.at(index_of(name))));
     const auto log = fmt::format("{}/{}.{}.log", m_folder.path(), name, ++m_starts[name]);
-    m_processes[name] = std::make_unique<child_process>(
-        std::vector<std::string>{CARAWAYWAY_PROGRAM, "entry", "--settings",
-                                 m_folder.path() + "/" + settings_file},
-        log);
+    m_processes[name] =
+        std::make_unique<child_process>(std::vector<std::string>{CARAWAYWAY_PROGRAM, "entry", "--settings",
+                                                                 m_folder.path() + "/" + settings_file},
+                                        log);
     cli::http_call call;
     call.address = caller_address(name);
     call.target = "/ready";
--- a/Tests/support/process_harness.cpp
+++ b/Tests/support/process_harness.cpp
@@ -2,22 +2,21 @@
 #include "Tests/support/process_harness.hpp"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <netinet/in.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 namespace carawayway::test_support {
 
--- a/Tests/support/process_harness.hpp
+++ b/Tests/support/process_harness.hpp
@@ -1,12 +1,11 @@
 // Child processes, temporary folders and waiting, for tests that run the program itself.
 #pragma once
 
-#include <sys/types.h>
-
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 #include <vector>
 
 namespace carawayway::test_support {
@@ -33,8 +32,8 @@
 
 std::string read_text(const std::string& path);
 
-// A port that is free on the addresses 127.1.0.0 to 127.9.255.255: it is held on 127.0.0.1 for as long as this
-// object lives, and other tests that reserve one get another number.
+// A port that is free on the addresses 127.1.0.0 to 127.9.255.255: it is held on 127.0.0.1 for as long as
+// this object lives, and other tests that reserve one get another number.
 class reserved_port {
 public:
     reserved_port();
--- a/Tests/system/failure_test.cpp
+++ b/Tests/system/failure_test.cpp
@@ -55,7 +55,8 @@
     system.expect_history_holds();
 }
 
-// An entry that resumes still believes that it owns its servers, which others have taken over in the meantime.
+// An entry that resumes still believes that it owns its servers, which others have taken over in the
+// meantime.
 TEST(failure_test, a_paused_entry_never_overloads_servers_and_serves_again) {
     deployment system(two_neighbours());
     ASSERT_NO_FATAL_FAILURE(system.start());
--- a/Tests/system/sample_deployments.hpp
+++ b/Tests/system/sample_deployments.hpp
@@ -19,10 +19,9 @@
 
 // A failure domain with two entries, and another region with one.
 inline deployment_options two_neighbours(std::uint32_t servers_per_domain = 2) {
-    return {{{"hki-a-1", "hki-a", "uusimaa"},
-             {"hki-a-2", "hki-a", "uusimaa"},
-             {"tre-a-1", "tre-a", "pirkanmaa"}},
-            both_services(servers_per_domain)};
+    return {
+        {{"hki-a-1", "hki-a", "uusimaa"}, {"hki-a-2", "hki-a", "uusimaa"}, {"tre-a-1", "tre-a", "pirkanmaa"}},
+        both_services(servers_per_domain)};
 }
 
 } // namespace carawayway::test_support
