--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -82,10 +82,12 @@
 void request_engine::complete_call(pending_call& call, std::string server, server_result result,
                                    base::time_point now, effects& out) {
     call.stage = call_stage::placing;
+    call.own_server_failed =
+        result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::refused_before_work;
     switch (result.outcome) {
     case attempt_outcome::answered: {
         const bool server_error = result.status >= 500;
-        if (server_error && may_retry(call, now)) {
+                if (server_error && may_retry(call, now)) {
             call.may_have_run = true;
             place(call, now, out);
             return;
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -53,15 +53,16 @@
                      out);
         return;
     }
-    // Own servers that all fail are the last choice, since their callers would see nothing but failures.
-    const bool reliable = lane->pool.reliable(now);
-    if (home && reliable && try_local(call, lane, now, out)) {
+    // Own servers that all fail are the last choice, since their callers would see nothing but failures. So is a
+    // second own server after one that gave no answer.
+    const bool local_first = home && lane->pool.reliable(now) && !call.own_server_failed;
+    if (local_first && try_local(call, lane, now, out)) {
         return;
     }
     if (try_peers(call, shifting::region_crossing::serves_home_region, reason, now, out)) {
         return;
     }
-    if (home && !reliable && try_local(call, lane, now, out)) {
+    if (home && !local_first && try_local(call, lane, now, out)) {
         return;
     }
     if (home && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
