--- /dev/null
+++ b/bench/load/arrival_schedule.hpp
@@ -0,0 +1,39 @@
+// Open-loop arrivals: a Poisson stream for each service, spread evenly over the regions and their callers.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace carawayway::bench {
+
+struct arrival {
+    base::duration at{}; // since the start of the run
+    std::size_t service = 0;
+    std::size_t region = 0;
+    std::size_t caller = 0; // within the region
+
+    bool operator==(const arrival&) const = default;
+};
+
+class arrival_schedule {
+public:
+    // `rates` holds the requests per second of each service; their sum, `regions` and `callers` are positive.
+    arrival_schedule(std::vector<double> rates, std::size_t regions, std::size_t callers, std::uint64_t seed);
+
+    // Times never decrease. The schedule has no end.
+    arrival next();
+
+private:
+    std::size_t m_regions;
+    std::size_t m_callers;
+    std::mt19937_64 m_random;
+    std::exponential_distribution<double> m_gap;
+    std::discrete_distribution<std::size_t> m_service;
+    base::duration m_last{};
+};
+
+} // namespace carawayway::bench
--- /dev/null
+++ b/bench/load/child_process.hpp
@@ -0,0 +1,34 @@
+// A child process of the tool, ended by its ID.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace carawayway::bench {
+
+class child_process {
+public:
+    // Starts the program with its output in `log_file`. Throws std::system_error. Call it from the main
+    // thread: the child is killed when the thread that started it ends.
+    child_process(const std::vector<std::string>& arguments, const std::string& log_file);
+
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&&) = delete;
+    // Ends the process: SIGTERM, then SIGKILL after a short grace.
+    ~child_process();
+
+    void send_signal(int number) const;
+    // True once the process has ended. Never blocks.
+    bool ended();
+    pid_t id() const { return m_id; }
+
+private:
+    pid_t m_id = -1; // -1: ended and collected
+};
+
+} // namespace carawayway::bench
--- /dev/null
+++ b/bench/load/load_run.hpp
@@ -0,0 +1,41 @@
+// One open-loop run of the planned arrivals against a sender.
+#pragma once
+
+#include "bench/load/request_sender.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace carawayway::bench {
+
+struct load_plan {
+    std::vector<double> rates; // requests per second of each service
+    std::size_t regions = 1;
+    std::size_t callers = 1; // in each region
+    std::uint64_t seed = 1;
+    base::duration warm_up{};  // at the start, not counted
+    base::duration counted{};  // after the warm-up
+    base::duration deadline{}; // of each request
+};
+
+// An action during the run, carried out on a thread of its own so that it may block.
+struct timed_action {
+    base::duration at{}; // since the start of the run
+    std::function<void()> run;
+};
+
+struct load_result {
+    std::vector<outcome_summary> by_arrival; // of each service: requests that arrived while counting
+    std::vector<std::uint64_t> completed;    // answers in time that came while counting
+    std::vector<base::time_point> answers;   // times of all answers in time, ascending
+    base::time_point started{};
+};
+
+// Returns when every request has ended.
+load_result run_load(boost::asio::io_context& context, request_sender& sender, const load_plan& plan,
+                     std::vector<timed_action> actions = {});
+
+} // namespace carawayway::bench
--- /dev/null
+++ b/bench/load/scenario_support.hpp
@@ -0,0 +1,14 @@
+// Shared by the scenarios; private to this folder.
+#pragma once
+
+#include "bench/load/scenarios.hpp"
+
+namespace carawayway::bench {
+
+load_plan plan_of(const scenario_options& options, const config::policy& policy);
+caller_delays delays_of(const scenario_options& options);
+void print_conditions(const scenario_options& options, const deployment& deployed, const load_plan& plan);
+// Waits until all slots are usable; prints a warning when they are not.
+void require_capacity(const deployment& deployed);
+
+} // namespace carawayway::bench
