engine, shifting: Spread callers by slots and pass waiting requests to peers with room

Cause: an entry instance learned its neighbours' room every 500 ms, longer than a service time, and a request that waited stayed where it was. Look-ups spread callers evenly over entry instances that own one to three servers of a service. Change: summaries go to entry instances of the own region every 20 ms (16 ms per link in larger regions, not at all above 15 links); a summary moves waiting requests to peers with room; look-ups weight the rendezvous hash by the usable slots of the service; rates of arrivals are averaged over 500 ms however often summaries are sent.

--- a/bench/load/arrival_schedule.cpp
+++ b/bench/load/arrival_schedule.cpp
@@ -1,23 +1,28 @@
-// Superposed Poisson streams: one stream of all services whose arrivals are assigned to services by rate.
+// Superposed Poisson streams: one stream of all arrivals, each assigned to a service and region by rate.
 #include "bench/load/arrival_schedule.hpp"
 
 #include <numeric>
 
 namespace carawayway::bench {
 
-arrival_schedule::arrival_schedule(std::vector<double> rates, std::size_t regions, std::size_t callers,
+arrival_schedule::arrival_schedule(const std::vector<std::vector<double>>& rates, std::size_t callers,
                                    std::uint64_t seed)
-    : m_regions(regions), m_callers(callers), m_random(seed),
-      m_gap(std::accumulate(rates.begin(), rates.end(), 0.0)), m_service(rates.begin(), rates.end()) {}
+    : m_callers(callers), m_random(seed) {
+    std::vector<double> weights;
+    for (std::size_t service = 0; service < rates.size(); ++service) {
+        for (std::size_t region = 0; region < rates[service].size(); ++region) {
+            m_streams.push_back({service, region});
+            weights.push_back(rates[service][region]);
+        }
+    }
+    m_gap = std::exponential_distribution<double>(std::accumulate(weights.begin(), weights.end(), 0.0));
+    m_next_stream = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
+}
 
 arrival arrival_schedule::next() {
     m_last += std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(m_gap(m_random)));
-    arrival result;
-    result.at = m_last;
-    result.service = m_service(m_random);
-    result.region = m_random() % m_regions;
-    result.caller = m_random() % m_callers;
-    return result;
+    const stream& chosen = m_streams[m_next_stream(m_random)];
+    return {m_last, chosen.service, chosen.region, m_random() % m_callers};
 }
 
 } // namespace carawayway::bench
--- a/bench/load/arrival_schedule.hpp
+++ b/bench/load/arrival_schedule.hpp
@@ -1,4 +1,4 @@
-// Open-loop arrivals: a Poisson stream for each service, spread evenly over the regions and their callers.
+// Open-loop arrivals: a Poisson stream for each service and region, spread evenly over the callers there.
 #pragma once
 
 #include "carawayway/base/time.hpp"
@@ -21,18 +21,24 @@
 
 class arrival_schedule {
 public:
-    // `rates` holds the requests per second of each service; their sum, `regions` and `callers` are positive.
-    arrival_schedule(std::vector<double> rates, std::size_t regions, std::size_t callers, std::uint64_t seed);
+    // `rates` holds the requests per second of each service from each region; their sum and `callers` are
+    // positive.
+    arrival_schedule(const std::vector<std::vector<double>>& rates, std::size_t callers, std::uint64_t seed);
 
     // Times never decrease. The schedule has no end.
     arrival next();
 
 private:
-    std::size_t m_regions;
+    struct stream {
+        std::size_t service = 0;
+        std::size_t region = 0;
+    };
+
+    std::vector<stream> m_streams;
     std::size_t m_callers;
     std::mt19937_64 m_random;
     std::exponential_distribution<double> m_gap;
-    std::discrete_distribution<std::size_t> m_service;
+    std::discrete_distribution<std::size_t> m_next_stream;
     base::duration m_last{};
 };
 
--- a/bench/load/load_report.cpp
+++ b/bench/load/load_report.cpp
@@ -25,14 +25,19 @@
 
 } // namespace
 
-std::vector<double> slots_by_service(const config::policy& policy) {
-    std::vector<double> slots;
+std::vector<std::vector<double>> slots_by_service(const config::policy& policy) {
+    std::vector<std::vector<double>> slots;
     for (const auto& service : policy.services) {
-        double sum = 0;
-        for (const auto& server : policy.servers) {
-            sum += server.service == service.name ? server.slots : 0;
+        auto& by_region = slots.emplace_back();
+        for (const auto& region : policy.regions) {
+            double sum = 0;
+            for (const auto& server : policy.servers) {
+                const bool counts =
+                    server.service == service.name && policy.region_of(server.failure_domain) == region.name;
+                sum += counts ? server.slots : 0;
+            }
+            by_region.push_back(sum);
         }
-        slots.push_back(sum);
     }
     return slots;
 }
--- a/bench/load/load_report.hpp
+++ b/bench/load/load_report.hpp
@@ -9,8 +9,8 @@
 
 namespace carawayway::bench {
 
-// Slots of each service, in the order of the policy.
-std::vector<double> slots_by_service(const config::policy& policy);
+// Slots of each service in each region, in the order of the policy.
+std::vector<std::vector<double>> slots_by_service(const config::policy& policy);
 // One-minute load average of the machine, for the record beside timings.
 double load_average();
 
--- a/bench/load/load_run.cpp
+++ b/bench/load/load_run.cpp
@@ -25,7 +25,7 @@
     }
 
     asio::awaitable<void> generate() {
-        arrival_schedule schedule(m_plan.rates, m_plan.regions, m_plan.callers, m_plan.seed);
+        arrival_schedule schedule(m_plan.rates, m_plan.callers, m_plan.seed);
         asio::steady_timer timer(m_context);
         for (;;) {
             const arrival next = schedule.next();
--- a/bench/load/load_run.hpp
+++ b/bench/load/load_run.hpp
@@ -12,9 +12,8 @@
 namespace carawayway::bench {
 
 struct load_plan {
-    std::vector<double> rates; // requests per second of each service
-    std::size_t regions = 1;
-    std::size_t callers = 1; // in each region
+    std::vector<std::vector<double>> rates; // requests per second of each service from each region
+    std::size_t callers = 1;                // in each region
     std::uint64_t seed = 1;
     base::duration warm_up{};  // at the start, not counted
     base::duration counted{};  // after the warm-up
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_string(program_folder, "build", "build folder with the programs to start");
 DEFINE_uint32(first_port, 31000, "first of 1000 ports that the processes use");
 DEFINE_double(load, 0.8, "offered load, times capacity (slots / mean service time)");
+DEFINE_string(region_demand, "slots", "demand of the regions: slots (in proportion to their slots) or even");
 DEFINE_string(rules, "random,round_robin,least_in_flight,entries", "what to run, in this order");
 DEFINE_double(warm_up, 3, "seconds of load that are not counted");
 DEFINE_double(seconds, 6, "seconds of load that are counted");
@@ -53,6 +54,8 @@
     options.deployed.delays_between_entries = FLAGS_link_delays;
     options.deployed.lookup_lifetime_ms = FLAGS_lookup_lifetime_ms;
     options.load = FLAGS_load;
+    options.demand =
+        FLAGS_region_demand == "even" ? bench::region_demand::even : bench::region_demand::by_slots;
     options.warm_up = seconds(FLAGS_warm_up);
     options.counted = seconds(FLAGS_seconds);
     options.deadline = std::chrono::milliseconds(FLAGS_deadline_ms);
--- a/bench/load/outage_scenarios.cpp
+++ b/bench/load/outage_scenarios.cpp
@@ -21,14 +21,6 @@
 constexpr auto rate_step = std::chrono::milliseconds(50);
 constexpr double recovered_share = 0.95;
 
-std::vector<double> capacity_of(const load_plan& plan, double load) {
-    std::vector<double> capacity;
-    for (const double rate : plan.rates) {
-        capacity.push_back(rate / load);
-    }
-    return capacity;
-}
-
 std::uint64_t number(const boost::json::object& statistics, const char* name) {
     const auto* value = statistics.if_contains(name);
     return value == nullptr ? 0 : value->to_number<std::uint64_t>();
--- a/bench/load/scenarios.cpp
+++ b/bench/load/scenarios.cpp
@@ -96,12 +96,33 @@
     return {milliseconds(options.client_delay_ms), milliseconds(away)};
 }
 
+std::vector<double> rates_by_service(const load_plan& plan) {
+    std::vector<double> sums;
+    for (const auto& rates : plan.rates) {
+        sums.push_back(std::accumulate(rates.begin(), rates.end(), 0.0));
+    }
+    return sums;
+}
+
+std::vector<double> capacity_of(const load_plan& plan, double load) {
+    auto capacity = rates_by_service(plan);
+    for (double& rate : capacity) {
+        rate /= load;
+    }
+    return capacity;
+}
+
 load_plan plan_of(const scenario_options& options, const config::policy& policy) {
     load_plan plan;
-    for (const double slots : slots_by_service(policy)) {
-        plan.rates.push_back(options.load * slots * 1000.0 / options.deployed.service_time_ms);
+    for (auto rates : slots_by_service(policy)) {
+        const double sum = std::accumulate(rates.begin(), rates.end(), 0.0);
+        for (double& rate : rates) {
+            const double slots =
+                options.demand == region_demand::even ? sum / static_cast<double>(rates.size()) : rate;
+            rate = options.load * slots * 1000.0 / options.deployed.service_time_ms;
+        }
+        plan.rates.push_back(std::move(rates));
     }
-    plan.regions = policy.regions.size();
     plan.callers = options.callers;
     plan.seed = options.seed;
     plan.warm_up = options.warm_up;
@@ -111,16 +132,19 @@
 }
 
 void print_conditions(const scenario_options& options, const deployment& deployed, const load_plan& plan) {
-    const double total = std::accumulate(plan.rates.begin(), plan.rates.end(), 0.0);
+    const auto rates = rates_by_service(plan);
+    const double total = std::accumulate(rates.begin(), rates.end(), 0.0);
     fmt::print("{}: {} entry instances, {} servers; service time {} ms {}, chosen so that 2.0 times capacity "
                "stays below 2500 requests/s\n",
                options.deployed.policy_file, deployed.entries().size(), deployed.policy().servers.size(),
                options.deployed.service_time_ms, options.deployed.distribution);
-    fmt::print(
-        "load {:.2f} times capacity = {:.0f} requests/s; deadline {} ms; one-way delays: {} ms to callers, "
-        "{} ms between failure domains, {} ms between regions\n",
-        options.load, total, base::to_milliseconds(options.deadline), options.client_delay_ms,
-        options.deployed.domain_delay_ms, options.deployed.region_delay_ms);
+    fmt::print("load {:.2f} times capacity = {:.0f} requests/s, from the regions {}; deadline {} ms; one-way "
+               "delays: {} ms to callers, "
+               "{} ms between failure domains, {} ms between regions\n",
+               options.load, total,
+               options.demand == region_demand::even ? "evenly" : "in proportion to their slots",
+               base::to_milliseconds(options.deadline), options.client_delay_ms,
+               options.deployed.domain_delay_ms, options.deployed.region_delay_ms);
 }
 
 void require_capacity(const deployment& deployed) {
@@ -134,10 +158,7 @@
     const deployment deployed(options.deployed);
     const load_plan plan = plan_of(options, deployed.policy());
     print_conditions(options, deployed, plan);
-    std::vector<double> capacity;
-    for (const double rate : plan.rates) {
-        capacity.push_back(rate / options.load);
-    }
+    const auto capacity = capacity_of(plan, options.load);
     print_header(fmt::format("load {:.2f}, {} s counted", options.load, base::to_seconds(options.counted)));
     for (const auto& rule : options.rules) {
         if (rule == "entries") {
--- a/bench/load/scenarios.hpp
+++ b/bench/load/scenarios.hpp
@@ -11,9 +11,16 @@
 
 namespace carawayway::bench {
 
+// How the demand for a service is spread over the regions.
+enum class region_demand : std::uint8_t {
+    by_slots, // in proportion to the slots in each region
+    even,     // the same everywhere, so that regions with fewer slots need others
+};
+
 struct scenario_options {
     deployment_options deployed;
     double load = 0.8; // times capacity
+    region_demand demand = region_demand::by_slots;
     base::duration warm_up = std::chrono::seconds(3);
     base::duration counted = std::chrono::seconds(6);
     base::duration deadline = std::chrono::seconds(2);
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -37,6 +37,9 @@
         send_summaries(now, out);
         m_next_summary = now + interval(m_control.summary_interval);
     }
+    if (now >= m_next_near_summary) {
+        send_near_summaries(now, out);
+    }
     if (now >= m_next_slow_work) {
         m_next_slow_work = now + slow_work_interval;
         m_summaries.prune(now);
@@ -120,6 +123,36 @@
     }
 }
 
+std::vector<std::string> entry_engine::near_links() const {
+    std::vector<std::string> near;
+    for (const auto& link : m_links) {
+        const auto* member = m_members.find(link);
+        if (member != nullptr && member->record.region == m_identity.region) {
+            near.push_back(link);
+        }
+    }
+    return near;
+}
+
+// Large deployments do without, so that the control traffic stays bounded.
+void entry_engine::send_near_summaries(base::time_point now, effects& out) {
+    const auto near = near_links();
+    m_next_near_summary =
+        now + std::max<base::duration>(m_control.near_summary_interval,
+                                       m_control.interval_per_link * static_cast<std::int64_t>(near.size()));
+    if (near.empty() || m_links.size() > links_at_shortest_interval) {
+        return;
+    }
+    auto summary = m_requests.summary(now);
+    const auto own = m_list_draining.find(m_identity.name);
+    if (own != m_list_draining.end()) {
+        summary.draining_servers.assign(own->second.begin(), own->second.end());
+    }
+    for (const auto& link : near) {
+        out.emplace_back(send_to_peer{link, summary, std::nullopt});
+    }
+}
+
 // The rate of a region is only learned while one of its entry instances is heard: when they are all gone, the
 // callers that arrive elsewhere must not raise the allowance for their own move.
 void entry_engine::update_shift_references(base::time_point now) {
@@ -307,6 +340,7 @@
     leaving = {message.draining_servers.begin(), message.draining_servers.end()};
     m_summaries.update(context.peer, std::move(message), context.now);
     apply_list_draining(context.now, context.out);
+    m_requests.pass_on_waiting(context.now, context.out);
 }
 
 void entry_engine::handle(const message_context& context, wire::policy_request&) {
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// Slots. An entry instance without own servers of a service still serves some callers, by passing requests
+// on.
+constexpr double least_lookup_weight = 0.25;
+
 std::string to_text(const config::socket_address& address) {
     const bool ipv6 = address.host.find(':') != std::string::npos;
     return (ipv6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
@@ -35,7 +39,8 @@
           [this](std::string_view server) { return m_requests.in_flight(std::string(server)); },
           [this](std::string_view server) { return reachable(server); }, now),
       m_spread(membership::config_spread_settings{}), m_summaries(control.summary_lifetime),
-      m_state_since(now), m_next_heartbeat(now), m_next_summary(now), m_next_slow_work(now) {}
+      m_state_since(now), m_next_heartbeat(now), m_next_summary(now), m_next_near_summary(now),
+      m_next_slow_work(now) {}
 
 void entry_engine::add_seed(const wire::member_record& seed, base::time_point now) {
     m_members.add_seed(seed, now);
@@ -99,22 +104,26 @@
     }
     std::vector<shifting::known_entry> entries;
     std::vector<const wire::member_record*> records;
-    const auto add = [&](const wire::member_record& record, shifting::entry_state state) {
+    const auto add = [&](const wire::member_record& record, shifting::entry_state state, double slots) {
         const auto& draining = policy->content().draining_entries;
         const bool drained = std::find(draining.begin(), draining.end(), record.name) != draining.end();
         entries.push_back({record.name, record.failure_domain, record.region,
-                           drained ? shifting::entry_state::draining : state});
+                           drained ? shifting::entry_state::draining : state,
+                           std::max(slots, least_lookup_weight)});
         records.push_back(&record);
     };
     add(m_members.self(),
-        m_state == run_state::running ? shifting::entry_state::active : shifting::entry_state::stopping);
+        m_state == run_state::running ? shifting::entry_state::active : shifting::entry_state::stopping,
+        m_requests.usable_slots(service, now));
     for (const auto& [name, member] : m_members.members()) {
         const bool usable = member.heard && member.status == membership::member_status::alive &&
                             member.record.caller_address.port != 0;
         if (usable) {
-            add(member.record, member.running == wire::running_state::running
-                                   ? shifting::entry_state::active
-                                   : shifting::entry_state::stopping);
+            const auto* load = m_summaries.find_service(name, service, now);
+            add(member.record,
+                member.running == wire::running_state::running ? shifting::entry_state::active
+                                                               : shifting::entry_state::stopping,
+                load == nullptr ? 0.0 : load->usable_slots);
         }
     }
     answer.service = service;
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -24,7 +24,10 @@
 struct control_settings {
     base::duration heartbeat_interval = std::chrono::milliseconds(250);
     base::duration summary_interval = std::chrono::milliseconds(500);
-    // With many links both intervals grow, so that the control traffic of an instance stays bounded.
+    // Between entry instances of one region, which take each other's requests before a queue forms: with
+    // older news they queue beside free slots.
+    base::duration near_summary_interval = std::chrono::milliseconds(20);
+    // With many links all intervals grow, so that the control traffic of an instance stays bounded.
     base::duration interval_per_link = std::chrono::milliseconds(16);
     std::size_t relayed_counters = 8; // per heartbeat
     std::size_t lookup_entries = 8;   // entry instances named in a look-up answer
@@ -108,6 +111,8 @@
     void apply_ownership(base::time_point now, effects& out);
     void send_heartbeats(base::time_point now, effects& out);
     void send_summaries(base::time_point now, effects& out);
+    void send_near_summaries(base::time_point now, effects& out);
+    std::vector<std::string> near_links() const;
     void update_shift_references(base::time_point now);
     void request_policy(base::time_point now, effects& out);
     void refresh_targets(effects& out);
@@ -155,6 +160,7 @@
     std::uint64_t m_heartbeat_counter = 0;
     base::time_point m_next_heartbeat;
     base::time_point m_next_summary;
+    base::time_point m_next_near_summary;
     base::time_point m_next_slow_work; // work that is done about once a second
     std::set<std::string> m_links;
     std::map<std::string, std::uint64_t> m_claims_sent; // link to the version of the claims it was sent last
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Rates of arrivals are averaged over this, however often summaries are sent.
+constexpr auto rate_period = std::chrono::milliseconds(500);
+
 steering::server_spec to_spec(const compiled_policy& policy, const config::server_policy& server) {
     const auto* service = policy.find_service(server.service);
     return {server.name, policy.effective_slots(server.name), server.connections,
@@ -158,7 +161,15 @@
 
 wire::entry_summary request_engine::summary(base::time_point now) {
     wire::entry_summary result;
-    const double seconds = std::max(base::to_seconds(now - m_arrivals_since), 1e-3);
+    if (now - m_arrivals_since >= rate_period) {
+        const double seconds = base::to_seconds(now - m_arrivals_since);
+        m_arrival_rates.clear();
+        for (const auto& [key, count] : m_arrivals) {
+            m_arrival_rates[key] = static_cast<double>(count) / seconds;
+        }
+        m_arrivals.clear();
+        m_arrivals_since = now;
+    }
     for (auto& [name, lane] : m_lanes) {
         wire::service_summary item;
         item.service = name;
@@ -168,18 +179,21 @@
         item.queued = static_cast<std::uint32_t>(lane->queue.size());
         item.typical_latency_us = static_cast<std::uint32_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(lane->typical_latency()).count());
-        for (const auto& [key, count] : m_arrivals) {
+        for (const auto& [key, rate] : m_arrival_rates) {
             if (key.first == name) {
-                item.home_rates.push_back({key.second, static_cast<double>(count) / seconds});
+                item.home_rates.push_back({key.second, rate});
             }
         }
         result.services.push_back(std::move(item));
     }
-    m_arrivals.clear();
-    m_arrivals_since = now;
     return result;
 }
 
+std::uint32_t request_engine::usable_slots(const std::string& service, base::time_point now) const {
+    const auto* lane = find_lane(service);
+    return lane == nullptr ? 0 : lane->pool.usable_slots(now);
+}
+
 std::uint32_t request_engine::in_flight(const std::string& server) const {
     std::uint32_t sum = 0;
     for (const auto& [name, lane] : m_lanes) {
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -87,6 +87,8 @@
     void peer_cancel(const std::string& entry, std::uint64_t call, base::time_point now, effects& out);
     void peer_call_lost(const std::string& entry, std::uint64_t call, loss_evidence evidence,
                         base::time_point now, effects& out);
+    // The view of the peers' room has changed: requests that wait here may go to a peer of their home region.
+    void pass_on_waiting(base::time_point now, effects& out);
     void merge_strike(const wire::strike& record, base::time_point now);
     void clear_strike(const wire::strike_cleared& record);
     peer_view& peers() { return m_peers; }
@@ -97,6 +99,7 @@
 
     // Reports.
     wire::entry_summary summary(base::time_point now);
+    std::uint32_t usable_slots(const std::string& service, base::time_point now) const;
     std::uint32_t in_flight(const std::string& server) const;
     std::size_t calls() const { return m_calls.size(); }
     std::vector<shifting::shift_status> shift_status(base::time_point now) const {
@@ -228,6 +231,7 @@
     std::map<std::pair<std::string, std::string>, std::uint64_t>
         m_arrivals; // (service, home) since last summary
     base::time_point m_arrivals_since;
+    std::map<std::pair<std::string, std::string>, double> m_arrival_rates; // per second, of the last period
     std::vector<std::string> m_drain_evidence;
     std::uint64_t m_last_number = 0; // calls, waiters and attempts share one sequence
 };
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -183,6 +183,28 @@
     return false;
 }
 
+// Room at a peer is used as soon as it is known: a slot here may not become free for a whole service time.
+void request_engine::pass_on_waiting(base::time_point now, effects& out) {
+    for (auto& [name, lane] : m_lanes) {
+        const auto waiting = lane->queue.waiting(); // a copy: passing on changes the queue
+        for (const auto& item : waiting) {
+            auto* call = find_call(item.token);
+            assert(call != nullptr);
+            const bool fixed = call->scope == placement_scope::local_only ||
+                               call->attempts >= m_limits.placements ||
+                               m_guard.check(call->fingerprint, now) != steering::guard_verdict::clear;
+            if (fixed) {
+                continue;
+            }
+            refusal_reason ignored;
+            if (!try_peers(*call, shifting::region_crossing::serves_home_region, ignored, now, out)) {
+                break;
+            }
+            lane->queue.erase(item.token);
+        }
+    }
+}
+
 void request_engine::send_call(pending_call& call, const std::string& entry, call_stage stage,
                                base::time_point now, effects& out) {
     if (stage == call_stage::at_peer && call.id && call.attempts == 0) {
--- a/carawayway/shifting/site_selector.cpp
+++ b/carawayway/shifting/site_selector.cpp
@@ -71,6 +71,14 @@
     return ranked;
 }
 
+// Weighted rendezvous hashing: an exponential variate with the weight as rate, from the hash. A change of one
+// weight moves only callers from or to that entry.
+double weighted_rank(std::string_view client_address, const known_entry& entry) {
+    const auto hash = base::rendezvous_rank(client_address, entry.entry);
+    const double uniform = (static_cast<double>(hash >> 11U) + 0.5) * 0x1p-53;
+    return -std::log(uniform) / entry.weight;
+}
+
 } // namespace
 
 std::vector<site_candidate> spill_over_order(const spill_over_request& request,
@@ -96,7 +104,7 @@
                                       std::span<const known_entry> entries) {
     struct ranked_index {
         bool away = false; // outside the home region
-        std::uint64_t rank = 0;
+        double order = 0;
         std::size_t index = 0;
     };
     std::vector<ranked_index> ranked;
@@ -104,15 +112,14 @@
     for (std::size_t index = 0; index < entries.size(); ++index) {
         const auto& entry = entries[index];
         if (entry.state == entry_state::active) {
-            ranked.push_back(
-                {entry.region != home_region, base::rendezvous_rank(client_address, entry.entry), index});
+            ranked.push_back({entry.region != home_region, weighted_rank(client_address, entry), index});
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const ranked_index& left, const ranked_index& right) {
         if (left.away != right.away) {
             return right.away;
         }
-        return left.rank != right.rank ? left.rank > right.rank : left.index < right.index;
+        return left.order != right.order ? left.order < right.order : left.index < right.index;
     });
     std::vector<std::size_t> order;
     order.reserve(ranked.size());
--- a/carawayway/shifting/site_selector.hpp
+++ b/carawayway/shifting/site_selector.hpp
@@ -74,6 +74,7 @@
     std::string failure_domain;
     std::string region;
     entry_state state = entry_state::active;
+    double weight = 1.0; // positive; callers are spread in proportion to it
 
     bool operator==(const known_entry&) const = default;
 };
--- a/carawayway/steering/admission_queue.hpp
+++ b/carawayway/steering/admission_queue.hpp
@@ -70,6 +70,8 @@
     bool erase(std::uint64_t token);
 
     std::size_t size() const { return m_waiting.size(); }
+    // In the order in which they will be taken.
+    const std::deque<waiting_request>& waiting() const { return m_waiting; }
     std::optional<base::time_point> next_deadline() const;
 
     // Expected wait of a request with this deadline if it were queued now; nullopt without capacity.
