--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -28,7 +28,10 @@
     base::duration control_interval = std::chrono::milliseconds(50);
     base::duration heartbeat_interval = std::chrono::milliseconds(250);
     base::duration summary_interval = std::chrono::milliseconds(500);
-    // With many links both intervals grow, so that the control traffic of an instance stays bounded.
+    // Between entry instances of one region, which take each other's requests before a queue forms: with
+    // older news they queue beside free slots.
+    base::duration near_summary_interval = std::chrono::milliseconds(20);
+    // With many links all intervals grow, so that the control traffic of an instance stays bounded.
     base::duration interval_per_link = std::chrono::milliseconds(16);
     std::size_t relayed_counters = 8; // per heartbeat
     std::size_t lookup_entries = 8;   // entry instances named in a look-up answer
@@ -103,8 +106,8 @@
     // entry_engine.cpp
     std::vector<member_report> members() const;
     void add_prefix(lookup_answer& answer, const std::string& preferred_region, base::time_point now);
-    std::vector<lookup_entry> lookup_entries(const std::string& home_region,
-                                             const std::string& client_address) const;
+    std::vector<lookup_entry> lookup_entries(const std::string& service, const std::string& home_region,
+                                             const std::string& client_address, base::time_point now) const;
     void revalidate_after_pause(base::time_point now, effects& out);
     void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
     void apply_policy(base::time_point now, effects& out);
@@ -119,6 +122,8 @@
     void apply_ownership(base::time_point now, effects& out);
     void send_heartbeats(base::time_point now, effects& out);
     void send_summaries(base::time_point now, effects& out);
+    void send_near_summaries(base::time_point now, effects& out);
+    std::vector<std::string> near_links() const;
     void update_shift_references(base::time_point now);
     void request_policy(base::time_point now, effects& out);
     void refresh_targets(effects& out);
@@ -167,6 +172,7 @@
     base::time_point m_next_control;
     base::time_point m_next_heartbeat;
     base::time_point m_next_summary;
+    base::time_point m_next_near_summary;
     base::time_point m_next_slow_work; // work that is done about once a second
     std::set<std::string> m_links;
     std::map<std::string, std::uint64_t> m_claims_sent; // link to the version of the claims it was sent last
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -190,6 +190,11 @@
     return result;
 }
 
+std::uint32_t request_engine::usable_slots(const std::string& service, base::time_point now) const {
+    const auto* lane = find_lane(service);
+    return lane == nullptr ? 0 : lane->pool.usable_slots(now);
+}
+
 std::uint32_t request_engine::in_flight(const std::string& server) const {
     std::uint32_t sum = 0;
     for (const auto& [name, lane] : m_lanes) {
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -94,6 +94,8 @@
     void peer_cancel(const std::string& entry, std::uint64_t call, base::time_point now, effects& out);
     void peer_call_lost(const std::string& entry, std::uint64_t call, loss_evidence evidence,
                         base::time_point now, effects& out);
+    // The view of the peers' room has changed: requests that wait here may go to a peer of their home region.
+    void pass_on_waiting(base::time_point now, effects& out);
     void merge_strike(const wire::strike& record, base::time_point now);
     void clear_strike(const wire::strike_cleared& record);
     // All strikes known here, for a peer that may have missed them.
@@ -106,6 +108,7 @@
 
     // Reports.
     wire::entry_summary summary(base::time_point now);
+    std::uint32_t usable_slots(const std::string& service, base::time_point now) const;
     std::uint32_t in_flight(const std::string& server) const;
     std::size_t calls() const { return m_calls.size(); }
     std::vector<shifting::shift_status> shift_status(base::time_point now) const {
--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -87,7 +87,7 @@
     switch (result.outcome) {
     case attempt_outcome::answered: {
         const bool server_error = result.status >= 500;
-                if (server_error && may_retry(call, now)) {
+        if (server_error && may_retry(call, now)) {
             call.may_have_run = true;
             place(call, now, out);
             return;
