--- a/carawayway/membership/member_table.cpp
+++ b/carawayway/membership/member_table.cpp
@@ -133,13 +133,14 @@
     member& entry = found->second;
     entry.running = message.running;
     entry.counter = std::max(entry.counter, message.counter);
+    entry.first_hand = now;
     progress(entry, now);
     for (const auto& counter : message.relayed) {
-        relayed(counter, now);
+        relayed(entry, counter, now);
     }
 }
 
-void member_table::relayed(const wire::relayed_counter& message, base::time_point now) {
+void member_table::relayed(const member& sender, const wire::relayed_counter& message, base::time_point now) {
     const auto found = m_members.find(message.entry);
     if (found == m_members.end() || m_replaced.contains({message.entry, message.incarnation})) {
         return;
@@ -150,6 +151,8 @@
         const bool grew = entry.counter != 0 && message.counter > entry.counter;
         entry.counter = std::max(entry.counter, message.counter);
         if (grew) {
+            const bool first_hand = sender.record.failure_domain == entry.record.failure_domain;
+            entry.first_hand = first_hand ? now : entry.first_hand;
             progress(entry, now);
         }
         return;
@@ -353,19 +356,33 @@
     return list;
 }
 
-std::vector<wire::relayed_counter> member_table::counters_to_relay(std::size_t limit) {
-    std::vector<wire::relayed_counter> counters;
-    auto next = m_members.upper_bound(m_last_relayed);
+template <class Condition>
+void member_table::add_counters(std::vector<wire::relayed_counter>& counters, std::string& turn,
+                                std::size_t limit, Condition condition) const {
+    auto next = m_members.upper_bound(turn);
     for (std::size_t seen = 0; seen < m_members.size() && counters.size() < limit; ++seen, ++next) {
         if (next == m_members.end()) {
             next = m_members.begin();
         }
         const member& entry = next->second;
-        m_last_relayed = next->first;
-        if (entry.status == member_status::alive && entry.counter > 0) {
+        if (entry.status == member_status::alive && entry.counter > 0 && condition(entry)) {
             counters.push_back({entry.record.name, entry.record.incarnation, entry.counter});
+            turn = next->first;
         }
     }
+}
+
+relay_sets member_table::next_counters_to_relay(std::size_t limit) {
+    relay_sets counters;
+    const auto in_own_domain = [this](const member& entry) {
+        return entry.record.failure_domain == m_self.failure_domain;
+    };
+    const auto heard_without_detour = [&](const member& entry) {
+        return !in_own_domain(entry) && m_last_tick - entry.first_hand < m_settings.suspect_unlinked_after;
+    };
+    add_counters(counters.inward, m_own_domain_turn, std::min<std::size_t>(1, limit), in_own_domain);
+    add_counters(counters.inward, m_other_domains_turn, limit, heard_without_detour);
+    add_counters(counters.outward, m_outward_turn, limit, in_own_domain);
     return counters;
 }
 
--- a/carawayway/membership/member_table.hpp
+++ b/carawayway/membership/member_table.hpp
@@ -49,7 +49,8 @@
 
 struct member {
     wire::member_record record;
-    std::uint64_t counter = 0;        // highest heartbeat counter heard of this incarnation
+    std::uint64_t counter = 0;     // highest heartbeat counter heard of this incarnation
+    base::time_point first_hand{}; // last progress heard directly or from a member of its own failure domain
     base::time_point last_progress{}; // of the counter, direct or relayed
     base::time_point status_since{};
     member_status status = member_status::suspected;
@@ -68,6 +69,14 @@
     bool operator==(const member_change&) const = default;
 };
 
+// What one round of heartbeats relays, at most the limit in each list.
+struct relay_sets {
+    // For peers of the own failure domain: counters of other domains that were heard here without a detour,
+    // and one of the own domain in case a link inside it is broken.
+    std::vector<wire::relayed_counter> inward;
+    std::vector<wire::relayed_counter> outward; // for other peers: counters of the own domain
+};
+
 class member_table {
 public:
     using member_map = std::map<std::string, member, std::less<>>;
@@ -118,8 +127,8 @@
     // All records including this entry instance, for a new link.
     wire::member_list member_list() const;
 
-    // Up to `limit` counters of live members, in turn, for the next heartbeat.
-    std::vector<wire::relayed_counter> counters_to_relay(std::size_t limit);
+    // Takes the next counters of live members in turn, for one round of heartbeats to all peers.
+    relay_sets next_counters_to_relay(std::size_t limit);
 
 private:
     struct candidate {
@@ -131,7 +140,10 @@
     void replace_incarnation(member& entry, const wire::member_record& record, base::time_point now);
     void progress(member& entry, base::time_point now);
     void set_status(member& entry, member_status status, base::time_point now);
-    void relayed(const wire::relayed_counter& message, base::time_point now);
+    void relayed(const member& sender, const wire::relayed_counter& message, base::time_point now);
+    template <class Condition>
+    void add_counters(std::vector<wire::relayed_counter>& counters, std::string& turn, std::size_t limit,
+                      Condition condition) const;
     const std::vector<const wire::member_record*>& delegates_of(std::string_view domain,
                                                                 std::string_view key) const;
     std::vector<const wire::member_record*> choose_delegates(std::string_view domain,
@@ -149,7 +161,10 @@
     // By failure domain and key; emptied whenever a member or its status changes.
     mutable std::map<std::pair<std::string, std::string>, std::vector<const wire::member_record*>>
         m_delegates;
-    std::string m_last_relayed; // where the turn of relayed counters stands
+    // Where the turns of relayed counters stand.
+    std::string m_own_domain_turn;
+    std::string m_other_domains_turn;
+    std::string m_outward_turn;
 };
 
 } // namespace carawayway::membership
