--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -39,8 +39,8 @@
           [this](std::string_view server) { return m_requests.in_flight(std::string(server)); },
           [this](std::string_view server) { return reachable(server); }, now),
       m_spread(membership::config_spread_settings{}), m_summaries(control.summary_lifetime),
-      m_state_since(now), m_next_heartbeat(now), m_next_summary(now), m_next_near_summary(now),
-      m_next_slow_work(now) {}
+      m_state_since(now), m_next_control(now), m_next_heartbeat(now), m_next_summary(now),
+      m_next_near_summary(now), m_next_slow_work(now) {}
 
 void entry_engine::add_seed(const wire::member_record& seed, base::time_point now) {
     m_members.add_seed(seed, now);
@@ -121,8 +121,8 @@
         if (usable) {
             const auto* load = m_summaries.find_service(name, service, now);
             add(member.record,
-                member.running == wire::running_state::running ? shifting::entry_state::active
-                                                               : shifting::entry_state::stopping,
+                member.running == wire::running_state::stopping ? shifting::entry_state::stopping
+                                                                : shifting::entry_state::active,
                 load == nullptr ? 0.0 : load->usable_slots);
         }
     }
@@ -143,9 +143,34 @@
         return answer;
     }
     answer.lifetime = policy->content().lookup_lifetime;
+    add_prefix(answer, preferred, now);
+    return answer;
+}
+
+// A prefix binds the caller's non-idempotent requests to this entry instance. It is only given when that is
+// no detour: a caller whose home region has other entry instances asks one of those.
+void entry_engine::add_prefix(lookup_answer& answer, const std::string& preferred_region,
+                              base::time_point now) {
+    const auto in_region = [&preferred_region](const lookup_entry& entry) {
+        return entry.region == preferred_region;
+    };
+    const bool home_has_entries = std::any_of(answer.entries.begin(), answer.entries.end(), in_region);
+    const bool detour = home_has_entries && m_identity.region != preferred_region;
+    if (detour || m_state != run_state::running) {
+        return;
+    }
     answer.request_id_prefix = m_requests.issue_prefix(now);
     answer.acceptance = m_requests.acceptance_left(now);
-    return answer;
+    if (!m_requests.is_non_idempotent(answer.service)) {
+        return;
+    }
+    const auto self =
+        std::find_if(answer.entries.begin(), answer.entries.end(),
+                     [this](const lookup_entry& entry) { return entry.name == m_identity.name; });
+    if (self != answer.entries.end()) {
+        std::rotate(answer.entries.begin(), self,
+                    self + 1); // the owner of the ID first: no hop between entries
+    }
 }
 
 std::optional<std::string> entry_engine::not_ready_reason() const {
@@ -262,7 +287,12 @@
 }
 
 void entry_engine::tick(base::time_point now, effects& out) {
-    control_tick(now, out);
+    if (now >= m_next_control) {
+        control_tick(now, out);
+    }
+    if (now >= m_next_near_summary) {
+        send_near_summaries(now, out);
+    }
     m_requests.tick(now, out);
     advance_stop(now, out);
 }
@@ -272,6 +302,7 @@
         return;
     }
     m_state = run_state::leaving;
+    m_requests.set_id_issue(id_issue::stopped);
     m_state_since = now;
     m_next_heartbeat = now;
     base::log(base::log_level::info, "stop-begun");
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -22,6 +22,9 @@
 namespace carawayway::engine {
 
 struct control_settings {
+    // Membership and ownership are looked at this often. Well below the pause limit, since a longer gap
+    // counts as a pause; their cost grows with the number of members.
+    base::duration control_interval = std::chrono::milliseconds(50);
     base::duration heartbeat_interval = std::chrono::milliseconds(250);
     base::duration summary_interval = std::chrono::milliseconds(500);
     // Between entry instances of one region, which take each other's requests before a queue forms: with
@@ -98,12 +101,14 @@
 private:
     // entry_engine.cpp
     std::vector<member_report> members() const;
+    void add_prefix(lookup_answer& answer, const std::string& preferred_region, base::time_point now);
     void revalidate_after_pause(base::time_point now, effects& out);
     void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
     void apply_policy(base::time_point now, effects& out);
     void advance_stop(base::time_point now, effects& out);
     void apply_list_draining(base::time_point now, effects& out);
     base::duration interval(base::duration shortest) const;
+    wire::running_state running_state() const;
 
     // entry_control.cpp
     void control_tick(base::time_point now, effects& out);
@@ -158,6 +163,7 @@
     run_state m_state = run_state::running;
     base::time_point m_state_since;
     std::uint64_t m_heartbeat_counter = 0;
+    base::time_point m_next_control;
     base::time_point m_next_heartbeat;
     base::time_point m_next_summary;
     base::time_point m_next_near_summary;
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -47,6 +47,10 @@
 // Whether requests from callers are taken.
 enum class intake : std::uint8_t { open, closed };
 
+// Whether callers get prefixes for new request IDs. Not while stopping: the incarnation would be gone before
+// they are used up.
+enum class id_issue : std::uint8_t { running, stopped };
+
 // Whether a lost message can have reached the peer.
 enum class loss_evidence : std::uint8_t { never_sent, may_have_arrived };
 
@@ -69,11 +73,14 @@
     // Attempts decided from now on must not be written after this time: until then the ownership is certain.
     void set_dispatch_permission(base::time_point until) { m_dispatch_until = until; }
     void set_intake(intake state) { m_intake = state; }
+    void set_id_issue(id_issue state) { m_id_issue = state; }
+    bool is_non_idempotent(const std::string& service) const;
 
     // Callers.
     void caller_request(std::uint64_t token, request_ptr request, base::time_point now, effects& out);
     void caller_left(std::uint64_t token, base::time_point now, effects& out);
-    std::string issue_prefix(base::time_point now) { return m_registry.issue_prefix(now); }
+    // Empty when no IDs are issued.
+    std::string issue_prefix(base::time_point now);
     base::duration acceptance_left(base::time_point now) const { return m_registry.acceptance_left(now); }
 
     // Backend servers.
@@ -91,6 +98,8 @@
     void pass_on_waiting(base::time_point now, effects& out);
     void merge_strike(const wire::strike& record, base::time_point now);
     void clear_strike(const wire::strike_cleared& record);
+    // All strikes known here, for a peer that may have missed them.
+    std::vector<wire::strike> strikes(base::time_point now) const;
     peer_view& peers() { return m_peers; }
     const peer_view& peers() const { return m_peers; }
 
@@ -127,6 +136,9 @@
         bool operator>(const deadline_entry& other) const { return time > other.time; }
     };
 
+    // Whether the loss of the server that an attempt runs on was already held against its content.
+    enum class loss_record : std::uint8_t { none, recorded };
+
     // One attempt at an own server. It outlives its call when the call is answered first, because the
     // server's slot is free only when the attempt has ended.
     struct running_attempt {
@@ -137,6 +149,7 @@
         std::uint64_t fingerprint = 0;
         steering::isolation isolation = steering::isolation::shared;
         base::time_point started;
+        loss_record loss = loss_record::none;
     };
 
     // Why a request could not be placed; turned into its refusal.
@@ -160,15 +173,14 @@
     void refuse_unadmitted(const request_origin& origin, const service_request& request,
                            placement_scope scope, base::error_kind kind, std::string detail,
                            base::time_point now, effects& out);
-    bool knows(const service_request& request) const;
     void send_answer(const request_origin& origin, answer_ptr answer, effects& out);
     void expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out);
     void expire_call(std::uint64_t call_number, base::time_point now, effects& out);
     void abandon(std::uint64_t waiter_number, base::time_point now, effects& out);
-    bool is_non_idempotent(const std::string& service) const;
 
     // request_placement.cpp
     void place(pending_call& call, base::time_point now, effects& out);
+    bool send_to_recorder(pending_call& call, base::time_point now, effects& out);
     bool refuse_by_guard(pending_call& call, base::time_point now, effects& out);
     void place_isolated(pending_call& call, service_lane* lane, base::time_point now, effects& out);
     bool try_local(pending_call& call, service_lane* lane, base::time_point now, effects& out);
@@ -182,6 +194,7 @@
                   steering::isolation mode, base::time_point now, effects& out);
     void send_call(pending_call& call, const std::string& entry, call_stage stage, base::time_point now,
                    effects& out);
+    base::duration retry_advice_of(const pending_call& call, base::time_point now) const;
     base::duration attempt_time(const pending_call& call, const service_lane& lane,
                                 base::time_point now) const;
     void pump(service_lane& lane, base::time_point now, effects& out);
@@ -219,6 +232,7 @@
     shifting::shift_limiter m_shifts;
     peer_view m_peers;
     intake m_intake = intake::open;
+    id_issue m_id_issue = id_issue::running;
     base::time_point m_dispatch_until = base::time_point::max();
 
     // Every waiter belongs to exactly one call or to one record of the registry.
@@ -229,11 +243,13 @@
     std::unordered_map<std::uint64_t, running_attempt> m_attempts;
     std::priority_queue<deadline_entry, std::vector<deadline_entry>, std::greater<>> m_deadlines;
     std::map<std::pair<std::string, std::string>, std::uint64_t>
-        m_arrivals; // (service, home) since last summary
+        m_arrivals; // (service, home) since m_arrivals_since
+    std::map<std::string, std::vector<wire::home_rate>> m_home_rates; // by service, before m_arrivals_since
     base::time_point m_arrivals_since;
-    std::map<std::pair<std::string, std::string>, double> m_arrival_rates; // per second, of the last period
     std::vector<std::string> m_drain_evidence;
-    std::uint64_t m_last_number = 0; // calls, waiters and attempts share one sequence
+    // Calls, waiters and attempts share one sequence. It starts at a place of its own in each incarnation: a
+    // peer's result for a call of the incarnation before must not match a call of this one.
+    std::uint64_t m_last_number;
 };
 
 } // namespace carawayway::engine
