--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -40,9 +40,6 @@
         send_summaries(now, out);
         m_next_summary = now + interval(m_control.summary_interval);
     }
-    if (now >= m_next_near_summary) {
-        send_near_summaries(now, out);
-    }
     if (now >= m_next_slow_work) {
         m_next_slow_work = now + slow_work_interval;
         m_summaries.prune(now);
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -303,6 +303,9 @@
     if (now >= m_next_control) {
         control_tick(now, out);
     }
+    if (now >= m_next_near_summary) {
+        send_near_summaries(now, out);
+    }
     m_requests.tick(now, out);
     advance_stop(now, out);
 }
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -227,6 +227,9 @@
 // Room at a peer is used as soon as it is known: a slot here may not become free for a whole service time.
 void request_engine::pass_on_waiting(base::time_point now, effects& out) {
     for (auto& [name, lane] : m_lanes) {
+        if (m_policy->find_service(name) == nullptr) {
+            continue; // a policy removed the service
+        }
         const auto waiting = lane->queue.waiting(); // a copy: passing on changes the queue
         for (const auto& item : waiting) {
             auto* call = find_call(item.token);
@@ -322,7 +325,7 @@
 }
 
 void request_engine::pump(service_lane& lane, base::time_point now, effects& out) {
-    const base::duration needed = lane.typical_latency();
+    const base::duration needed = lane.least_remaining();
     for (const auto& expired : lane.queue.take_expired(now, needed)) {
         finish_error(expired.token, base::error_kind::deadline_exceeded_before_dispatch, "waited too long",
                      retry_advice_of(m_calls.at(expired.token), now), now, out);
