engine: Keep control traffic within a rate of bytes

Change: heartbeats and summaries each have a rate of bytes that sets their interval; the own region gets an early summary only when room appeared or was used up, within a rate of its own; heartbeats relay three counters where they are news, one above a full mesh; the time until a silent member is suspected follows the heartbeat interval.

--- a/Tests/engine/callers.hpp
+++ b/Tests/engine/callers.hpp
@@ -72,7 +72,7 @@
 
     engine_world& m_world;
     std::deque<call_record> m_calls;
-    std::size_t m_lookups = 0;
+    std::map<std::string, std::size_t> m_lookups;  // by service
     std::map<std::string, std::string> m_prefixes; // by entry instance, as issued last
     std::uint64_t m_last_nonce = 0;
 };
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -1,6 +1,7 @@
 // The periodic control work and the handling of peer messages.
 #include "carawayway/base/log.hpp"
 #include "carawayway/engine/entry_engine.hpp"
+#include "carawayway/wire/message_codec.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,18 +16,26 @@
 constexpr auto summary_after_change = std::chrono::milliseconds(50);
 constexpr auto list_grace = std::chrono::seconds(10);
 constexpr auto reachability_lifetime = std::chrono::seconds(3);
-constexpr std::size_t links_at_shortest_interval = 15;
 
-} // namespace
+constexpr int heartbeats_until_suspected = 4;
+
+// Bytes of a message on a link, with the length prefix and a typical envelope.
+std::size_t message_size(const wire::peer_message& message) {
+    return wire::encode({"entry-name", 1, 1, 1}, message).size() + sizeof(std::uint32_t);
+}
 
-base::duration entry_engine::interval(base::duration shortest) const {
-    const std::size_t links = m_links.size();
-    if (links <= links_at_shortest_interval) {
-        return shortest;
+// For each service: no room, some room, or requests waiting. Only a change between these is urgent for peers.
+std::vector<std::uint8_t> room_of(const wire::entry_summary& summary) {
+    std::vector<std::uint8_t> rooms;
+    for (const auto& service : summary.services) {
+        const std::uint8_t waiting = service.queued > 0 ? 2 : 0;
+        rooms.push_back(service.free_slots > 0 ? 1 : waiting);
     }
-    return std::max<base::duration>(shortest, m_control.interval_per_link * static_cast<std::int64_t>(links));
+    return rooms;
 }
 
+} // namespace
+
 void entry_engine::control_tick(base::time_point now, effects& out) {
     m_next_control = now + m_control.control_interval;
     apply_member_changes(now, out);
@@ -34,11 +43,9 @@
     request_policy(now, out);
     if (now >= m_next_heartbeat) {
         send_heartbeats(now, out);
-        m_next_heartbeat = now + interval(m_control.heartbeat_interval);
     }
     if (now >= m_next_summary) {
         send_summaries(now, out);
-        m_next_summary = now + interval(m_control.summary_interval);
     }
     if (now >= m_next_slow_work) {
         m_next_slow_work = now + slow_work_interval;
@@ -101,13 +108,17 @@
     return m_ownership.start_complete() ? wire::running_state::running : wire::running_state::starting;
 }
 
-void entry_engine::send_heartbeats(base::time_point, effects& out) {
+void entry_engine::send_heartbeats(base::time_point now, effects& out) {
     ++m_heartbeat_counter;
     wire::heartbeat message;
     message.counter = m_heartbeat_counter;
     message.running = running_state();
     message.claims_version = m_ownership.claims_version();
-    message.relayed = m_members.counters_to_relay(m_control.relayed_counters);
+    const std::size_t relayed =
+        m_links.size() > m_control.members.full_mesh_limit ? 1 : m_control.relayed_counters;
+    const auto counters = m_members.next_counters_to_relay(relayed);
+    message.relayed = counters.inward;
+    const std::size_t bytes = message_size(message) * m_links.size();
     for (const auto& link : m_links) {
         auto& sent = m_claims_sent[link];
         message.claims.reset();
@@ -115,16 +126,33 @@
             message.claims = m_ownership.claims();
             sent = message.claims_version;
         }
+        const auto* member = m_members.find(link);
+        const bool inward = member != nullptr && member->record.failure_domain == m_identity.failure_domain;
+        message.relayed = inward ? counters.inward : counters.outward;
         out.emplace_back(send_to_peer{link, message, std::nullopt});
     }
+    const auto interval = std::clamp<base::duration>(
+        m_heartbeat_bytes.spacing(bytes), m_control.heartbeat_interval, m_control.longest_heartbeat_interval);
+    m_next_heartbeat = now + interval;
+    m_members.set_suspect_after(
+        std::max<base::duration>(m_control.members.suspect_after, heartbeats_until_suspected * interval));
 }
 
-void entry_engine::send_summaries(base::time_point now, effects& out) {
+wire::entry_summary entry_engine::make_summary(base::time_point now) {
     auto summary = m_requests.summary(now);
     const auto own = m_list_draining.find(m_identity.name);
     if (own != m_list_draining.end()) {
         summary.draining_servers.assign(own->second.begin(), own->second.end());
     }
+    m_published_room = room_of(summary);
+    return summary;
+}
+
+void entry_engine::send_summaries(base::time_point now, effects& out) {
+    auto summary = make_summary(now);
+    const std::size_t bytes = message_size(summary) * m_links.size();
+    m_next_summary =
+        now + std::max<base::duration>(m_summary_bytes.spacing(bytes), m_control.summary_interval);
     m_summaries.update(m_identity.name, summary, now);
     if (!m_links.empty()) {
         out.emplace_back(broadcast_to_peers{std::move(summary)});
@@ -142,20 +170,20 @@
     return near;
 }
 
-// Large deployments do without, so that the control traffic stays bounded.
+// Peers of the region learn at once that room appeared or was used up, as long as the bytes allow it.
 void entry_engine::send_near_summaries(base::time_point now, effects& out) {
-    const auto near = near_links();
-    m_next_near_summary =
-        now + std::max<base::duration>(m_control.near_summary_interval,
-                                       m_control.interval_per_link * static_cast<std::int64_t>(near.size()));
-    if (near.empty() || m_links.size() > links_at_shortest_interval) {
+    m_next_near_summary = now + m_control.near_summary_interval;
+    if (m_requests.policy() == nullptr || room_of(m_requests.summary(now)) == m_published_room) {
         return;
     }
-    auto summary = m_requests.summary(now);
-    const auto own = m_list_draining.find(m_identity.name);
-    if (own != m_list_draining.end()) {
-        summary.draining_servers.assign(own->second.begin(), own->second.end());
+    const auto near = near_links();
+    const auto summary = make_summary(now);
+    const std::size_t bytes = message_size(summary) * near.size();
+    if (!m_near_summary_bytes.allows(bytes, now)) {
+        m_published_room.clear(); // not published: tried again
+        return;
     }
+    m_near_summary_bytes.spend(bytes, now);
     for (const auto& link : near) {
         out.emplace_back(send_to_peer{link, summary, std::nullopt});
     }
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -40,7 +40,12 @@
           [this](std::string_view server) { return reachable(server); }, now),
       m_spread(membership::config_spread_settings{}), m_summaries(control.summary_lifetime),
       m_state_since(now), m_next_control(now), m_next_heartbeat(now), m_next_summary(now),
-      m_next_near_summary(now), m_next_slow_work(now) {}
+      m_next_near_summary(now),
+      m_heartbeat_bytes(control.heartbeat_bytes_per_second, control.heartbeat_bytes_per_second, now),
+      m_summary_bytes(control.summary_bytes_per_second, control.summary_bytes_per_second, now),
+      m_near_summary_bytes(control.near_summary_bytes_per_second, 2 * control.near_summary_bytes_per_second,
+                           now),
+      m_next_slow_work(now) {}
 
 void entry_engine::add_seed(const wire::member_record& seed, base::time_point now) {
     m_members.add_seed(seed, now);
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -2,6 +2,7 @@
 // and the spread of the policy. The runtime feeds it events with the time and carries out its effects.
 #pragma once
 
+#include "carawayway/engine/byte_budget.hpp"
 #include "carawayway/engine/effect.hpp"
 #include "carawayway/engine/explain_report.hpp"
 #include "carawayway/engine/instance_record.hpp"
@@ -26,14 +27,17 @@
     // Membership and ownership are looked at this often. Well below the pause limit, since a longer gap
     // counts as a pause; their cost grows with the number of members.
     base::duration control_interval = std::chrono::milliseconds(50);
+    // Shortest intervals; they grow with the number of links, so that the bytes stay within the rates below.
     base::duration heartbeat_interval = std::chrono::milliseconds(250);
+    base::duration longest_heartbeat_interval =
+        std::chrono::seconds(2); // the silence limit is above twice this
     base::duration summary_interval = std::chrono::milliseconds(500);
-    // Between entry instances of one region, which take each other's requests before a queue forms: with
-    // older news they queue beside free slots.
+    // Entry instances of the own region get a summary soon after room appeared or was used up.
     base::duration near_summary_interval = std::chrono::milliseconds(20);
-    // With many links all intervals grow, so that the control traffic of an instance stays bounded.
-    base::duration interval_per_link = std::chrono::milliseconds(16);
-    std::size_t relayed_counters = 8; // per heartbeat
+    double heartbeat_bytes_per_second = 4000;
+    double summary_bytes_per_second = 1500;
+    double near_summary_bytes_per_second = 1500;
+    std::size_t relayed_counters = 3; // per heartbeat; one with more links than a full mesh has
     std::size_t lookup_entries = 8;   // entry instances named in a look-up answer
     base::duration summary_lifetime = std::chrono::seconds(5);
     membership::ownership_settings ownership;
@@ -113,7 +117,6 @@
     void apply_policy(base::time_point now, effects& out);
     void advance_stop(base::time_point now, effects& out);
     void apply_list_draining(base::time_point now, effects& out);
-    base::duration interval(base::duration shortest) const;
     wire::running_state running_state() const;
 
     // entry_control.cpp
@@ -121,6 +124,7 @@
     void apply_member_changes(base::time_point now, effects& out);
     void apply_ownership(base::time_point now, effects& out);
     void send_heartbeats(base::time_point now, effects& out);
+    wire::entry_summary make_summary(base::time_point now);
     void send_summaries(base::time_point now, effects& out);
     void send_near_summaries(base::time_point now, effects& out);
     std::vector<std::string> near_links() const;
@@ -173,7 +177,11 @@
     base::time_point m_next_heartbeat;
     base::time_point m_next_summary;
     base::time_point m_next_near_summary;
-    base::time_point m_next_slow_work; // work that is done about once a second
+    byte_budget m_heartbeat_bytes;
+    byte_budget m_summary_bytes;
+    byte_budget m_near_summary_bytes;
+    std::vector<std::uint8_t> m_published_room; // what the last summary said about room
+    base::time_point m_next_slow_work;          // work that is done about once a second
     std::set<std::string> m_links;
     std::map<std::string, std::uint64_t> m_claims_sent; // link to the version of the claims it was sent last
     std::map<std::string, std::int64_t> m_peer_revisions;
--- a/carawayway/membership/member_table.hpp
+++ b/carawayway/membership/member_table.hpp
@@ -86,6 +86,9 @@
     // The silence limit follows the policy's longest timeout.
     void set_silence_limit(base::duration limit) { m_settings.silence_limit = limit; }
 
+    // Follows the heartbeat interval, which grows with the number of links.
+    void set_suspect_after(base::duration limit) { m_settings.suspect_after = limit; }
+
     void add_seed(const wire::member_record& seed, base::time_point now);
 
     // A record from a peer's member list. True when the member was not known before.
