engine, steering: Serve a region whose servers are all down from the other one

Found by failure_test.a_region_without_servers_is_served_by_the_other_one, which kills all servers of a region while its entry instances live. Two causes: - Suspect servers that are the pool's last ones still take requests, and the summary offered their slots. A request spent its four placements between the own servers and those of the neighbour. Requests now go to peers first while no own server is promising (healthy, or due for a probe), and the summary offers nothing. - A peer's room was used up by requests that had long been answered: calls since its last summary were counted, not those still in progress, which let 6 slots serve 12 requests/s. A call now gives its room back when it ends, unless the peer refused it.

The shift cap was ruled out by the kinds of the refusals (none).

--- a/Tests/system/failure_test.cpp
+++ b/Tests/system/failure_test.cpp
@@ -1,6 +1,7 @@
 // Guards callers and servers against entries that die, pause and stop under load.
 #include "Tests/system/sample_deployments.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -73,6 +74,33 @@
     system.expect_history_holds();
 }
 
+// An entry that is alive but has lost all servers of its region must not keep or attract requests.
+TEST(failure_test, a_region_without_servers_is_served_by_the_other_one) {
+    deployment system(two_neighbours());
+    ASSERT_NO_FATAL_FAILURE(system.start());
+    caller_load load(system, 6, 20261203);
+    EXPECT_TRUE(load.wait_executed("hki-a-1", 50));
+    const auto servers = system.servers_in("hki-a");
+    for (const auto& server : servers) {
+        system.control_servers(fmt::format(R"({{"server":"{}","kill":true}})", server));
+    }
+    EXPECT_TRUE(load.wait_executed("hki-a-1", 50));
+    const auto refused = load.count("hki-a-1", not_executed);
+    EXPECT_TRUE(load.wait_executed("hki-a-1", 200));
+    // Few requests are refused: those whose attempts all met servers that are probed.
+    EXPECT_LT(load.count("hki-a-1", not_executed) - refused, 60U);
+    const auto restarted = base::monotonic_now();
+    for (const auto& server : servers) {
+        system.control_servers(fmt::format(R"({{"server":"{}","restart":true}})", server));
+    }
+    for (const auto& server : servers) {
+        EXPECT_TRUE(wait_until([&] { return system.recorder().starts_on(server, restarted) > 10; }))
+            << server;
+    }
+    load.stop();
+    system.expect_history_holds();
+}
+
 // A planned stop must let every accepted request finish and exit cleanly.
 TEST(failure_test, a_stopped_entry_cuts_no_request) {
     deployment system(two_neighbours());
--- a/carawayway/engine/peer_view.hpp
+++ b/carawayway/engine/peer_view.hpp
@@ -22,6 +22,12 @@
     gone,        // certainly not running any more
 };
 
+// What the end of a call says about the room at the peer.
+enum class room_after_call : std::uint8_t {
+    regained, // the slot that the call took is free again
+    doubtful, // the peer refused: it has less room than its summary shows
+};
+
 enum class link_status : std::uint8_t { down, up };
 
 struct peer_limits {
@@ -50,7 +56,8 @@
 
     // Accounts a call that was sent and one that ended.
     void call_started(const std::string& entry, const std::string& service, std::size_t bytes);
-    void call_ended(const std::string& entry, std::size_t bytes);
+    void call_ended(const std::string& entry, const std::string& service, std::size_t bytes,
+                    room_after_call room);
 
     bool linked(const std::string& entry) const;
     bool has_room(const std::string& entry, std::size_t bytes) const;
@@ -63,7 +70,7 @@
 private:
     struct service_load {
         wire::service_summary summary;
-        std::uint32_t sent_since = 0;
+        std::uint32_t sent_since = 0; // calls since the summary whose slots are not free again
     };
 
     struct peer {
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -162,7 +162,8 @@
     for (auto& [name, lane] : m_lanes) {
         wire::service_summary item;
         item.service = name;
-        item.free_slots = lane->pool.free_slots(now);
+        // Suspect servers are no reason for others to send their requests here.
+        item.free_slots = lane->pool.promising(now) ? lane->pool.free_slots(now) : 0;
         item.usable_slots = lane->pool.usable_slots(now);
         item.in_flight = lane->pool.in_flight();
         item.queued = static_cast<std::uint32_t>(lane->queue.size());
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -196,7 +196,7 @@
     void record_survival(const running_attempt& attempt, base::time_point now, effects& out);
     void complete_call(pending_call& call, std::string server, server_result result, base::time_point now,
                        effects& out);
-    void leave_peer(pending_call& call);
+    void leave_peer(pending_call& call, room_after_call room);
     void cancel_work(pending_call& call, effects& out);
     bool may_retry(const pending_call& call, base::time_point now);
 
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -310,7 +310,7 @@
         }
         cancel_work(*call, out);
         if (call->stage == call_stage::at_peer || call->stage == call_stage::forwarded) {
-            leave_peer(*call);
+            leave_peer(*call, room_after_call::regained);
         }
         m_calls.erase(item.call);
     }
--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -180,8 +180,8 @@
     m_guard.clear(record.fingerprint, record.recorded_by);
 }
 
-void request_engine::leave_peer(pending_call& call) {
-    m_peers.call_ended(call.peer, wire_size(*call.request));
+void request_engine::leave_peer(pending_call& call, room_after_call room) {
+    m_peers.call_ended(call.peer, call.request->service, wire_size(*call.request), room);
     call.stage = call_stage::placing;
 }
 
@@ -194,7 +194,8 @@
         return; // answered in the meantime
     }
     const bool forwarded = call->stage == call_stage::forwarded;
-    leave_peer(*call);
+    const bool refused = !forwarded && result.execution == base::execution_state::not_executed;
+    leave_peer(*call, refused ? room_after_call::doubtful : room_after_call::regained);
     if (forwarded) {
         finish(call_number, from_wire(std::move(result)), now, out);
         return;
@@ -226,7 +227,7 @@
         return;
     }
     if (call->stage == call_stage::forwarded) {
-        leave_peer(*call);
+        leave_peer(*call, room_after_call::regained);
         const auto kind = evidence == loss_evidence::never_sent
                               ? base::error_kind::request_id_owner_unreachable
                               : base::error_kind::peer_lost;
@@ -236,7 +237,7 @@
     if (call->stage != call_stage::at_peer) {
         return;
     }
-    leave_peer(*call);
+    leave_peer(*call, room_after_call::regained);
     call->refused_peers.push_back(entry);
     if (evidence == loss_evidence::never_sent) {
         not_run(*call, base::error_kind::no_server_available, {}, now, out);
@@ -255,7 +256,7 @@
     const auto found = m_calls.find(call_number);
     assert(found != m_calls.end());
     if (found->second.stage == call_stage::at_peer || found->second.stage == call_stage::forwarded) {
-        leave_peer(found->second);
+        leave_peer(found->second, room_after_call::regained);
     }
     const pending_call call = std::move(found->second);
     m_calls.erase(found);
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -47,17 +47,18 @@
                      out);
         return;
     }
-    const bool local_first = home && !call.own_server_failed;
+    const bool promising = home && lane->pool.promising(now);
+    const bool local_first = promising && !call.own_server_failed;
     if (local_first && try_local(call, lane, now, out)) {
         return;
     }
     if (try_peers(call, shifting::region_crossing::serves_home_region, reason, now, out)) {
         return;
     }
-    if (home && !local_first && try_local(call, lane, now, out)) {
+    if (promising && !local_first && try_local(call, lane, now, out)) {
         return;
     }
-    if (home && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
+    if (promising && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
         return;
     }
     if (!home && lane->pool.free_slots(now) > 0 && may_move(call, reason, now) &&
@@ -67,6 +68,9 @@
     if (try_peers(call, shifting::region_crossing::leaves_home_region, reason, now, out)) {
         return;
     }
+    if (home && !promising && try_local(call, lane, now, out)) {
+        return;
+    }
     if (home && try_queue(call, lane, reason, now)) {
         return;
     }
--- a/carawayway/steering/server_pool.hpp
+++ b/carawayway/steering/server_pool.hpp
@@ -138,6 +138,13 @@
         return m_totals.healthy > 0 ? m_totals.open_free : m_totals.held_free;
     }
 
+    // Whether a request sent here is likely to meet a working server, or is wanted as a probe. False while
+    // all servers are suspect: they still take requests that nobody else can.
+    bool promising(base::time_point now) const {
+        advance(now);
+        return m_totals.healthy > 0 || !m_probes.empty();
+    }
+
     // When a slot may next become usable by time alone: waiting requests should then be tried again.
     std::optional<base::time_point> next_change() const {
         if (m_changes.empty()) {
@@ -262,13 +269,13 @@
     }
 
     std::optional<std::uint32_t> choose(base::time_point now) {
+        if (!m_probes.empty()) {
+            return m_probes[random_below(m_probes.size())];
+        }
         if (m_totals.healthy == 0) {
             // The last usable servers are never ejected.
             return m_held.empty() ? std::nullopt : std::optional(best_of_two(m_held, now));
         }
-        if (!m_probes.empty()) {
-            return m_probes[random_below(m_probes.size())];
-        }
         return m_open.empty() ? std::nullopt : std::optional(best_of_two(m_open, now));
     }
 
