--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -55,17 +55,18 @@
     }
     // Own servers that all fail are the last choice, since their callers would see nothing but failures. So
     // is a second own server after one that gave no answer.
-    const bool local_first = home && lane->pool.reliable(now) && !call.own_server_failed;
+    const bool reliable = home && lane->pool.reliable(now);
+    const bool local_first = reliable && !call.own_server_failed;
     if (local_first && try_local(call, lane, now, out)) {
         return;
     }
     if (try_peers(call, shifting::region_crossing::serves_home_region, reason, now, out)) {
         return;
     }
-    if (home && !local_first && try_local(call, lane, now, out)) {
+    if (reliable && !local_first && try_local(call, lane, now, out)) {
         return;
     }
-    if (home && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
+    if (reliable && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
         return;
     }
     if (!home && lane->pool.free_slots(now) > 0 && may_move(call, reason, now) &&
@@ -75,6 +76,9 @@
     if (try_peers(call, shifting::region_crossing::leaves_home_region, reason, now, out)) {
         return;
     }
+    if (home && !reliable && try_local(call, lane, now, out)) {
+        return;
+    }
     if (home && try_queue(call, lane, reason, now)) {
         return;
     }
--- a/carawayway/steering/server_pool.hpp
+++ b/carawayway/steering/server_pool.hpp
@@ -269,16 +269,13 @@
     }
 
     std::optional<std::uint32_t> choose(base::time_point now) {
+        if (!m_probes.empty()) {
+            return m_probes[random_below(m_probes.size())];
+        }
         if (m_totals.healthy == 0) {
-            if (!m_probes.empty()) {
-                return m_probes[random_below(m_probes.size())];
-            }
             // The last usable servers are never ejected.
             return m_held.empty() ? std::nullopt : std::optional(best_of_two(m_held, now));
         }
-        if (!m_probes.empty()) {
-            return m_probes[random_below(m_probes.size())];
-        }
         return m_open.empty() ? std::nullopt : std::optional(best_of_two(m_open, now));
     }
 
