--- a/Tests/operators/call_handler_test.cpp
+++ b/Tests/operators/call_handler_test.cpp
@@ -79,6 +79,19 @@
     EXPECT_EQ(problem.at("diagnostics").as_array()[0].at("line"), 3);
 }
 
+TEST_F(call_handler_test, diagnostics_about_long_names_are_utf8) {
+    std::string key = "k";
+    for (int character = 0; character < 60; ++character) {
+        key += "ö"; // two bytes, so that the limit falls inside one
+    }
+    const auto request = apply_request("[policy]\nchange_id = a\n" + key + " = 1\n", 0);
+    base::failure failure;
+    const auto answer = post("ApplyPolicy", encode(request, message_encoding::json, failure).value());
+    boost::json::error_code error;
+    boost::json::parse(answer.body, error);
+    EXPECT_FALSE(error) << error.message() << ": " << answer.body;
+}
+
 TEST_F(call_handler_test, the_status_tells_who_is_behind_and_who_is_not_reachable) {
     const auto answer = post("Status", "{}");
     const auto status = parse(answer.body);
--- a/carawayway/cli/ctl_explain.cpp
+++ b/carawayway/cli/ctl_explain.cpp
@@ -53,7 +53,9 @@
     print_lookup(reply);
     print_servers(reply);
     print_candidates(reply);
-    if (reply.shift) {
+    if (reply.home_region.empty()) {
+        fmt::print("\nshift allowance: without a home region the cap does not apply\n");
+    } else if (reply.shift) {
         fmt::print(
             "\nshift allowance: {:.3f} of the traffic has moved, {:.3f} may move, cap {:.3f} per window\n",
             reply.shift->moved_share, reply.shift->allowed_share, reply.shift->cap);
--- a/carawayway/cli/ctl_status.cpp
+++ b/carawayway/cli/ctl_status.cpp
@@ -54,8 +54,9 @@
     fmt::print("{:<16} {:<14} {:>8} {:>8} {:>8} {:>15}\n", "SERVICE", "HOME REGION", "MOVED", "ALLOWED",
                "CAP", "WINDOW LEFT MS");
     for (const auto& shift : status.shifts) {
-        fmt::print("{:<16} {:<14} {:>8.3f} {:>8.3f} {:>8.3f} {:>15}\n", shift->service, shift->home_region,
-                   shift->moved_share, shift->allowed_share, shift->cap, shift->window_left_ms);
+        fmt::print("{:<16} {:<14} {:>8.3f} {:>8.3f} {:>8.3f} {:>15}\n", shift->service,
+                   shift->home_region.empty() ? "-" : shift->home_region, shift->moved_share,
+                   shift->allowed_share, shift->cap, shift->window_left_ms);
     }
 }
 
--- a/carawayway/config/diagnostic_collector.cpp
+++ b/carawayway/config/diagnostic_collector.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace carawayway::config {
@@ -11,10 +12,21 @@
 
 constexpr std::size_t maximum_shown_length = 80; // bytes
 
+// The start of the text. Cuts between characters, because diagnostics go into JSON answers, which must be
+// UTF-8.
+std::string_view shortened(std::string_view text) {
+    std::size_t length = std::min(text.size(), maximum_shown_length);
+    while (length > 0 && length < text.size() &&
+           (static_cast<unsigned char>(text[length]) & 0xC0U) == 0x80U) {
+        --length;
+    }
+    return text.substr(0, length);
+}
+
 // Escapes control characters: the text may be printed to a terminal.
 std::string printable(std::string_view text) {
     std::string shown;
-    for (const char character : text.substr(0, maximum_shown_length)) {
+    for (const char character : shortened(text)) {
         const auto byte = static_cast<unsigned char>(character);
         if (byte < ' ' || byte == 0x7F) {
             shown += fmt::format("\\x{:02x}", byte);
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr auto retry_after_lookup = std::chrono::seconds(1);
-
 std::string to_text(const config::socket_address& address) {
     const bool ipv6 = address.host.find(':') != std::string::npos;
     return (ipv6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -127,7 +127,7 @@
     // One handler for each kind of message; the fallback is for kinds that links consume themselves.
     struct message_context {
         const std::string& peer;
-        std::uint64_t incarnation;
+        std::uint64_t incarnation = 0;
         base::time_point now;
         effects& out;
     };
--- a/carawayway/engine/entry_explain.cpp
+++ b/carawayway/engine/entry_explain.cpp
@@ -130,7 +130,7 @@
         report.candidates.push_back({std::move(summary), crossing, std::move(refusal)});
     }
     for (auto& shift : m_requests.shift_status(now)) {
-        if (shift.service == service && shift.home_region == home) {
+        if (shift.service == service && shift.home_region == report.home_region) {
             report.shift = std::move(shift);
         }
     }
--- a/carawayway/engine/explain_report.hpp
+++ b/carawayway/engine/explain_report.hpp
@@ -53,7 +53,9 @@
     std::vector<lookup_entry> lookup; // most preferred first
     std::vector<explained_server> servers;
     std::vector<explained_candidate> candidates;
-    std::optional<shifting::shift_status> shift; // none: nothing was counted for this service and home region
+    // None: nothing was counted for this service and home region. Without a home region the cap does not
+    // apply.
+    std::optional<shifting::shift_status> shift;
 
     bool operator==(const explain_report&) const = default;
 };
--- a/carawayway/entry/steering_loop.cpp
+++ b/carawayway/entry/steering_loop.cpp
@@ -53,7 +53,7 @@
 template <class Event>
 void steering_loop::process(Event& event) {
     m_now = base::monotonic_now();
-    std::visit([this](auto& specific) { on(specific); }, event);
+    std::visit([this](auto& specific) { this->on(specific); }, event);
     carry_out_all();
 }
 
@@ -62,7 +62,7 @@
     while (!m_effects.empty()) {
         auto batch = std::exchange(m_effects, {});
         for (auto& effect : batch) {
-            std::visit([this](auto& specific) { carry_out(specific); }, effect);
+            std::visit([this](auto& specific) { this->carry_out(specific); }, effect);
         }
     }
 }
