Tests/engine, engine: Check moves per entry and over all entries

Cause: the last summary of a lost entry and the arrivals of its callers elsewhere added up to too high a rate. Change: the lowest rate of the last four seconds counts; the checker looks at each entry and at the sum.

--- a/Tests/engine/engine_world.hpp
+++ b/Tests/engine/engine_world.hpp
@@ -119,11 +119,19 @@
 
     // The limits that the history is checked against; they follow the first policy.
     test_support::history_limits& limits() { return m_check_limits; }
+    // Requests per second from a home region over all entry instances, the reference of the shift cap.
+    void set_rate(const std::string& service, const std::string& home, double per_second);
     // What the history breaks, one line each.
     std::vector<std::string> violations() const;
     const test_support::history& history() const { return m_history; }
 
 private:
+    struct move {
+        base::time_point time;
+        std::string service;
+        std::string home;
+    };
+
     struct open_attempt {
         std::uint64_t connection = 0; // 0: not connected yet
         std::uint64_t serial = 0;
@@ -160,6 +168,7 @@
     };
 
     // engine_world.cpp
+    void check_moves(std::vector<std::string>& lines) const;
     void post(base::duration delay, const std::string& name, engine_action work);
     void deliver(process& one, engine_action work);
     void run(process& one, const engine_action& work);
@@ -176,6 +185,8 @@
     void carry_out(process& one, engine::set_peer_targets& effect);
     void carry_out(process& one, engine::publish_revision& effect);
     void carry_out(process& one, engine::set_store_watch& effect);
+    void record_move(const std::string& id, const std::string& service, const std::string& region,
+                     const std::string& entry);
     bool server_reachable(const std::string& entry, const std::string& server) const;
     void check_single_owner(const std::string& sender, const std::string& server);
     void connect_attempt(process& one, const engine::start_attempt& attempt);
@@ -219,7 +230,10 @@
     base::duration m_platform_lag = std::chrono::milliseconds(5);
     std::uint64_t m_last_number = 0;
     std::uint64_t m_last_link = 0;
-    std::map<std::string, std::string> m_homes;     // request ID to home region
+    std::map<std::string, std::string> m_homes;                    // request ID to home region
+    std::set<std::string> m_moved;                                 // request IDs
+    std::vector<move> m_moves;                                     // of all entry instances
+    std::map<std::pair<std::string, std::string>, double> m_rates; // by service and home region
     std::map<std::string, std::string> m_last_user; // server to the entry instance that used it last
     test_support::history_limits m_check_limits;
     std::vector<std::string> m_faults;
--- a/Tests/engine/fault_cells.cpp
+++ b/Tests/engine/fault_cells.cpp
@@ -18,7 +18,8 @@
 constexpr std::uint32_t steady_rate = 20; // requests per second of each service and home region
 constexpr std::uint32_t burst_rate = 300;
 constexpr auto warm_up = seconds(5);
-constexpr auto step_limit = seconds(8); // the run reaches the step in this time
+constexpr auto steady_time = seconds(6); // so that the rates of the regions are known
+constexpr auto step_limit = seconds(8);  // the run reaches the step in this time
 constexpr auto probe_time = seconds(2);
 constexpr auto settle_time = seconds(6); // after the last request
 
@@ -179,7 +180,7 @@
 
 void burst(engine_world& world, callers& callers) {
     callers.load({.resends = 2}, burst_rate, seconds(1));
-    world.limits().reference_rates[{"booking", "north"}] = steady_rate + burst_rate;
+    world.set_rate("booking", "north", steady_rate + burst_rate);
 }
 
 void use_distant_entry(engine_world&, callers& callers) {
@@ -292,7 +293,7 @@
         }
         m_world.run_for(warm_up);
         set_rates();
-        run_loaded(seconds(2), [] { return false; });
+        run_loaded(steady_time, [] { return false; });
         m_world.on_step([this](step value, const std::string& entry, const std::string& server) {
             if (value == m_step.value && !m_reached) {
                 m_reached = true;
@@ -315,7 +316,7 @@
     void set_rates() {
         for (const auto* service : {"stock", "booking"}) {
             for (const auto* home : {"north", "south"}) {
-                m_world.limits().reference_rates[{service, home}] = steady_rate;
+                m_world.set_rate(service, home, steady_rate);
             }
         }
     }
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr auto slow_work_interval = std::chrono::seconds(1);
+// Longer than it takes to suspect an entry instance without a link.
+constexpr auto rate_memory = std::chrono::seconds(4);
+constexpr std::size_t rate_samples = 4;
 constexpr auto list_grace = std::chrono::seconds(10);
 constexpr auto reachability_lifetime = std::chrono::seconds(3);
 constexpr std::size_t links_at_shortest_interval = 15;
@@ -126,8 +129,10 @@
     }
 }
 
-// The rate of a region is only learned while one of its entry instances is heard: when they are all gone, the
-// callers that arrive elsewhere must not raise the allowance for their own move.
+// The rate of a region is only learned while one of its entry instances is alive: when they are all gone, the
+// callers that arrive elsewhere must not raise the allowance for their own move. The lowest of the recent
+// rates counts, since the last summary of a lost entry instance and the arrivals of its callers elsewhere add
+// up to too much until the loss is noticed.
 void entry_engine::update_shift_references(base::time_point now) {
     const auto* policy = m_requests.policy();
     if (policy == nullptr) {
@@ -135,22 +140,45 @@
     }
     std::set<std::string> live{m_identity.region};
     for (const auto& [name, member] : m_members.members()) {
-        if (member.heard && !membership::is_dead(member.status)) {
+        if (member.heard && member.status == membership::member_status::alive) {
             live.insert(member.record.region);
         }
     }
+    std::erase_if(m_rate_samples,
+                  [&live](const auto& item) { return !live.contains(item.first.home_region); });
     for (const auto& service : policy->content().services) {
         for (const auto& region : live) {
-            const auto rate = m_summaries.region_rate(service.name, region, now);
-            if (rate && *rate > 0.0) {
-                m_requests.set_reference_rate({service.name, region}, *rate, now);
-            }
+            learn_rate({service.name, region}, now);
         }
     }
     // Every known entry instance counts, also one that is not heard: it may be receiving the same callers.
     m_requests.set_receiving_entries(static_cast<std::uint32_t>(m_members.members().size() + 1), now);
 }
 
+// Until the rate of the region is known, the entry instance's own part of it stands in: it is too low,
+// whereas own arrivals as the base would not be divided by the receiving entry instances.
+void entry_engine::learn_rate(const shifting::shift_key& key, base::time_point now) {
+    const auto rate = m_summaries.region_rate(key.service, key.home_region, now);
+    if (!rate || *rate <= 0.0) {
+        return;
+    }
+    const double own = m_requests.home_rate(key);
+    if (own > 0.0 && m_known_rates.insert(key).second) {
+        m_requests.set_reference_rate(key, own, now);
+    }
+    auto& samples = m_rate_samples[key];
+    samples.emplace_back(now, *rate);
+    while (now - samples.front().first > rate_memory) {
+        samples.pop_front();
+    }
+    if (samples.size() >= rate_samples) {
+        const auto lowest =
+            std::min_element(samples.begin(), samples.end(),
+                             [](const auto& one, const auto& other) { return one.second < other.second; });
+        m_requests.set_reference_rate(key, lowest->second, now);
+    }
+}
+
 void entry_engine::request_policy(base::time_point now, effects& out) {
     if (const auto peer = m_spread.next_request(now)) {
         out.emplace_back(send_to_peer{*peer, wire::policy_request{}, std::nullopt});
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -12,6 +12,7 @@
 #include "carawayway/membership/summary_table.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -110,6 +111,7 @@
     void send_heartbeats(base::time_point now, effects& out);
     void send_summaries(base::time_point now, effects& out);
     void update_shift_references(base::time_point now);
+    void learn_rate(const shifting::shift_key& key, base::time_point now);
     void request_policy(base::time_point now, effects& out);
     void refresh_targets(effects& out);
     void refresh_store_watch(base::time_point now, effects& out);
@@ -165,6 +167,8 @@
     std::map<std::string, std::set<std::string>> m_list_draining;
     std::map<std::string, base::time_point> m_list_expiry; // of senders that no longer report
     std::set<std::string> m_applied_list_draining;
+    std::map<shifting::shift_key, std::deque<std::pair<base::time_point, double>>> m_rate_samples;
+    std::set<shifting::shift_key> m_known_rates; // learned since the start
     std::vector<wire::member_record> m_targets;
     store_watch m_store_watch = store_watch::off;
 };
