--- a/carawayway/engine/peer_view.cpp
+++ b/carawayway/engine/peer_view.cpp
@@ -71,11 +71,17 @@
     }
 }
 
-void peer_view::call_ended(const std::string& entry, std::size_t bytes) {
+void peer_view::call_ended(const std::string& entry, const std::string& service, std::size_t bytes) {
     auto& known = m_peers[entry];
     assert(known.calls > 0 && known.bytes >= bytes);
     --known.calls;
     known.bytes -= bytes;
+    // The slot at the peer is free again. Counting each call until the next summary would limit the calls of
+    // one summary interval to the free slots.
+    const auto load = known.services.find(service);
+    if (load != known.services.end() && load->second.sent_since > 0) {
+        --load->second.sent_since;
+    }
 }
 
 const peer_view::peer* peer_view::find(const std::string& entry) const {
--- a/carawayway/engine/peer_view.hpp
+++ b/carawayway/engine/peer_view.hpp
@@ -50,7 +50,7 @@
 
     // Accounts a call that was sent and one that ended.
     void call_started(const std::string& entry, const std::string& service, std::size_t bytes);
-    void call_ended(const std::string& entry, std::size_t bytes);
+    void call_ended(const std::string& entry, const std::string& service, std::size_t bytes);
 
     bool linked(const std::string& entry) const;
     bool has_room(const std::string& entry, std::size_t bytes) const;
@@ -63,7 +63,7 @@
 private:
     struct service_load {
         wire::service_summary summary;
-        std::uint32_t sent_since = 0;
+        std::uint32_t sent_since = 0; // calls without a result beyond those that the summary counts
     };
 
     struct peer {
--- a/carawayway/engine/request_outcomes.cpp
+++ b/carawayway/engine/request_outcomes.cpp
@@ -201,7 +201,7 @@
 }
 
 void request_engine::leave_peer(pending_call& call) {
-    m_peers.call_ended(call.peer, wire_size(*call.request));
+    m_peers.call_ended(call.peer, call.request->service, wire_size(*call.request));
     call.stage = call_stage::placing;
 }
 
