Tests/engine: Spread the callers' look-ups; state the rate that a check relies on

Cause: the callers of one home region asked only two of the entry instances, so a server under test got no traffic; one scenario did not tell the checker the rate. Change: look-ups rotate per service and home region; the scenario sets its rate.

--- a/Tests/engine/callers.cpp
+++ b/Tests/engine/callers.cpp
@@ -71,7 +71,8 @@
     // Callers know different entry instances: each call asks the next one.
     std::vector<std::string> known(entry_names.begin(), entry_names.end());
     std::rotate(known.begin(),
-                known.begin() + static_cast<std::ptrdiff_t>(m_lookups[plan.service]++ % known.size()),
+                known.begin() +
+                    static_cast<std::ptrdiff_t>(m_lookups[plan.service + plan.home]++ % known.size()),
                 known.end());
     for (const auto& name : known) {
         if (!m_world.running(name)) {
--- a/Tests/engine/engine_entries_test.cpp
+++ b/Tests/engine/engine_entries_test.cpp
@@ -87,6 +87,7 @@
     m_world.set_leaving("booking-n1-1", engine::instance_state::live);
     m_world.run_for(seconds(3));
     EXPECT_GT(m_world.servers().started("booking-n1-1"), before);
+    m_world.run_for(seconds(2));
     EXPECT_TRUE(all_executed({}));
 }
 
--- a/Tests/engine/engine_requests_test.cpp
+++ b/Tests/engine/engine_requests_test.cpp
@@ -147,6 +147,7 @@
 
 // Guards against retries that multiply the load of a service whose answers all fail.
 TEST_F(engine_requests, retry_idempotent_requests_within_the_budget) {
+    m_world.set_rate("stock", "north", 40);
     m_callers.load({.service = "stock"}, 40, seconds(5));
     m_world.servers().behave("stock-n1-1", server_behaviour::truncated);
     m_world.run_for(seconds(6));
