--- a/carawayway/cli/main.cpp
+++ b/carawayway/cli/main.cpp
@@ -41,7 +41,9 @@
           "timeout_ms"},
          run_request},
         {"ctl",
-         "Operates a deployment through any entry instance; without an action it lists the actions.",
+         "Operates a deployment through any entry instance; without an action it lists the actions. A call "
+         "may "
+         "take 10 s unless --timeout_ms is given.",
          "ACTION [words] [flags]",
          {"operator", "token_file", "json", "timeout_ms", "expected_revision", "dry_run", "wait", "wait_ms",
           "revision", "comment", "share", "window_ms", "requests_per_second", "service", "client"},
