--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -1,6 +1,7 @@
 // The periodic control work and the handling of peer messages.
 #include "carawayway/base/log.hpp"
 #include "carawayway/engine/entry_engine.hpp"
+#include "carawayway/wire/message_codec.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,31 +12,40 @@
 namespace {
 
 constexpr auto slow_work_interval = std::chrono::seconds(1);
+// Changes of ownership come in bursts; one summary covers a burst.
+constexpr auto summary_after_change = std::chrono::milliseconds(50);
 constexpr auto list_grace = std::chrono::seconds(10);
 constexpr auto reachability_lifetime = std::chrono::seconds(3);
-constexpr std::size_t links_at_shortest_interval = 15;
 
-} // namespace
+constexpr int heartbeats_until_suspected = 4;
+
+// Bytes of a message on a link, with the length prefix and a typical envelope.
+std::size_t message_size(const wire::peer_message& message) {
+    return wire::encode({"entry-name", 1, 1, 1}, message).size() + sizeof(std::uint32_t);
+}
 
-base::duration entry_engine::interval(base::duration shortest) const {
-    const std::size_t links = m_links.size();
-    if (links <= links_at_shortest_interval) {
-        return shortest;
+// For each service: no room, some room, or requests waiting. Only a change between these is urgent for peers.
+std::vector<std::uint8_t> room_of(const wire::entry_summary& summary) {
+    std::vector<std::uint8_t> rooms;
+    for (const auto& service : summary.services) {
+        const std::uint8_t waiting = service.queued > 0 ? 2 : 0;
+        rooms.push_back(service.free_slots > 0 ? 1 : waiting);
     }
-    return std::max<base::duration>(shortest, m_control.interval_per_link * static_cast<std::int64_t>(links));
+    return rooms;
 }
 
+} // namespace
+
 void entry_engine::control_tick(base::time_point now, effects& out) {
+    m_next_control = now + m_control.control_interval;
     apply_member_changes(now, out);
     apply_ownership(now, out);
     request_policy(now, out);
     if (now >= m_next_heartbeat) {
         send_heartbeats(now, out);
-        m_next_heartbeat = now + interval(m_control.heartbeat_interval);
     }
     if (now >= m_next_summary) {
         send_summaries(now, out);
-        m_next_summary = now + interval(m_control.summary_interval);
     }
     if (now >= m_next_slow_work) {
         m_next_slow_work = now + slow_work_interval;
@@ -83,20 +93,32 @@
         } else {
             m_requests.server_not_owned(change.server, now);
         }
+        // Peers place requests by the summary: servers that were taken over are of no use before it arrives.
+        m_next_summary = std::min<base::time_point>(m_next_summary, now + summary_after_change);
     }
     for (auto& request : m_ownership.take_requests(now)) {
         out.emplace_back(send_to_peer{request.entry, std::move(request.request), std::nullopt});
     }
 }
 
-void entry_engine::send_heartbeats(base::time_point, effects& out) {
+wire::running_state entry_engine::running_state() const {
+    if (m_state != run_state::running) {
+        return wire::running_state::stopping;
+    }
+    return m_ownership.start_complete() ? wire::running_state::running : wire::running_state::starting;
+}
+
+void entry_engine::send_heartbeats(base::time_point now, effects& out) {
     ++m_heartbeat_counter;
     wire::heartbeat message;
     message.counter = m_heartbeat_counter;
-    message.running =
-        m_state == run_state::running ? wire::running_state::running : wire::running_state::stopping;
+    message.running = running_state();
     message.claims_version = m_ownership.claims_version();
-    message.relayed = m_members.counters_to_relay(m_control.relayed_counters);
+    const std::size_t relayed =
+        m_links.size() > m_control.members.full_mesh_limit ? 1 : m_control.relayed_counters;
+    const auto counters = m_members.next_counters_to_relay(relayed);
+    message.relayed = counters.inward;
+    const std::size_t bytes = message_size(message) * m_links.size();
     for (const auto& link : m_links) {
         auto& sent = m_claims_sent[link];
         message.claims.reset();
@@ -104,22 +126,69 @@
             message.claims = m_ownership.claims();
             sent = message.claims_version;
         }
+        const auto* member = m_members.find(link);
+        const bool inward = member != nullptr && member->record.failure_domain == m_identity.failure_domain;
+        message.relayed = inward ? counters.inward : counters.outward;
         out.emplace_back(send_to_peer{link, message, std::nullopt});
     }
+    const auto interval = std::clamp<base::duration>(
+        m_heartbeat_bytes.spacing(bytes), m_control.heartbeat_interval, m_control.longest_heartbeat_interval);
+    m_next_heartbeat = now + interval;
+    m_members.set_suspect_after(
+        std::max<base::duration>(m_control.members.suspect_after, heartbeats_until_suspected * interval));
 }
 
-void entry_engine::send_summaries(base::time_point now, effects& out) {
+wire::entry_summary entry_engine::make_summary(base::time_point now) {
     auto summary = m_requests.summary(now);
     const auto own = m_list_draining.find(m_identity.name);
     if (own != m_list_draining.end()) {
         summary.draining_servers.assign(own->second.begin(), own->second.end());
     }
+    m_published_room = room_of(summary);
+    return summary;
+}
+
+void entry_engine::send_summaries(base::time_point now, effects& out) {
+    auto summary = make_summary(now);
+    const std::size_t bytes = message_size(summary) * m_links.size();
+    m_next_summary =
+        now + std::max<base::duration>(m_summary_bytes.spacing(bytes), m_control.summary_interval);
     m_summaries.update(m_identity.name, summary, now);
     if (!m_links.empty()) {
         out.emplace_back(broadcast_to_peers{std::move(summary)});
     }
 }
 
+std::vector<std::string> entry_engine::near_links() const {
+    std::vector<std::string> near;
+    for (const auto& link : m_links) {
+        const auto* member = m_members.find(link);
+        if (member != nullptr && member->record.region == m_identity.region) {
+            near.push_back(link);
+        }
+    }
+    return near;
+}
+
+// Peers of the region learn at once that room appeared or was used up, as long as the bytes allow it.
+void entry_engine::send_near_summaries(base::time_point now, effects& out) {
+    m_next_near_summary = now + m_control.near_summary_interval;
+    if (m_requests.policy() == nullptr || room_of(m_requests.summary(now)) == m_published_room) {
+        return;
+    }
+    const auto near = near_links();
+    const auto summary = make_summary(now);
+    const std::size_t bytes = message_size(summary) * near.size();
+    if (!m_near_summary_bytes.allows(bytes, now)) {
+        m_published_room.clear(); // not published: tried again
+        return;
+    }
+    m_near_summary_bytes.spend(bytes, now);
+    for (const auto& link : near) {
+        out.emplace_back(send_to_peer{link, summary, std::nullopt});
+    }
+}
+
 // The rate of a region is only learned while one of its entry instances is heard: when they are all gone, the
 // callers that arrive elsewhere must not raise the allowance for their own move.
 void entry_engine::update_shift_references(base::time_point now) {
@@ -153,6 +222,13 @@
 
 void entry_engine::refresh_targets(effects& out) {
     auto targets = m_members.needed_links();
+    for (auto& record : m_ownership.needed_links()) {
+        const bool known = std::any_of(targets.begin(), targets.end(),
+                                       [&record](const auto& target) { return target.name == record.name; });
+        if (!known) {
+            targets.push_back(std::move(record));
+        }
+    }
     if (targets != m_targets) {
         m_targets = targets;
         out.emplace_back(set_peer_targets{std::move(targets)});
@@ -237,6 +313,10 @@
     m_links.insert(peer);
     m_claims_sent.erase(peer);
     out.emplace_back(send_to_peer{peer, m_members.member_list(), std::nullopt});
+    // Strikes that were sent while there was no link are lost, and a new incarnation knows none.
+    for (const auto& record : m_requests.strikes(now)) {
+        out.emplace_back(send_to_peer{peer, record, std::nullopt});
+    }
     m_next_heartbeat = now;
     m_next_summary = now;
 }
@@ -244,6 +324,7 @@
 void entry_engine::link_down(const std::string& peer, base::time_point now, effects& out) {
     revalidate_after_pause(now, out);
     m_links.erase(peer);
+    m_members.link_down(peer);
     m_claims_sent.erase(peer);
     m_requests.peers().set_link(peer, link_status::down);
     m_summaries.remove(peer);
@@ -270,9 +351,9 @@
 void entry_engine::handle(const message_context& context, wire::heartbeat& message) {
     m_members.heartbeat(context.peer, context.incarnation, message, context.now);
     m_ownership.observe_heartbeat(context.peer, context.incarnation, message, context.now);
-    m_requests.peers().set_state(context.peer, message.running == wire::running_state::running
-                                                   ? config::administrative_state::active
-                                                   : config::administrative_state::draining);
+    m_requests.peers().set_state(context.peer, message.running == wire::running_state::stopping
+                                                   ? config::administrative_state::draining
+                                                   : config::administrative_state::active);
 }
 
 void entry_engine::handle(const message_context& context, wire::claims_request& message) {
@@ -307,6 +388,7 @@
     leaving = {message.draining_servers.begin(), message.draining_servers.end()};
     m_summaries.update(context.peer, std::move(message), context.now);
     apply_list_draining(context.now, context.out);
+    m_requests.pass_on_waiting(context.now, context.out);
 }
 
 void entry_engine::handle(const message_context& context, wire::policy_request&) {
--- a/carawayway/engine/entry_explain.cpp
+++ b/carawayway/engine/entry_explain.cpp
@@ -116,7 +116,7 @@
         return report;
     }
     report.home_region = policy->home_region(client_address);
-    report.lookup = lookup_entries(report.home_region, client_address);
+    report.lookup = lookup_entries(service, report.home_region, client_address, now);
     report.servers = explain_servers({*policy, *known, *lane->second}, m_identity.failure_domain, now);
     const std::string home = report.home_region.empty() ? m_identity.region : report.home_region;
     const shifting::spill_over_request query{m_identity.failure_domain, m_identity.region, home,
--- a/carawayway/engine/request_placement.cpp
+++ b/carawayway/engine/request_placement.cpp
@@ -25,7 +25,13 @@
 void request_engine::place(pending_call& call, base::time_point now, effects& out) {
     call.stage = call_stage::placing;
     if (now >= call.deadline) {
-        finish_error(call.number, base::error_kind::deadline_exceeded_before_dispatch, "", {}, now, out);
+        finish_error(call.number, base::error_kind::deadline_exceeded_before_dispatch, "",
+                     retry_advice_of(call, now), now, out);
+        return;
+    }
+    if (m_policy->find_service(call.request->service) == nullptr) {
+        // A policy removed the service while the request was on its way.
+        finish_error(call.number, base::error_kind::service_unknown, call.request->service, {}, now, out);
         return;
     }
     if (refuse_by_guard(call, now, out)) {
@@ -47,13 +53,20 @@
                      out);
         return;
     }
-    if (home && try_local(call, lane, now, out)) {
+    // Own servers that all fail are the last choice, since their callers would see nothing but failures. So
+    // is a second own server after one that gave no answer.
+    const bool reliable = home && lane->pool.reliable(now);
+    const bool local_first = reliable && !call.own_server_failed;
+    if (local_first && try_local(call, lane, now, out)) {
         return;
     }
     if (try_peers(call, shifting::region_crossing::serves_home_region, reason, now, out)) {
         return;
     }
-    if (home && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
+    if (reliable && !local_first && try_local(call, lane, now, out)) {
+        return;
+    }
+    if (reliable && prefers_queue(call, lane, now) && try_queue(call, lane, reason, now)) {
         return;
     }
     if (!home && lane->pool.free_slots(now) > 0 && may_move(call, reason, now) &&
@@ -63,6 +76,9 @@
     if (try_peers(call, shifting::region_crossing::leaves_home_region, reason, now, out)) {
         return;
     }
+    if (home && !reliable && try_local(call, lane, now, out)) {
+        return;
+    }
     if (home && try_queue(call, lane, reason, now)) {
         return;
     }
@@ -74,8 +90,12 @@
     case steering::guard_verdict::clear:
     case steering::guard_verdict::run_isolated:
         return false;
-    case steering::guard_verdict::refuse_quarantined:
     case steering::guard_verdict::refuse_elsewhere:
+        if (send_to_recorder(call, now, out)) {
+            return true;
+        }
+        break;
+    case steering::guard_verdict::refuse_quarantined:
     case steering::guard_verdict::refuse_busy:
         break;
     }
@@ -85,12 +105,37 @@
     return true;
 }
 
+// Suspect content may be harmless: the entry instance that recorded it runs it alone and so clears it.
+bool request_engine::send_to_recorder(pending_call& call, base::time_point now, effects& out) {
+    const std::string recorder = m_guard.recorder(call.fingerprint, now);
+    const bool usable = call.scope == placement_scope::anywhere && call.attempts < m_limits.placements &&
+                        m_peers.linked(recorder) && m_peers.has_room(recorder, wire_size(*call.request));
+    if (!usable) {
+        return false;
+    }
+    refusal_reason ignored;
+    const bool leaves_home = !call.home_region.empty() && m_peers.region_of(recorder) != call.home_region;
+    if (leaves_home && !may_move(call, ignored, now)) {
+        return false;
+    }
+    send_call(call, recorder, call_stage::at_peer, now, out);
+    return true;
+}
+
 void request_engine::place_isolated(pending_call& call, service_lane* lane, base::time_point now,
                                     effects& out) {
+    refusal_reason reason;
+    reason.kind = base::error_kind::overloaded;
+    reason.detail = "no idle server for an isolated run";
+    reason.retry_after = retry_after_isolation;
+    const bool moves = call.scope == placement_scope::anywhere && !serves_home(call);
+    if (moves && !may_move(call, reason, now)) {
+        finish_error(call.number, reason.kind, reason.detail, reason.retry_after, now, out);
+        return;
+    }
     const auto handle = lane->pool.reserve_idle(now);
     if (!handle) {
-        finish_error(call.number, base::error_kind::overloaded, "no idle server for an isolated run",
-                     retry_after_isolation, now, out);
+        finish_error(call.number, reason.kind, reason.detail, reason.retry_after, now, out);
         return;
     }
     m_guard.started_isolated(call.fingerprint);
@@ -183,6 +228,31 @@
     return false;
 }
 
+// Room at a peer is used as soon as it is known: a slot here may not become free for a whole service time.
+void request_engine::pass_on_waiting(base::time_point now, effects& out) {
+    for (auto& [name, lane] : m_lanes) {
+        if (m_policy->find_service(name) == nullptr) {
+            continue; // a policy removed the service
+        }
+        const auto waiting = lane->queue.waiting(); // a copy: passing on changes the queue
+        for (const auto& item : waiting) {
+            auto* call = find_call(item.token);
+            assert(call != nullptr);
+            const bool fixed = call->scope == placement_scope::local_only ||
+                               call->attempts >= m_limits.placements ||
+                               m_guard.check(call->fingerprint, now) != steering::guard_verdict::clear;
+            if (fixed) {
+                continue;
+            }
+            refusal_reason ignored;
+            if (!try_peers(*call, shifting::region_crossing::serves_home_region, ignored, now, out)) {
+                break;
+            }
+            lane->queue.erase(item.token);
+        }
+    }
+}
+
 void request_engine::send_call(pending_call& call, const std::string& entry, call_stage stage,
                                base::time_point now, effects& out) {
     if (stage == call_stage::at_peer && call.id && call.attempts == 0) {
@@ -235,7 +305,8 @@
     m_attempts.emplace(call.attempt, running_attempt{call.number, lane.name, call.server, handle,
                                                      call.fingerprint, mode, now});
     const auto* server = m_policy->find_server(call.server);
-    base::duration timeout = attempt_time(call, lane, now);
+    const base::duration server_time = attempt_time(call, lane, now);
+    base::duration timeout = server_time;
     if (call.semantics == config::request_semantics::non_idempotent) {
         timeout += m_limits.grace; // an answer that is about to arrive tells more than a closed connection
     }
@@ -246,16 +317,22 @@
     }
     m_metrics.observe("carawayway_queue_wait_seconds", {{"service", lane.name}}, now - call.arrived);
     out.emplace_back(start_attempt{call.attempt, call.server, server == nullptr ? "" : server->address,
-                                   std::move(request_id), call.request, timeout, m_dispatch_until});
+                                   std::move(request_id), call.request, server_time, timeout,
+                                   m_dispatch_until});
+}
+
+// When a caller whose time is over should come back.
+base::duration request_engine::retry_advice_of(const pending_call& call, base::time_point now) const {
+    const auto* lane = find_lane(call.request->service);
+    return lane->queue.retry_after(call.number, lane->pool.usable_slots(now), lane->pool.typical_latency(),
+                                   now);
 }
 
 void request_engine::pump(service_lane& lane, base::time_point now, effects& out) {
-    const base::duration needed = lane.typical_latency();
+    const base::duration needed = lane.least_remaining();
     for (const auto& expired : lane.queue.take_expired(now, needed)) {
-        const auto retry_after = lane.queue.retry_after(expired.token, lane.pool.usable_slots(now),
-                                                        lane.pool.typical_latency(), now);
         finish_error(expired.token, base::error_kind::deadline_exceeded_before_dispatch, "waited too long",
-                     retry_after, now, out);
+                     retry_advice_of(m_calls.at(expired.token), now), now, out);
     }
     while (lane.queue.size() > 0 && lane.pool.free_slots(now) > 0) {
         const auto next = lane.queue.take(now, needed);
--- a/carawayway/entry/instance.cpp
+++ b/carawayway/entry/instance.cpp
@@ -50,6 +50,9 @@
         options.addresses.push_back(to_text(address));
     }
     options.call_timeout = settings.platform_timeout;
+    // A connection that died without notice must not hide a policy for longer than it may take to be in
+    // force.
+    options.watch_lifetime = std::chrono::seconds(2);
     return options;
 }
 
@@ -80,7 +83,7 @@
                                                                     ": " + error.code().message()};
             return false;
         }
-        m_peers.emplace(m_peer_duty, network_settings(), m_peer_events);
+        m_peers.emplace(m_peer_duty, network_settings(), configured_addresses(), m_peer_events);
         if (!m_peers->listen(last_failure) ||
             !m_operators.listen(m_settings.operator_address, last_failure)) {
             return false;
@@ -141,6 +144,14 @@
         return limits;
     }
 
+    peer_adapter::address_map configured_addresses() const {
+        peer_adapter::address_map addresses;
+        for (const auto& seed : m_settings.seeds) {
+            addresses.emplace(seed.name, seed.peer_address);
+        }
+        return addresses;
+    }
+
     peer::network_settings network_settings() const {
         peer::network_settings network;
         network.local.name = m_identity.name;
