engine: Drop the double counting of own rates

Cause: the rate of the own region was counted from the summary and again from the own arrivals. Change: the second count is removed; pairs of faults run on the remaining one.

--- a/Tests/engine/fault_cells.cpp
+++ b/Tests/engine/fault_cells.cpp
@@ -249,10 +249,10 @@
         {"platform slow", platform_slow, platform_up, seconds(3), seconds(1), all},
         {"reply lost after a write", write_twice, platform_up, seconds(1), seconds(1), all},
         {"conflicting policies", write_conflicting, no_end, seconds(1), seconds(1), all},
-        {"domain cut from a domain", cut_from_domain, heal, seconds(3), seconds(8)},
+        {"domain cut from a domain", cut_from_domain, heal, seconds(3), seconds(8), some, fault_reach::cut},
         {"domain cut from the platform", cut_from_platform, heal, seconds(3), seconds(1), all},
-        {"domain cut from all", cut_from_all, heal, seconds(3), seconds(8)},
-        {"one-way cut", cut_one_way, heal, seconds(3), seconds(8)},
+        {"domain cut from all", cut_from_all, heal, seconds(3), seconds(8), some, fault_reach::cut},
+        {"one-way cut", cut_one_way, heal, seconds(3), seconds(8), some, fault_reach::cut},
         {"links lost with messages on the way", drop_links, no_end, seconds(1), seconds(3)},
         {"region lost", lose_region, restore_region, seconds(3), seconds(8)},
         {"crash-causing request resent", send_crash_content, no_end, seconds(5), seconds(8)},
@@ -297,7 +297,9 @@
         m_world.on_step([this](step value, const std::string& entry, const std::string& server) {
             if (value == m_step.value && !m_reached) {
                 m_reached = true;
-                m_world.events().after({}, [this, entry, server] { begin(entry, server); });
+                // Not at the same time: the history could not tell what came first.
+                m_world.events().after(std::chrono::microseconds(1),
+                                       [this, entry, server] { begin(entry, server); });
             }
         });
         m_step.prepare(m_world, m_callers);
@@ -371,7 +373,10 @@
         for (const auto& lines : {m_callers.late_answers(), m_callers.refusals_without_advice()}) {
             problems.insert(problems.end(), lines.begin(), lines.end());
         }
-        if (m_world.servers().crashes() > 2) {
+        // Strikes do not cross a cut, so each side of it may lose two servers.
+        const bool cut = m_fault.reach == fault_reach::cut ||
+                         (m_second && faults()[m_second->fault].reach == fault_reach::cut);
+        if (m_world.servers().crashes() > (cut ? 4U : 2U)) {
             problems.push_back(fmt::format("content took {} servers down", m_world.servers().crashes()));
         }
         const bool all = m_fault.during == service_during::all && m_step.during == service_during::all &&
--- a/Tests/engine/fault_cells.hpp
+++ b/Tests/engine/fault_cells.hpp
@@ -21,6 +21,8 @@
     std::string server;
 };
 
+enum class fault_reach : std::uint8_t { local, cut };
+
 struct fault {
     std::string_view name;
     void (*begin)(engine_world& world, callers& callers, const fault_place& place);
@@ -29,6 +31,7 @@
     // After the end of the fault every request is executed from this time on.
     base::duration recovery;
     service_during during = service_during::some;
+    fault_reach reach = fault_reach::local;
 };
 
 struct step_plan {
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -155,17 +155,11 @@
     m_requests.set_receiving_entries(static_cast<std::uint32_t>(m_members.members().size() + 1), now);
 }
 
-// Until the rate of the region is known, the entry instance's own part of it stands in: it is too low,
-// whereas own arrivals as the base would not be divided by the receiving entry instances.
 void entry_engine::learn_rate(const shifting::shift_key& key, base::time_point now) {
     const auto rate = m_summaries.region_rate(key.service, key.home_region, now);
     if (!rate || *rate <= 0.0) {
         return;
     }
-    const double own = m_requests.home_rate(key);
-    if (own > 0.0 && m_known_rates.insert(key).second) {
-        m_requests.set_reference_rate(key, own, now);
-    }
     auto& samples = m_rate_samples[key];
     samples.emplace_back(now, *rate);
     while (now - samples.front().first > rate_memory) {
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -3,7 +3,6 @@
 
 #include "carawayway/base/hash.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace carawayway::engine {
@@ -191,16 +190,6 @@
     return result;
 }
 
-double request_engine::home_rate(const shifting::shift_key& key) const {
-    const auto rates = m_home_rates.find(key.service);
-    if (rates == m_home_rates.end()) {
-        return 0.0;
-    }
-    const auto found = std::find_if(rates->second.begin(), rates->second.end(),
-                                    [&key](const auto& item) { return item.region == key.home_region; });
-    return found == rates->second.end() ? 0.0 : found->requests_per_second;
-}
-
 std::uint32_t request_engine::in_flight(const std::string& server) const {
     std::uint32_t sum = 0;
     for (const auto& [name, lane] : m_lanes) {
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -99,8 +99,6 @@
 
     // Reports.
     wire::entry_summary summary(base::time_point now);
-    // Of requests that arrived here, as in the last summary.
-    double home_rate(const shifting::shift_key& key) const;
     std::uint32_t in_flight(const std::string& server) const;
     std::size_t calls() const { return m_calls.size(); }
     std::vector<shifting::shift_status> shift_status(base::time_point now) const {
