--- a/Tests/engine/engine_entries_test.cpp
+++ b/Tests/engine/engine_entries_test.cpp
@@ -97,6 +97,7 @@
     m_world.run_for(seconds(1));
     m_world.record(test_support::drain_effective{"booking-n2-1"});
     const auto before = m_world.servers().started("booking-n2-1");
+    m_world.run_for(seconds(2));
     // Another entry instance that takes the server over has to know as well.
     m_world.kill_entry("n2-a");
     m_world.run_for(seconds(8));
