steering, engine: Refuse non-idempotent requests that would expire in the queue

Cause: the admission of a resent request kept half of its remaining time for the server, while the dispatch asks for the high latency: requests were queued and refused later. Change: the admission keeps at least what the dispatch asks for.

--- a/carawayway/engine/service_lane.cpp
+++ b/carawayway/engine/service_lane.cpp
@@ -14,6 +14,7 @@
     limits.capacity = policy.queue_limit;
     if (policy.semantics == config::request_semantics::non_idempotent) {
         limits.reserve_factor = non_idempotent_reserve;
+        limits.least_reserve_factor = 1.0; // what least_remaining() asks for at the dispatch
     }
     return limits;
 }
--- a/carawayway/steering/admission_queue.cpp
+++ b/carawayway/steering/admission_queue.cpp
@@ -181,8 +181,8 @@
                                     base::time_point now) const {
     const double remaining = base::to_seconds(deadline - now);
     const double service =
-        std::max(rate.typical_seconds,
-                 std::min(m_limits.reserve_factor * rate.high_seconds, service_share * remaining));
+        std::max({rate.typical_seconds, m_limits.least_reserve_factor * rate.high_seconds,
+                  std::min(m_limits.reserve_factor * rate.high_seconds, service_share * remaining)});
     return remaining - service;
 }
 
--- a/carawayway/steering/admission_queue.hpp
+++ b/carawayway/steering/admission_queue.hpp
@@ -41,6 +41,8 @@
     double cushion_share = 0.5;
     // The time kept for the server's work is this multiple of the high latency, within the shares above.
     double reserve_factor = 1.0;
+    // And at least this multiple, whatever the remaining time.
+    double least_reserve_factor = 0.0;
     double wait_margin = 1.15; // allows for errors in the observed completion rate
     // Waiting allowed at the start of a burst. While requests wait without a break, the allowance shrinks by
     // standing_slope per second down to standing_factor typical latencies: a queue that never empties adds
