--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -36,6 +36,9 @@
     measure "association-$load" "${association[@]}" "--load=$load"
     measure "drain-firm-$load" "${drain_firm[@]}" "--load=$load"
 done
+for rule in random round_robin least_in_flight entries; do
+    measure "association-0.8-$rule" "${association[@]}" --load=0.8 --seconds=20 "--rules=$rule"
+done
 measure association-1.3-fixed "${association[@]}" --load=1.3 --distribution=fixed --rules=entries --seconds=10
 measure association-0.8-even "${association[@]}" --load=0.8 --region_demand=even --rules=least_in_flight,entries
 measure added-latency "${association[@]}" --scenario=added_latency --link_delays=false --service_time_ms=1 --distribution=fixed
--- a/bench/load/deployment.cpp
+++ b/bench/load/deployment.cpp
@@ -219,7 +219,7 @@
 }
 
 void deployment::start_stand_ins() {
-    const auto start = [this](const std::string& name, std::vector<std::string> arguments) {
+    const auto start = [this](const std::string& name, const std::vector<std::string>& arguments) {
         m_processes.emplace(name, child_process(arguments, file(name + ".log")));
     };
     const std::string stand_ins = m_options.program_folder + "/stand_ins/";
--- a/bench/load/outage_scenarios.cpp
+++ b/bench/load/outage_scenarios.cpp
@@ -17,8 +17,8 @@
 namespace {
 
 constexpr auto watch_interval = std::chrono::milliseconds(10);
-constexpr auto rate_window = std::chrono::seconds(1);
-constexpr auto rate_step = std::chrono::milliseconds(50);
+constexpr base::duration rate_window = std::chrono::seconds(1);
+constexpr base::duration rate_step = std::chrono::milliseconds(50);
 constexpr double recovered_share = 0.95;
 
 std::uint64_t number(const boost::json::object& statistics, const char* name) {
