engine: Open servers that are taken over warm

Cause: after a kill -9 of an entry instance its servers were taken over and then warmed up for 5 s, as if their caches were cold. Another entry instance had used them until then. Change: the warm-up of an acquired server is shortened by the time for which another entry instance claimed it.

--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -89,7 +89,10 @@
         base::log(base::log_level::info, dispatches ? "server-owned" : "server-not-owned",
                   {{"server", change.server}});
         if (dispatches) {
-            m_requests.server_owned(change.server, now, out);
+            const auto served = m_served_since.find(change.server);
+            const bool elsewhere = served != m_served_since.end();
+            m_requests.server_owned(change.server, elsewhere ? now - served->second : base::duration::zero(),
+                                    now, out);
         } else {
             m_requests.server_not_owned(change.server, now);
         }
@@ -350,6 +353,13 @@
 
 void entry_engine::handle(const message_context& context, wire::heartbeat& message) {
     m_members.heartbeat(context.peer, context.incarnation, message, context.now);
+    if (message.claims) {
+        for (const auto& claim : *message.claims) {
+            if (claim.state == wire::claim_state::owned) {
+                m_served_since.emplace(claim.server, context.now);
+            }
+        }
+    }
     m_ownership.observe_heartbeat(context.peer, context.incarnation, message, context.now);
     m_requests.peers().set_state(context.peer, message.running == wire::running_state::stopping
                                                    ? config::administrative_state::draining
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -245,9 +245,11 @@
     // Specifications of owned servers may have changed.
     for (const auto& claim : m_ownership.claims()) {
         if (m_ownership.owns(claim.server, now)) {
-            m_requests.server_owned(claim.server, now, out);
+            m_requests.server_owned(claim.server, base::duration::zero(), now, out);
         }
     }
+    std::erase_if(m_served_since,
+                  [&policy](const auto& item) { return policy.find_server(item.first) == nullptr; });
     m_applied_list_draining.clear();
     apply_list_draining(now, out);
 }
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -183,6 +183,8 @@
     std::vector<std::uint8_t> m_published_room; // what the last summary said about room
     base::time_point m_next_slow_work;          // work that is done about once a second
     std::set<std::string> m_links;
+    // When another entry instance first claimed a server of the policy: one that is taken over is not cold.
+    std::map<std::string, base::time_point> m_served_since;
     std::map<std::string, std::uint64_t> m_claims_sent; // link to the version of the claims it was sent last
     std::map<std::string, std::int64_t> m_peer_revisions;
     std::map<std::string, base::time_point> m_reachable; // foreign server to its last successful probe
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -110,7 +110,8 @@
     m_shifts.reference_rate(key, requests_per_second, now);
 }
 
-void request_engine::server_owned(const std::string& server, base::time_point now, effects& out) {
+void request_engine::server_owned(const std::string& server, base::duration served_elsewhere,
+                                  base::time_point now, effects& out) {
     const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
     if (known == nullptr) {
         return;
@@ -120,7 +121,9 @@
         lane->set_not_owned(server, now); // an earlier policy may have given it slots
         return;
     }
-    lane->set_owned(to_spec(*m_policy, *known), now);
+    auto spec = to_spec(*m_policy, *known);
+    spec.warm_up = std::max(base::duration::zero(), spec.warm_up - served_elsewhere);
+    lane->set_owned(spec, now);
     pump(*lane, now, out);
 }
 
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -65,7 +65,10 @@
                     base::time_point now, effects& out);
     void set_receiving_entries(std::uint32_t count, base::time_point now);
     void set_reference_rate(const shifting::shift_key& key, double requests_per_second, base::time_point now);
-    void server_owned(const std::string& server, base::time_point now, effects& out);
+    // `served_elsewhere` is the time for which another entry instance had the server: its caches are warm for
+    // as long.
+    void server_owned(const std::string& server, base::duration served_elsewhere, base::time_point now,
+                      effects& out);
     void server_not_owned(const std::string& server, base::time_point now);
     void server_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now);
     void server_not_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now,
