--- a/carawayway/engine/pending_call.hpp
+++ b/carawayway/engine/pending_call.hpp
@@ -63,11 +63,11 @@
 
     call_stage stage = call_stage::placing;
     std::uint32_t attempts = 0;             // times it was sent to a server or a peer
+    bool may_have_run = false;              // an earlier attempt may have been executed
     std::uint64_t attempt = 0;              // stage at_server
     std::string server;                     // the last one that it was sent to, for the answer's detail
     std::string peer;                       // stage at_peer, forwarded
     std::vector<std::string> refused_peers; // not asked again for this call
-    bool started = false;                   // an attempt may have run: "not executed" is no longer true
     bool own_server_failed = false; // an own server gave no answer: peers are asked before the next one
 };
 
--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -1,8 +1,6 @@
 // Translation of link events and of the engine's effects.
 #include "carawayway/entry/peer_adapter.hpp"
 
-#include "carawayway/base/log.hpp"
-
 #include <utility>
 #include <variant>
 
@@ -10,7 +8,8 @@
 
 namespace {
 
-constexpr auto flush_interval = std::chrono::milliseconds(1);
+constexpr auto flush_interval = std::chrono::milliseconds(5);
+constexpr auto traffic_report_interval = std::chrono::seconds(1);
 // A steering thread that is this far behind cannot answer in time; its peers then go elsewhere.
 constexpr std::size_t backlog_limit = 20000; // messages
 
@@ -37,7 +36,6 @@
 peer::network_events peer_adapter::make_events() {
     peer::network_events events;
     events.link_up = [this](const std::string& name, const wire::hello& remote) {
-        base::log(base::log_level::info, "peer-linked", {{"peer", name}});
         m_events.send(peer_linked{name, remote});
     };
     events.link_down = [this](const std::string& name, const peer::link_loss& loss) {
@@ -68,11 +66,20 @@
     m_flush_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             m_events.flush();
+            report_traffic();
             flush_later();
         }
     });
 }
 
+void peer_adapter::report_traffic() {
+    const auto now = base::monotonic_now();
+    if (now >= m_next_report) {
+        m_next_report = now + traffic_report_interval;
+        m_events.send(peer_traffic{m_network.traffic()});
+    }
+}
+
 void peer_adapter::handle(peer_command command) {
     std::visit([this](auto& specific) { carry_out(specific); }, command);
 }
@@ -125,8 +132,6 @@
 }
 
 void peer_adapter::link_lost(const std::string& peer, const peer::link_loss& loss) {
-    base::log(base::log_level::info, "peer-unlinked",
-              {{"peer", peer}, {"reason", peer::to_string(loss.reason)}, {"detail", loss.detail}});
     m_events.send(peer_unlinked{peer});
     for (const auto& lost : m_calls.link_lost(peer, loss)) {
         m_events.send(peer_call_lost{peer, lost.call, lost.evidence});
--- a/carawayway/entry/peer_adapter.hpp
+++ b/carawayway/entry/peer_adapter.hpp
@@ -39,6 +39,7 @@
     void message_arrived(const std::string& peer, wire::received_message&& message);
     void link_lost(const std::string& peer, const peer::link_loss& loss);
     void flush_later();
+    void report_traffic();
     peer::network_events make_events();
 
     void report_evidence(const std::string& peer, peer::connect_evidence evidence);
@@ -49,6 +50,7 @@
     peer_call_table m_calls;
     peer::peer_network m_network;
     boost::asio::steady_timer m_flush_timer;
+    base::time_point m_next_report;
 };
 
 } // namespace carawayway::entry
--- a/carawayway/entry/steering_loop.hpp
+++ b/carawayway/entry/steering_loop.hpp
@@ -46,10 +46,12 @@
     void on(peer_spoke& event);
     void on(peer_not_reached& event);
     void on(peer_call_lost& event);
+    void on(const peer_traffic& event);
     void on(policy_arrived& event);
     void on(instances_arrived& event);
     void on(status_asked& event);
     void on(metrics_asked& event);
+    void on(explain_asked& event);
     void on(stop_asked& event);
 
     void carry_out(engine::answer_caller& effect);
--- a/carawayway/steering/server_pool.hpp
+++ b/carawayway/steering/server_pool.hpp
@@ -138,9 +138,9 @@
         return m_totals.healthy > 0 ? m_totals.open_free : m_totals.held_free;
     }
 
-    // Whether a request sent here is likely to meet a working server, or is wanted as a probe. False while
-    // all servers are suspect: they still take requests that nobody else can.
-    bool promising(base::time_point now) const {
+    // Whether a server is healthy or due for a probe. Otherwise requests are better sent elsewhere, if there
+    // is an elsewhere.
+    bool reliable(base::time_point now) const {
         advance(now);
         return m_totals.healthy > 0 || !m_probes.empty();
     }
