--- a/Tests/support/process_harness.cpp
+++ b/Tests/support/process_harness.cpp
@@ -91,6 +91,7 @@
     : m_output_file(std::move(output_file)) {
     std::vector<std::string> copies = arguments;
     std::vector<char*> pointers;
+    pointers.reserve(copies.size() + 1);
     for (auto& argument : copies) {
         pointers.push_back(argument.data());
     }
--- a/Tests/system/at_most_once_test.cpp
+++ b/Tests/system/at_most_once_test.cpp
@@ -47,9 +47,9 @@
 
 // Sends the request under new IDs through all entries, four times.
 void send_crashing_request(deployment& system, const service_spec& service) {
-    caller self(system, system.source_in("uusimaa"));
     for (int round = 0; round < 4; ++round) {
         for (const auto& entry : system.entries()) {
+            caller self(system, system.source_in(entry.region));
             const auto id = self.fresh_id(entry.name, service.name);
             ASSERT_FALSE(id.empty());
             const auto result = self.send(entry.name, {service.name, id, "crash-server", service.semantics});
@@ -82,10 +82,10 @@
 TEST(at_most_once_test, other_requests_are_served_after_a_crash_causing_one) {
     deployment system(two_neighbours(3));
     ASSERT_NO_FATAL_FAILURE(system.start());
-    caller self(system, system.source_in("uusimaa"));
     for (const auto& service : system.services()) {
         ASSERT_NO_FATAL_FAILURE(send_crashing_request(system, service));
         for (const auto& entry : system.entries()) {
+            caller self(system, system.source_in(entry.region));
             // The first ones may meet the servers that are down.
             const auto served = [&] {
                 const auto id = self.fresh_id(entry.name, service.name);
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr auto slow_work_interval = std::chrono::seconds(1);
-// Changes of ownership come in bursts; one summary covers a burst.
-constexpr auto summary_after_change = std::chrono::milliseconds(50);
 constexpr auto list_grace = std::chrono::seconds(10);
 constexpr auto reachability_lifetime = std::chrono::seconds(3);
 
@@ -93,8 +91,6 @@
         } else {
             m_requests.server_not_owned(change.server, now);
         }
-        // Peers place requests by the summary: servers that were taken over are of no use before it arrives.
-        m_next_summary = std::min<base::time_point>(m_next_summary, now + summary_after_change);
     }
     for (auto& request : m_ownership.take_requests(now)) {
         out.emplace_back(send_to_peer{request.entry, std::move(request.request), std::nullopt});
