--- a/carawayway/entry/steering_loop.cpp
+++ b/carawayway/entry/steering_loop.cpp
@@ -67,7 +67,7 @@
     while (!m_effects.empty()) {
         auto batch = std::exchange(m_effects, {});
         for (auto& effect : batch) {
-            std::visit([this](auto& specific) { carry_out(specific); }, effect);
+            std::visit([this](auto& specific) { this->carry_out(specific); }, effect);
         }
     }
 }
