--- a/Tests/engine/engine_requests_test.cpp
+++ b/Tests/engine/engine_requests_test.cpp
@@ -255,7 +255,7 @@
     }
     m_world.run_for(milliseconds(6));
     for (const auto& server : base_policy().servers) {
-        m_world.servers().kill(server.name);
+        m_world.servers().behave(server.name, server_behaviour::truncated);
     }
     m_world.run_for(seconds(2));
     EXPECT_EQ(call.outcome(), execution_state::unknown);
@@ -314,6 +314,7 @@
 // Guards against IDs that were refused by a full table and run once it has room again.
 TEST_F(small_table, refuses_for_good) {
     std::vector<const call_record*> sent;
+    sent.reserve(8);
     for (int index = 0; index < 8; ++index) {
         sent.push_back(&m_callers.call({.entry = "n1-a"}));
     }
--- a/Tests/engine/fake_servers.cpp
+++ b/Tests/engine/fake_servers.cpp
@@ -37,7 +37,7 @@
     m_servers[policy.name].region = region;
 }
 
-void fake_servers::reply(const reply_handler& handler, server_result result) {
+void fake_servers::reply(const reply_handler& handler, const server_result& result) {
     m_events.after(network_delay, [handler, result] { handler(result); });
 }
 
@@ -123,7 +123,7 @@
     if (m_on_answer) {
         m_on_answer(name, ended.attempt);
     }
-    reply(ended.reply, std::move(result));
+    reply(ended.reply, result);
 }
 
 void fake_servers::close(std::uint64_t connection) {
--- a/Tests/engine/fake_servers.hpp
+++ b/Tests/engine/fake_servers.hpp
@@ -83,7 +83,7 @@
     void begin(server_state& one, std::uint64_t connection);
     void finish(const std::string& name, std::uint64_t connection);
     void crash(const std::string& name);
-    void reply(const reply_handler& handler, engine::server_result result);
+    void reply(const reply_handler& handler, const engine::server_result& result);
     void record(test_support::event_content content) {
         m_history.push_back({m_events.now(), std::move(content)});
     }
--- a/carawayway/engine/entry_control.cpp
+++ b/carawayway/engine/entry_control.cpp
@@ -144,8 +144,7 @@
             live.insert(member.record.region);
         }
     }
-    std::erase_if(m_rate_samples,
-                  [&live](const auto& item) { return !live.contains(item.first.home_region); });
+    std::erase_if(m_rate_samples, [&live](const auto& item) { return !live.contains(item.first.second); });
     for (const auto& service : policy->content().services) {
         for (const auto& region : live) {
             learn_rate({service.name, region}, now);
@@ -160,7 +159,7 @@
     if (!rate || *rate <= 0.0) {
         return;
     }
-    auto& samples = m_rate_samples[key];
+    auto& samples = m_rate_samples[{key.service, key.home_region}];
     samples.emplace_back(now, *rate);
     while (now - samples.front().first > rate_memory) {
         samples.pop_front();
@@ -170,7 +169,7 @@
             std::min_element(samples.begin(), samples.end(),
                              [](const auto& one, const auto& other) { return one.second < other.second; });
         m_requests.set_reference_rate(key, lowest->second, now);
-        m_known_rates.insert(key);
+        m_known_rates.emplace(key.service, key.home_region);
     }
 }
 
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -191,7 +191,7 @@
     }
     for (const auto& service : policy.content().services) {
         const shifting::shift_key own{service.name, m_identity.region};
-        if (!m_known_rates.contains(own)) {
+        if (!m_known_rates.contains({own.service, own.home_region})) {
             // What arrives here is a large part of the own region's traffic. Taken as the base it would not
             // be divided by the receiving entry instances, so next to nothing moves until the rate is known.
             m_requests.set_reference_rate(own, rate_before_known, now);
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -124,7 +124,7 @@
     // One handler for each kind of message; the fallback is for kinds that links consume themselves.
     struct message_context {
         const std::string& peer;
-        std::uint64_t incarnation;
+        std::uint64_t incarnation = 0;
         base::time_point now;
         effects& out;
     };
@@ -145,6 +145,8 @@
     void handle(const message_context& context, wire::hello& message);
     void handle(const message_context& context, wire::hello_proof& message);
 
+    using service_and_region = std::pair<std::string, std::string>;
+
     engine_identity m_identity;
     control_settings m_control;
     membership::member_table m_members;
@@ -167,8 +169,8 @@
     std::map<std::string, std::set<std::string>> m_list_draining;
     std::map<std::string, base::time_point> m_list_expiry; // of senders that no longer report
     std::set<std::string> m_applied_list_draining;
-    std::map<shifting::shift_key, std::deque<std::pair<base::time_point, double>>> m_rate_samples;
-    std::set<shifting::shift_key> m_known_rates; // learned since the start
+    std::map<service_and_region, std::deque<std::pair<base::time_point, double>>> m_rate_samples;
+    std::set<service_and_region> m_known_rates; // learned since the start
     std::vector<wire::member_record> m_targets;
     store_watch m_store_watch = store_watch::off;
 };
--- a/carawayway/shifting/shift_limiter.hpp
+++ b/carawayway/shifting/shift_limiter.hpp
@@ -37,7 +37,7 @@
     std::string service;
     std::string home_region;
 
-    auto operator<=>(const shift_key&) const = default;
+    bool operator==(const shift_key&) const = default;
 };
 
 enum class arrival_kind : std::uint8_t { first_time, resend };
