--- a/Tests/engine/callers.cpp
+++ b/Tests/engine/callers.cpp
@@ -68,7 +68,13 @@
     if (!plan.entry.empty()) {
         entries.push_back(plan.entry);
     }
-    for (const auto& name : entry_names) {
+    // Callers know different entry instances: each call asks the next one.
+    std::vector<std::string> known(entry_names.begin(), entry_names.end());
+    std::rotate(known.begin(),
+                known.begin() +
+                    static_cast<std::ptrdiff_t>(m_lookups[plan.service + plan.home]++ % known.size()),
+                known.end());
+    for (const auto& name : known) {
         if (!m_world.running(name)) {
             continue;
         }
@@ -94,7 +100,8 @@
 
 std::optional<std::string> callers::prefix_of(const std::string& entry, const call_plan& plan) {
     if (m_world.running(entry)) {
-        const auto answer = m_world.lookup(entry, plan.service, "10.1.0.1");
+        // No client block holds this address: every entry instance gives such a caller a prefix of its own.
+        const auto answer = m_world.lookup(entry, plan.service, "192.0.2.1");
         if (!answer.request_id_prefix.empty()) {
             m_prefixes[entry] = answer.request_id_prefix;
         }
--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Slots. An entry instance without own servers of a service still serves some callers, by passing requests
+// on.
+constexpr double least_lookup_weight = 0.25;
 constexpr double rate_before_known = 1.0; // requests per second
 
 std::string to_text(const config::socket_address& address) {
@@ -37,7 +40,13 @@
           [this](std::string_view server) { return m_requests.in_flight(std::string(server)); },
           [this](std::string_view server) { return reachable(server); }, now),
       m_spread(membership::config_spread_settings{}), m_summaries(control.summary_lifetime),
-      m_state_since(now), m_next_heartbeat(now), m_next_summary(now), m_next_slow_work(now) {}
+      m_state_since(now), m_next_control(now), m_next_heartbeat(now), m_next_summary(now),
+      m_next_near_summary(now),
+      m_heartbeat_bytes(control.heartbeat_bytes_per_second, control.heartbeat_bytes_per_second, now),
+      m_summary_bytes(control.summary_bytes_per_second, control.summary_bytes_per_second, now),
+      m_near_summary_bytes(control.near_summary_bytes_per_second, 2 * control.near_summary_bytes_per_second,
+                           now),
+      m_next_slow_work(now) {}
 
 void entry_engine::add_seed(const wire::member_record& seed, base::time_point now) {
     m_members.add_seed(seed, now);
@@ -85,60 +94,102 @@
     }
 }
 
-lookup_answer entry_engine::lookup(const std::string& service, const std::string& client_address,
-                                   base::time_point now) {
-    lookup_answer answer;
+// Live entry instances in the order in which the client should try them.
+std::vector<lookup_entry> entry_engine::lookup_entries(const std::string& service,
+                                                       const std::string& home_region,
+                                                       const std::string& client_address,
+                                                       base::time_point now) const {
     const auto* policy = m_requests.policy();
-    if (const auto reason = not_ready_reason()) {
-        answer.kind = base::error_kind::not_ready;
-        answer.detail = *reason;
-        return answer;
-    }
-    if (policy->find_service(service) == nullptr) {
-        answer.kind = base::error_kind::service_unknown;
-        answer.detail = service;
-        return answer;
-    }
     std::vector<shifting::known_entry> entries;
     std::vector<const wire::member_record*> records;
-    const auto add = [&](const wire::member_record& record, shifting::entry_state state) {
+    const auto add = [&](const wire::member_record& record, shifting::entry_state state, double slots) {
         const auto& draining = policy->content().draining_entries;
         const bool drained = std::find(draining.begin(), draining.end(), record.name) != draining.end();
         entries.push_back({record.name, record.failure_domain, record.region,
-                           drained ? shifting::entry_state::draining : state});
+                           drained ? shifting::entry_state::draining : state,
+                           std::max(slots, least_lookup_weight)});
         records.push_back(&record);
     };
     add(m_members.self(),
-        m_state == run_state::running ? shifting::entry_state::active : shifting::entry_state::stopping);
+        m_state == run_state::running ? shifting::entry_state::active : shifting::entry_state::stopping,
+        m_requests.usable_slots(service, now));
     for (const auto& [name, member] : m_members.members()) {
         const bool usable = member.heard && member.status == membership::member_status::alive &&
                             member.record.caller_address.port != 0;
         if (usable) {
-            add(member.record, member.running == wire::running_state::stopping
-                                   ? shifting::entry_state::stopping
-                                   : shifting::entry_state::active);
+            const auto* load = m_summaries.find_service(name, service, now);
+            add(member.record,
+                member.running == wire::running_state::stopping ? shifting::entry_state::stopping
+                                                                : shifting::entry_state::active,
+                load == nullptr ? 0.0 : load->usable_slots);
         }
     }
-    answer.service = service;
-    answer.home_region = policy->home_region(client_address);
-    const std::string preferred = answer.home_region.empty() ? m_identity.region : answer.home_region;
+    std::vector<lookup_entry> result;
+    const std::string preferred = home_region.empty() ? m_identity.region : home_region;
     for (const auto index : shifting::lookup_order(preferred, client_address, entries)) {
-        if (answer.entries.size() == m_control.lookup_entries) {
+        if (result.size() == m_control.lookup_entries) {
             break;
         }
         const auto& record = *records[index];
-        answer.entries.push_back(
-            {record.name, to_text(record.caller_address), record.failure_domain, record.region});
+        result.push_back({record.name, to_text(record.caller_address), record.failure_domain, record.region});
+    }
+    return result;
+}
+
+lookup_answer entry_engine::lookup(const std::string& service, const std::string& client_address,
+                                   base::time_point now) {
+    lookup_answer answer;
+    const auto* policy = m_requests.policy();
+    if (const auto reason = not_ready_reason()) {
+        answer.kind = base::error_kind::not_ready;
+        answer.detail = *reason;
+        return answer;
+    }
+    if (policy->find_service(service) == nullptr) {
+        answer.kind = base::error_kind::service_unknown;
+        answer.detail = service;
+        return answer;
     }
+    answer.service = service;
+    answer.home_region = policy->home_region(client_address);
+    answer.entries = lookup_entries(service, answer.home_region, client_address, now);
     if (answer.entries.empty()) {
         answer.kind = base::error_kind::stopping;
         answer.detail = "no entry instance takes new callers";
         return answer;
     }
     answer.lifetime = policy->content().lookup_lifetime;
+    add_prefix(answer, answer.home_region.empty() ? m_identity.region : answer.home_region, now);
+    return answer;
+}
+
+// A prefix binds the caller's non-idempotent requests to this entry instance. It is only given when that is
+// no detour: a caller whose home region has other entry instances asks one of those.
+void entry_engine::add_prefix(lookup_answer& answer, const std::string& preferred_region,
+                              base::time_point now) {
+    const auto in_region = [&preferred_region](const lookup_entry& entry) {
+        return entry.region == preferred_region;
+    };
+    const bool home_has_entries = std::any_of(answer.entries.begin(), answer.entries.end(), in_region);
+    const bool detour = home_has_entries && m_identity.region != preferred_region;
+    const auto& drained = m_requests.policy()->content().draining_entries;
+    const bool leaving = m_state != run_state::running ||
+                         std::find(drained.begin(), drained.end(), m_identity.name) != drained.end();
+    if (detour || leaving) {
+        return;
+    }
     answer.request_id_prefix = m_requests.issue_prefix(now);
     answer.acceptance = m_requests.acceptance_left(now);
-    return answer;
+    if (!m_requests.is_non_idempotent(answer.service)) {
+        return;
+    }
+    const auto self =
+        std::find_if(answer.entries.begin(), answer.entries.end(),
+                     [this](const lookup_entry& entry) { return entry.name == m_identity.name; });
+    if (self != answer.entries.end()) {
+        std::rotate(answer.entries.begin(), self,
+                    self + 1); // the owner of the ID first: no hop between entries
+    }
 }
 
 std::optional<std::string> entry_engine::not_ready_reason() const {
@@ -203,9 +254,11 @@
     // Specifications of owned servers may have changed.
     for (const auto& claim : m_ownership.claims()) {
         if (m_ownership.owns(claim.server, now)) {
-            m_requests.server_owned(claim.server, now, out);
+            m_requests.server_owned(claim.server, base::duration::zero(), now, out);
         }
     }
+    std::erase_if(m_served_since,
+                  [&policy](const auto& item) { return policy.find_server(item.first) == nullptr; });
     m_applied_list_draining.clear();
     apply_list_draining(now, out);
 }
@@ -263,7 +316,12 @@
 }
 
 void entry_engine::tick(base::time_point now, effects& out) {
-    control_tick(now, out);
+    if (now >= m_next_control) {
+        control_tick(now, out);
+    }
+    if (now >= m_next_near_summary) {
+        send_near_summaries(now, out);
+    }
     m_requests.tick(now, out);
     advance_stop(now, out);
 }
@@ -273,6 +331,7 @@
         return;
     }
     m_state = run_state::leaving;
+    m_requests.set_id_issue(id_issue::stopped);
     m_state_since = now;
     m_next_heartbeat = now;
     base::log(base::log_level::info, "stop-begun");
@@ -301,13 +360,16 @@
 std::vector<member_report> entry_engine::members() const {
     std::vector<member_report> result;
     result.push_back({m_identity.name, m_identity.failure_domain, m_identity.region,
-                      std::string(to_string(m_state)), m_spread.revision()});
+                      std::string(to_string(m_state)), m_spread.revision(), member_reach::reachable});
     for (const auto& [name, member] : m_members.members()) {
         const auto revision = m_peer_revisions.find(name);
         const bool stopping = member.running == wire::running_state::stopping;
         result.push_back({name, member.record.failure_domain, member.record.region,
                           stopping ? "stopping" : std::string(membership::to_string(member.status)),
-                          revision == m_peer_revisions.end() ? 0 : revision->second});
+                          revision == m_peer_revisions.end() ? 0 : revision->second,
+                          member.heard && member.status == membership::member_status::alive
+                              ? member_reach::reachable
+                              : member_reach::not_reachable});
     }
     return result;
 }
@@ -321,6 +383,7 @@
     report.incarnation = m_identity.incarnation;
     report.revision = m_spread.revision();
     report.policy_document = m_spread.document();
+    report.not_ready_reason = not_ready_reason();
     report.members = members();
     for (const auto& [name, lane] : m_requests.lanes()) {
         service_report service;
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -2,7 +2,9 @@
 // and the spread of the policy. The runtime feeds it events with the time and carries out its effects.
 #pragma once
 
+#include "carawayway/engine/byte_budget.hpp"
 #include "carawayway/engine/effect.hpp"
+#include "carawayway/engine/explain_report.hpp"
 #include "carawayway/engine/instance_record.hpp"
 #include "carawayway/engine/request_engine.hpp"
 #include "carawayway/engine/status_report.hpp"
@@ -23,11 +25,20 @@
 namespace carawayway::engine {
 
 struct control_settings {
+    // Membership and ownership are looked at this often. Well below the pause limit, since a longer gap
+    // counts as a pause; their cost grows with the number of members.
+    base::duration control_interval = std::chrono::milliseconds(50);
+    // Shortest intervals; they grow with the number of links, so that the bytes stay within the rates below.
     base::duration heartbeat_interval = std::chrono::milliseconds(250);
+    base::duration longest_heartbeat_interval =
+        std::chrono::seconds(2); // the silence limit is above twice this
     base::duration summary_interval = std::chrono::milliseconds(500);
-    // With many links both intervals grow, so that the control traffic of an instance stays bounded.
-    base::duration interval_per_link = std::chrono::milliseconds(16);
-    std::size_t relayed_counters = 8; // per heartbeat
+    // Entry instances of the own region get a summary soon after room appeared or was used up.
+    base::duration near_summary_interval = std::chrono::milliseconds(20);
+    double heartbeat_bytes_per_second = 4000;
+    double summary_bytes_per_second = 1500;
+    double near_summary_bytes_per_second = 1500;
+    std::size_t relayed_counters = 3; // per heartbeat; one with more links than a full mesh has
     std::size_t lookup_entries = 8;   // entry instances named in a look-up answer
     base::duration summary_lifetime = std::chrono::seconds(5);
     membership::ownership_settings ownership;
@@ -88,6 +99,9 @@
     const request_engine& requests() const { return m_requests; }
     const membership::server_ownership& ownership() const { return m_ownership; }
     status_report status(base::time_point now) const;
+    // `kind` is set for an unknown service, an invalid client address, and without a policy.
+    explain_report explain(const std::string& service, const std::string& client_address,
+                           base::time_point now) const;
     std::int64_t revision() const { return m_spread.revision(); }
     const std::string& policy_document() const { return m_spread.document(); }
     const engine_identity& identity() const { return m_identity; }
@@ -96,12 +110,14 @@
 private:
     // entry_engine.cpp
     std::vector<member_report> members() const;
+    void add_prefix(lookup_answer& answer, const std::string& preferred_region, base::time_point now);
+    std::vector<lookup_entry> lookup_entries(const std::string& service, const std::string& home_region,
+                                             const std::string& client_address, base::time_point now) const;
     void revalidate_after_pause(base::time_point now, effects& out);
     void adopt_policy(std::int64_t revision, std::string document, base::time_point now, effects& out);
     void apply_policy(base::time_point now, effects& out);
     void advance_stop(base::time_point now, effects& out);
     void apply_list_draining(base::time_point now, effects& out);
-    base::duration interval(base::duration shortest) const;
     wire::running_state running_state() const;
 
     // entry_control.cpp
@@ -109,7 +125,10 @@
     void apply_member_changes(base::time_point now, effects& out);
     void apply_ownership(base::time_point now, effects& out);
     void send_heartbeats(base::time_point now, effects& out);
+    wire::entry_summary make_summary(base::time_point now);
     void send_summaries(base::time_point now, effects& out);
+    void send_near_summaries(base::time_point now, effects& out);
+    std::vector<std::string> near_links() const;
     void update_shift_references(base::time_point now);
     void learn_rate(const shifting::shift_key& key, base::time_point now);
     void request_policy(base::time_point now, effects& out);
@@ -158,10 +177,18 @@
     run_state m_state = run_state::running;
     base::time_point m_state_since;
     std::uint64_t m_heartbeat_counter = 0;
+    base::time_point m_next_control;
     base::time_point m_next_heartbeat;
     base::time_point m_next_summary;
-    base::time_point m_next_slow_work; // work that is done about once a second
+    base::time_point m_next_near_summary;
+    byte_budget m_heartbeat_bytes;
+    byte_budget m_summary_bytes;
+    byte_budget m_near_summary_bytes;
+    std::vector<std::uint8_t> m_published_room; // what the last summary said about room
+    base::time_point m_next_slow_work;          // work that is done about once a second
     std::set<std::string> m_links;
+    // When another entry instance first claimed a server of the policy: one that is taken over is not cold.
+    std::map<std::string, base::time_point> m_served_since;
     std::map<std::string, std::uint64_t> m_claims_sent; // link to the version of the claims it was sent last
     std::map<std::string, std::int64_t> m_peer_revisions;
     std::map<std::string, base::time_point> m_reachable; // foreign server to its last successful probe
--- a/carawayway/engine/request_engine.cpp
+++ b/carawayway/engine/request_engine.cpp
@@ -110,7 +110,8 @@
     m_shifts.reference_rate(key, requests_per_second, now);
 }
 
-void request_engine::server_owned(const std::string& server, base::time_point now, effects& out) {
+void request_engine::server_owned(const std::string& server, base::duration served_elsewhere,
+                                  base::time_point now, effects& out) {
     const auto* known = m_policy ? m_policy->find_server(server) : nullptr;
     if (known == nullptr) {
         return;
@@ -120,7 +121,9 @@
         lane->set_not_owned(server, now); // an earlier policy may have given it slots
         return;
     }
-    lane->set_owned(to_spec(*m_policy, *known), now);
+    auto spec = to_spec(*m_policy, *known);
+    spec.warm_up = std::max(base::duration::zero(), spec.warm_up - served_elsewhere);
+    lane->set_owned(spec, now);
     pump(*lane, now, out);
 }
 
@@ -178,6 +181,7 @@
     for (auto& [name, lane] : m_lanes) {
         wire::service_summary item;
         item.service = name;
+        // Suspect servers are no reason for others to send their requests here.
         item.free_slots = lane->pool.reliable(now) ? lane->pool.free_slots(now) : 0;
         item.usable_slots = lane->pool.usable_slots(now);
         item.in_flight = lane->pool.in_flight();
@@ -190,6 +194,11 @@
     return result;
 }
 
+std::uint32_t request_engine::usable_slots(const std::string& service, base::time_point now) const {
+    const auto* lane = find_lane(service);
+    return lane == nullptr ? 0 : lane->pool.usable_slots(now);
+}
+
 std::uint32_t request_engine::in_flight(const std::string& server) const {
     std::uint32_t sum = 0;
     for (const auto& [name, lane] : m_lanes) {
@@ -198,6 +207,10 @@
     return sum;
 }
 
+std::string request_engine::issue_prefix(base::time_point now) {
+    return m_id_issue == id_issue::running ? m_registry.issue_prefix(now) : std::string{};
+}
+
 std::vector<std::string> request_engine::take_drain_evidence() {
     return std::exchange(m_drain_evidence, {});
 }
--- a/carawayway/engine/request_engine.hpp
+++ b/carawayway/engine/request_engine.hpp
@@ -47,6 +47,10 @@
 // Whether requests from callers are taken.
 enum class intake : std::uint8_t { open, closed };
 
+// Whether callers get prefixes for new request IDs. Not while stopping: the incarnation would be gone before
+// they are used up.
+enum class id_issue : std::uint8_t { running, stopped };
+
 // Whether a lost message can have reached the peer.
 enum class loss_evidence : std::uint8_t { never_sent, may_have_arrived };
 
@@ -61,7 +65,10 @@
                     base::time_point now, effects& out);
     void set_receiving_entries(std::uint32_t count, base::time_point now);
     void set_reference_rate(const shifting::shift_key& key, double requests_per_second, base::time_point now);
-    void server_owned(const std::string& server, base::time_point now, effects& out);
+    // `served_elsewhere` is the time for which another entry instance had the server: its caches are warm for
+    // as long.
+    void server_owned(const std::string& server, base::duration served_elsewhere, base::time_point now,
+                      effects& out);
     void server_not_owned(const std::string& server, base::time_point now);
     void server_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now);
     void server_not_draining(const std::string& server, wire::drain_evidence evidence, base::time_point now,
@@ -69,11 +76,14 @@
     // Attempts decided from now on must not be written after this time: until then the ownership is certain.
     void set_dispatch_permission(base::time_point until) { m_dispatch_until = until; }
     void set_intake(intake state) { m_intake = state; }
+    void set_id_issue(id_issue state) { m_id_issue = state; }
+    bool is_non_idempotent(const std::string& service) const;
 
     // Callers.
     void caller_request(std::uint64_t token, request_ptr request, base::time_point now, effects& out);
     void caller_left(std::uint64_t token, base::time_point now, effects& out);
-    std::string issue_prefix(base::time_point now) { return m_registry.issue_prefix(now); }
+    // Empty when no IDs are issued.
+    std::string issue_prefix(base::time_point now);
     base::duration acceptance_left(base::time_point now) const { return m_registry.acceptance_left(now); }
 
     // Backend servers.
@@ -87,6 +97,8 @@
     void peer_cancel(const std::string& entry, std::uint64_t call, base::time_point now, effects& out);
     void peer_call_lost(const std::string& entry, std::uint64_t call, loss_evidence evidence,
                         base::time_point now, effects& out);
+    // The view of the peers' room has changed: requests that wait here may go to a peer of their home region.
+    void pass_on_waiting(base::time_point now, effects& out);
     void merge_strike(const wire::strike& record, base::time_point now);
     void clear_strike(const wire::strike_cleared& record);
     // All strikes known here, for a peer that may have missed them.
@@ -99,6 +111,7 @@
 
     // Reports.
     wire::entry_summary summary(base::time_point now);
+    std::uint32_t usable_slots(const std::string& service, base::time_point now) const;
     std::uint32_t in_flight(const std::string& server) const;
     std::size_t calls() const { return m_calls.size(); }
     std::vector<shifting::shift_status> shift_status(base::time_point now) const {
@@ -167,10 +180,10 @@
     void expire_waiter(std::uint64_t waiter_number, base::time_point now, effects& out);
     void expire_call(std::uint64_t call_number, base::time_point now, effects& out);
     void abandon(std::uint64_t waiter_number, base::time_point now, effects& out);
-    bool is_non_idempotent(const std::string& service) const;
 
     // request_placement.cpp
     void place(pending_call& call, base::time_point now, effects& out);
+    bool send_to_recorder(pending_call& call, base::time_point now, effects& out);
     bool refuse_by_guard(pending_call& call, base::time_point now, effects& out);
     void place_isolated(pending_call& call, service_lane* lane, base::time_point now, effects& out);
     bool try_local(pending_call& call, service_lane* lane, base::time_point now, effects& out);
@@ -202,7 +215,7 @@
     void record_survival(const running_attempt& attempt, base::time_point now, effects& out);
     void complete_call(pending_call& call, std::string server, server_result result, base::time_point now,
                        effects& out);
-    void leave_peer(pending_call& call);
+    void leave_peer(pending_call& call, room_after_call room);
     void cancel_work(pending_call& call, effects& out);
     bool may_retry(const pending_call& call, base::time_point now);
 
@@ -222,6 +235,7 @@
     shifting::shift_limiter m_shifts;
     peer_view m_peers;
     intake m_intake = intake::open;
+    id_issue m_id_issue = id_issue::running;
     base::time_point m_dispatch_until = base::time_point::max();
 
     // Every waiter belongs to exactly one call or to one record of the registry.
--- a/carawayway/engine/request_intake.cpp
+++ b/carawayway/engine/request_intake.cpp
@@ -210,11 +210,10 @@
                       now - item.arrived);
     const bool brings_prefix =
         answer->kind && base::answer_for(*answer->kind).advice == base::retry_advice::fresh_request_id &&
-        is_non_idempotent(item.service) && std::holds_alternative<caller_origin>(item.origin) &&
-        m_intake == intake::open;
+        is_non_idempotent(item.service) && std::holds_alternative<caller_origin>(item.origin);
     if (brings_prefix) {
         service_answer with_prefix = *answer;
-        with_prefix.request_id_prefix = m_registry.issue_prefix(now);
+        with_prefix.request_id_prefix = issue_prefix(now);
         answer = std::make_shared<const service_answer>(std::move(with_prefix));
     }
     send_answer(item.origin, std::move(answer), out);
@@ -232,8 +231,8 @@
         // A request with this ID may have run before; this entry has not looked and must not promise
         // anything.
         answer.execution = base::execution_state::unknown;
-    } else if (m_policy && m_intake == intake::open && is_non_idempotent(request.service)) {
-        answer.request_id_prefix = m_registry.issue_prefix(now);
+    } else if (m_policy && is_non_idempotent(request.service)) {
+        answer.request_id_prefix = issue_prefix(now);
     }
     send_answer(origin, std::make_shared<const service_answer>(std::move(answer)), out);
 }
@@ -255,7 +254,8 @@
     const std::uint64_t call_number = item.call;
     auto* call = find_call(call_number);
     if (item.id) {
-        if (m_registry.peek(*item.id) == requests::request_state::received && call != nullptr) {
+        // Whatever was tried before is known not to have run, or the call would not wait for another attempt.
+        if (call != nullptr && call->stage == call_stage::queued) {
             cancel_work(*call, out);
             finish_error(call_number, base::error_kind::deadline_exceeded_before_dispatch, "",
                          retry_advice_of(*call, now), now, out);
@@ -314,7 +314,7 @@
         }
         cancel_work(*call, out);
         if (call->stage == call_stage::at_peer || call->stage == call_stage::forwarded) {
-            leave_peer(*call);
+            leave_peer(*call, room_after_call::regained);
         }
         m_calls.erase(item.call);
     }
--- a/carawayway/entry/peer_adapter.cpp
+++ b/carawayway/entry/peer_adapter.cpp
@@ -1,8 +1,6 @@
 // Translation of link events and of the engine's effects.
 #include "carawayway/entry/peer_adapter.hpp"
 
-#include "carawayway/base/log.hpp"
-
 #include <utility>
 #include <variant>
 
@@ -10,7 +8,8 @@
 
 namespace {
 
-constexpr auto flush_interval = std::chrono::milliseconds(1);
+constexpr auto flush_interval = std::chrono::milliseconds(5);
+constexpr auto traffic_report_interval = std::chrono::seconds(1);
 // A steering thread that is this far behind cannot answer in time; its peers then go elsewhere.
 constexpr std::size_t backlog_limit = 20000; // messages
 
@@ -28,14 +27,15 @@
 
 } // namespace
 
-peer_adapter::peer_adapter(duty& owner, peer::network_settings settings, inbox<peer_event>& events)
-    : m_events(events), m_network(owner.context().get_executor(), std::move(settings), make_events()),
+peer_adapter::peer_adapter(duty& owner, peer::network_settings settings, address_map configured,
+                           inbox<peer_event>& events)
+    : m_events(events), m_configured(std::move(configured)),
+      m_network(owner.context().get_executor(), std::move(settings), make_events()),
       m_flush_timer(owner.context()) {}
 
 peer::network_events peer_adapter::make_events() {
     peer::network_events events;
     events.link_up = [this](const std::string& name, const wire::hello& remote) {
-        base::log(base::log_level::info, "peer-linked", {{"peer", name}});
         m_events.send(peer_linked{name, remote});
     };
     events.link_down = [this](const std::string& name, const peer::link_loss& loss) {
@@ -45,11 +45,18 @@
         message_arrived(name, std::move(message));
     };
     events.evidence = [this](const std::string& name, peer::connect_evidence evidence) {
-        m_events.send(peer_not_reached{name, to_evidence(evidence)});
+        report_evidence(name, evidence);
     };
     return events;
 }
 
+// A refusal proves the death of a process only at the address that this process itself listens on.
+void peer_adapter::report_evidence(const std::string& peer, peer::connect_evidence evidence) {
+    const bool unproven = evidence == peer::connect_evidence::refused && m_rerouted.contains(peer);
+    m_events.send(
+        peer_not_reached{peer, unproven ? membership::death_evidence::timed_out : to_evidence(evidence)});
+}
+
 void peer_adapter::start() {
     flush_later();
 }
@@ -59,11 +66,20 @@
     m_flush_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             m_events.flush();
+            report_traffic();
             flush_later();
         }
     });
 }
 
+void peer_adapter::report_traffic() {
+    const auto now = base::monotonic_now();
+    if (now >= m_next_report) {
+        m_next_report = now + traffic_report_interval;
+        m_events.send(peer_traffic{m_network.traffic()});
+    }
+}
+
 void peer_adapter::handle(peer_command command) {
     std::visit([this](auto& specific) { carry_out(specific); }, command);
 }
@@ -88,8 +104,14 @@
 
 void peer_adapter::carry_out(engine::set_peer_targets& command) {
     std::vector<peer::peer_target> targets;
+    m_rerouted.clear();
     for (const auto& record : command.peers) {
-        targets.push_back({record.name, record.peer_address});
+        const auto configured = m_configured.find(record.name);
+        const bool own_route = configured != m_configured.end();
+        targets.push_back({record.name, own_route ? configured->second : record.peer_address});
+        if (own_route && configured->second != record.peer_address) {
+            m_rerouted.insert(record.name);
+        }
     }
     m_network.set_peers(targets);
 }
@@ -110,8 +132,6 @@
 }
 
 void peer_adapter::link_lost(const std::string& peer, const peer::link_loss& loss) {
-    base::log(base::log_level::info, "peer-unlinked",
-              {{"peer", peer}, {"reason", peer::to_string(loss.reason)}, {"detail", loss.detail}});
     m_events.send(peer_unlinked{peer});
     for (const auto& lost : m_calls.link_lost(peer, loss)) {
         m_events.send(peer_call_lost{peer, lost.call, lost.evidence});
