--- a/bench/engine/deployment.cpp
+++ b/bench/engine/deployment.cpp
@@ -1,8 +1,11 @@
 // Policy text and members of a synthetic deployment.
 #include "deployment.hpp"
 
+#include "carawayway/wire/message_codec.hpp"
+
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -11,13 +14,12 @@
 namespace {
 
 constexpr std::uint64_t incarnation = 1;
-constexpr std::uint32_t domains_per_region = 3;
 
 std::string domain_name(std::uint32_t domain) {
     return fmt::format("d{}", domain);
 }
 
-std::string region_name(std::uint32_t domain) {
+std::string region_name(std::uint32_t domain, std::uint32_t domains_per_region) {
     return fmt::format("r{}", domain / domains_per_region);
 }
 
@@ -25,17 +27,21 @@
     return fmt::format("d{}-e{}", domain, entry);
 }
 
-wire::member_record record(std::uint32_t domain, std::uint32_t entry) {
+wire::member_record record(const deployment_size& size, std::uint32_t domain, std::uint32_t entry) {
     const auto port = static_cast<std::uint16_t>(20000 + domain * 1000 + entry);
-    return {entry_name(domain, entry), domain_name(domain), region_name(domain), incarnation,
-            {"127.0.0.1", port},       {"127.0.0.2", port}};
+    return {entry_name(domain, entry),
+            domain_name(domain),
+            region_name(domain, size.domains_per_region),
+            incarnation,
+            {"127.0.0.1", port},
+            {"127.0.0.2", port}};
 }
 
 } // namespace
 
 deployment::deployment(deployment_size size) : m_size(size), m_now(std::chrono::hours(1)) {
     base::set_log_level(base::log_level::error);
-    const auto self = record(0, 0);
+    const auto self = record(size, 0, size.self);
     engine::control_settings control;
     control.ownership.hold = membership::start_hold::none;
     m_engine = std::make_unique<engine::entry_engine>(
@@ -49,10 +55,11 @@
 std::string deployment::policy_text() const {
     std::string text = "[policy]\nchange_id = bench\n";
     for (std::uint32_t domain = 0; domain < m_size.domains; ++domain) {
-        if (domain % domains_per_region == 0) {
-            text += fmt::format("[region {}]\n", region_name(domain));
+        if (domain % m_size.domains_per_region == 0) {
+            text += fmt::format("[region {}]\n", region_name(domain, m_size.domains_per_region));
         }
-        text += fmt::format("[domain {}]\nregion = {}\n", domain_name(domain), region_name(domain));
+        text += fmt::format("[domain {}]\nregion = {}\n", domain_name(domain),
+                            region_name(domain, m_size.domains_per_region));
     }
     for (std::uint32_t service = 0; service < m_size.services; ++service) {
         text += fmt::format("[service s{}]\ncustomer = bench\nsemantics = {}\n", service,
@@ -74,8 +81,8 @@
     wire::member_list list;
     for (std::uint32_t domain = 0; domain < m_size.domains; ++domain) {
         for (std::uint32_t entry = 0; entry < m_size.entries_per_domain; ++entry) {
-            if (domain + entry > 0) {
-                list.members.push_back(record(domain, entry));
+            if (domain > 0 || entry != m_size.self) {
+                list.members.push_back(record(m_size, domain, entry));
             }
         }
     }
@@ -85,6 +92,7 @@
     m_engine->tick(m_now, m_effects);
     for (const auto& effect : m_effects) {
         if (const auto* targets = std::get_if<engine::set_peer_targets>(&effect)) {
+            m_targets = *targets;
             m_linked.clear();
             for (const auto& target : targets->peers) {
                 m_linked.push_back(target.name);
@@ -95,6 +103,7 @@
     engine::effects ignored;
     for (const auto& member : list.members) {
         if (std::find(m_linked.begin(), m_linked.end(), member.name) == m_linked.end()) {
+            m_unlinked.push_back(member.name);
             continue;
         }
         wire::hello hello;
@@ -119,8 +128,14 @@
         summary.services.push_back(
             {fmt::format("s{}", service), 4, 8, 4, 0, 20000, {{"r0", 100.0}, {"r1", 50.0}}});
     }
+    std::size_t next_relayed = 0;
     for (const auto& peer : m_linked) {
         wire::heartbeat heartbeat;
+        // Together the peers relay the counter of each entry instance without a link once in a round.
+        const std::size_t share = m_unlinked.size() / m_linked.size() + 1;
+        for (; heartbeat.relayed.size() < share && next_relayed < m_unlinked.size(); ++next_relayed) {
+            heartbeat.relayed.push_back({m_unlinked[next_relayed], incarnation, m_counter});
+        }
         heartbeat.counter = m_counter;
         heartbeat.claims_version = 1;
         if (m_counter == 1) {
@@ -132,26 +147,72 @@
     m_effects.clear();
 }
 
+deployment::traffic deployment::take_traffic() {
+    traffic sum;
+    const auto add = [&sum](const wire::peer_message& message, std::uint64_t receivers) {
+        const std::uint64_t bytes =
+            receivers * (wire::encode({"d0-e00", 1, 1, 1}, message).size() + sizeof(std::uint32_t));
+        if (std::holds_alternative<wire::heartbeat>(message)) {
+            sum.heartbeats += bytes;
+        } else if (std::holds_alternative<wire::entry_summary>(message)) {
+            sum.summaries += bytes;
+        } else {
+            sum.others += bytes;
+        }
+    };
+    for (const auto& effect : std::exchange(m_effects, {})) {
+        if (const auto* one = std::get_if<engine::send_to_peer>(&effect)) {
+            add(one->message, 1);
+            answer(*one);
+        } else if (const auto* all = std::get_if<engine::broadcast_to_peers>(&effect)) {
+            add(all->message, m_linked.size());
+        } else if (const auto* targets = std::get_if<engine::set_peer_targets>(&effect)) {
+            m_targets = *targets;
+        }
+    }
+    return sum;
+}
+
 void deployment::settle() {
     constexpr int rounds = 200;
     constexpr auto step = std::chrono::milliseconds(100);
     for (int round = 0; round < rounds; ++round) {
         advance(step);
         receive_control_round();
-        m_engine->tick(m_now, m_effects);
-        for (auto& effect : std::exchange(m_effects, {})) {
-            auto* message = std::get_if<engine::send_to_peer>(&effect);
-            const auto* request =
-                message == nullptr ? nullptr : std::get_if<wire::claims_request>(&message->message);
-            if (request != nullptr) {
-                wire::claims_report report;
-                report.token = request->token;
-                report.claims_version = 1;
-                m_engine->peer_message(message->entry, envelope(message->entry, report), m_now, m_effects);
-            }
+        tick();
+        take_traffic();
+        if (round == rounds / 2) {
+            drop_links();
         }
     }
     m_effects.clear();
 }
 
+// At first an entry instance links to more members than it needs once it has heard of them.
+void deployment::drop_links() {
+    const auto needed = [this](const std::string& name) {
+        return std::any_of(m_targets.peers.begin(), m_targets.peers.end(),
+                           [&name](const auto& target) { return target.name == name; });
+    };
+    const auto first_dropped = std::stable_partition(m_linked.begin(), m_linked.end(), needed);
+    for (auto dropped = first_dropped; dropped != m_linked.end(); ++dropped) {
+        m_engine->link_down(*dropped, m_now, m_effects);
+        m_unlinked.push_back(*dropped);
+    }
+    m_linked.erase(first_dropped, m_linked.end());
+    m_links = m_linked.size();
+}
+
+// Peers agree to each claim.
+void deployment::answer(const engine::send_to_peer& effect) {
+    const auto* request = std::get_if<wire::claims_request>(&effect.message);
+    if (request == nullptr) {
+        return;
+    }
+    wire::claims_report report;
+    report.token = request->token;
+    report.claims_version = 1;
+    m_engine->peer_message(effect.entry, envelope(effect.entry, report), m_now, m_effects);
+}
+
 } // namespace carawayway::bench
