engine: Always name entries of other regions in a look-up answer

Cause: an answer names 8 entry instances. Change: at least two places are kept for other regions, of which a sample of 16 is ranked.

--- a/carawayway/engine/entry_engine.cpp
+++ b/carawayway/engine/entry_engine.cpp
@@ -1,6 +1,7 @@
 // Events from callers, servers and the platform; adoption of policies; graceful stop.
 #include "carawayway/engine/entry_engine.hpp"
 
+#include "carawayway/base/hash.hpp"
 #include "carawayway/base/log.hpp"
 #include "carawayway/config/policy_reader.hpp"
 #include "carawayway/shifting/site_selector.hpp"
@@ -16,6 +17,7 @@
 // Slots. An entry instance without own servers of a service still serves some callers, by passing requests
 // on.
 constexpr double least_lookup_weight = 0.25;
+constexpr std::size_t lookup_sample_elsewhere = 16;
 constexpr double rate_before_known = 1.0; // requests per second
 
 std::string to_text(const config::socket_address& address) {
@@ -99,37 +101,64 @@
                                                        const std::string& home_region,
                                                        const std::string& client_address,
                                                        base::time_point now) const {
-    const auto* policy = m_requests.policy();
+    const std::string preferred = home_region.empty() ? m_identity.region : home_region;
+    const auto& drained = m_requests.policy()->content().draining_entries;
     std::vector<shifting::known_entry> entries;
     std::vector<const wire::member_record*> records;
-    const auto add = [&](const wire::member_record& record, shifting::entry_state state, double slots) {
-        const auto& draining = policy->content().draining_entries;
-        const bool drained = std::find(draining.begin(), draining.end(), record.name) != draining.end();
-        entries.push_back({record.name, record.failure_domain, record.region,
-                           drained ? shifting::entry_state::draining : state,
+    const auto add = [&](const wire::member_record& record, double slots) {
+        entries.push_back({record.name, record.failure_domain, record.region, shifting::entry_state::active,
                            std::max(slots, least_lookup_weight)});
         records.push_back(&record);
     };
-    add(m_members.self(),
-        m_state == run_state::running ? shifting::entry_state::active : shifting::entry_state::stopping,
-        m_requests.usable_slots(service, now));
+    const auto add_member = [&](const wire::member_record& record) {
+        const auto* load = m_summaries.find_service(record.name, service, now);
+        add(record, load == nullptr ? 0.0 : load->usable_slots);
+    };
+    const auto offered = [&drained](const std::string& name) {
+        return std::find(drained.begin(), drained.end(), name) == drained.end();
+    };
+    if (m_state == run_state::running && offered(m_identity.name)) {
+        add(m_members.self(), m_requests.usable_slots(service, now));
+    }
+    std::vector<const wire::member_record*> elsewhere;
     for (const auto& [name, member] : m_members.members()) {
         const bool usable = member.heard && member.status == membership::member_status::alive &&
-                            member.record.caller_address.port != 0;
-        if (usable) {
-            const auto* load = m_summaries.find_service(name, service, now);
-            add(member.record,
-                member.running == wire::running_state::stopping ? shifting::entry_state::stopping
-                                                                : shifting::entry_state::active,
-                load == nullptr ? 0.0 : load->usable_slots);
+                            member.running != wire::running_state::stopping &&
+                            member.record.caller_address.port != 0 && offered(name);
+        if (usable && member.record.region == preferred) {
+            add_member(member.record);
+        } else if (usable) {
+            elsewhere.push_back(&member.record);
         }
     }
+    // Ranking all of a large deployment costs more than it is worth: a sample of the other regions is enough,
+    // and different clients get different ones.
+    const std::size_t sample = std::min(elsewhere.size(), lookup_sample_elsewhere);
+    const std::uint64_t first = base::hash_bytes(client_address);
+    for (std::size_t index = 0; index < sample; ++index) {
+        add_member(*elsewhere[(first + index) % elsewhere.size()]);
+    }
+    return choose_lookup_entries(shifting::lookup_order(preferred, client_address, entries), records,
+                                 preferred);
+}
+
+// Home entries first, but never only those: a caller whose region is lost needs others to go to.
+std::vector<lookup_entry>
+entry_engine::choose_lookup_entries(const std::vector<std::size_t>& order,
+                                    const std::vector<const wire::member_record*>& records,
+                                    const std::string& preferred_region) const {
+    std::vector<std::size_t> home;
+    std::vector<std::size_t> away;
+    for (const auto index : order) {
+        (records[index]->region == preferred_region ? home : away).push_back(index);
+    }
+    const std::size_t places = m_control.lookup_entries;
+    const std::size_t kept_for_others = std::min(away.size(), m_control.lookup_entries_elsewhere);
+    home.resize(std::min(home.size(), places - kept_for_others));
+    away.resize(std::min(away.size(), places - home.size()));
+    home.insert(home.end(), away.begin(), away.end());
     std::vector<lookup_entry> result;
-    const std::string preferred = home_region.empty() ? m_identity.region : home_region;
-    for (const auto index : shifting::lookup_order(preferred, client_address, entries)) {
-        if (result.size() == m_control.lookup_entries) {
-            break;
-        }
+    for (const auto index : home) {
         const auto& record = *records[index];
         result.push_back({record.name, to_text(record.caller_address), record.failure_domain, record.region});
     }
--- a/carawayway/engine/entry_engine.hpp
+++ b/carawayway/engine/entry_engine.hpp
@@ -38,8 +38,9 @@
     double heartbeat_bytes_per_second = 4000;
     double summary_bytes_per_second = 1500;
     double near_summary_bytes_per_second = 1500;
-    std::size_t relayed_counters = 3; // per heartbeat; one with more links than a full mesh has
-    std::size_t lookup_entries = 8;   // entry instances named in a look-up answer
+    std::size_t relayed_counters = 3;         // per heartbeat; one with more links than a full mesh has
+    std::size_t lookup_entries = 8;           // entry instances named in a look-up answer
+    std::size_t lookup_entries_elsewhere = 2; // of them at least, outside the home region, if there are any
     base::duration summary_lifetime = std::chrono::seconds(5);
     membership::ownership_settings ownership;
     membership::member_settings members;
@@ -111,6 +112,9 @@
     // entry_engine.cpp
     std::vector<member_report> members() const;
     void add_prefix(lookup_answer& answer, const std::string& preferred_region, base::time_point now);
+    std::vector<lookup_entry> choose_lookup_entries(const std::vector<std::size_t>& order,
+                                                    const std::vector<const wire::member_record*>& records,
+                                                    const std::string& preferred_region) const;
     std::vector<lookup_entry> lookup_entries(const std::string& service, const std::string& home_region,
                                              const std::string& client_address, base::time_point now) const;
     void revalidate_after_pause(base::time_point now, effects& out);
