Tests/engine: Drop the links of an incarnation when its successor starts

Cause: an entry instance lost with its host and restarted before its peers noticed went on using the old links.

Change: a start drops the old links.

--- a/Tests/engine/engine_world.cpp
+++ b/Tests/engine/engine_world.cpp
@@ -117,6 +117,11 @@
 
 void engine_world::start_entry(const std::string& name) {
     auto& one = m_processes.at(name);
+    for (const auto& peer : entry_names) {
+        if (peer != name) {
+            drop_link(name, peer); // of the incarnation before, which peers may not have noticed to be gone
+        }
+    }
     one.record.incarnation = m_random();
     one.metrics = std::make_unique<metrics::metric_registry>(1000);
     one.engine = std::make_unique<entry_engine>(
