entry, cli: Read addresses in one place

Cause: the server connections and the subcommands each parsed IP:port, and the subcommands did not take IPv6 addresses in brackets. Change: entry::parse_endpoint serves both.

--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -1,6 +1,8 @@
 // Runs the call's operations on an event loop of its own, so that each has a timeout.
 #include "carawayway/cli/http_call.hpp"
 
+#include "carawayway/entry/endpoint.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -30,22 +32,6 @@
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t reply_limit = 64ULL << 20U; // bytes
 
-std::optional<tcp::endpoint> parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    boost::system::error_code error;
-    const auto host = asio::ip::make_address(address.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const char* const last = address.data() + address.size();
-    const auto [end, port_error] = std::from_chars(address.data() + colon + 1, last, port);
-    if (error || port_error != std::errc{} || end != last) {
-        return std::nullopt;
-    }
-    return tcp::endpoint(host, port);
-}
-
 struct call_state {
     call_failure failure = call_failure::none;
     std::string reason;
@@ -134,7 +120,7 @@
 
 std::optional<http_reply> perform(const http_call& call, call_failure& failure, std::string& reason) {
     call_state state;
-    const auto endpoint = parse_endpoint(call.address);
+    const auto endpoint = entry::parse_endpoint(call.address);
     if (!endpoint) {
         failure = call_failure::bad_address;
         reason = "expected IP:port, got \"" + call.address + "\"";
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -2,6 +2,7 @@
 #include "carawayway/entry/backend_client.hpp"
 
 #include "carawayway/entry/caller_http.hpp"
+#include "carawayway/entry/endpoint.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -41,26 +42,6 @@
 constexpr std::uint64_t answer_body_limit = 8ULL << 20U; // bytes
 constexpr auto probe_timeout = std::chrono::milliseconds(500);
 
-std::optional<tcp::endpoint> parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    std::string host = address.substr(0, colon);
-    if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    boost::system::error_code error;
-    const auto parsed = asio::ip::make_address(host, error);
-    std::uint16_t port = 0;
-    const char* const last = address.data() + address.size();
-    const auto [end, port_error] = std::from_chars(address.data() + colon + 1, last, port);
-    if (error || port_error != std::errc{} || end != last) {
-        return std::nullopt;
-    }
-    return tcp::endpoint(parsed, port);
-}
-
 std::string_view to_view(beast::string_view text) {
     return {text.data(), text.size()};
 }
