--- a/carawayway/base/log.cpp
+++ b/carawayway/base/log.cpp
@@ -86,8 +86,9 @@
     }
     const auto now =
         std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    const std::string line =
-        fmt::format("time={:%Y-%m-%dT%H:%M:%S}Z {}\n", now, format_log_line(level, event, fields));
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+    const std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", seconds,
+                                         (now - seconds).count(), format_log_line(level, event, fields));
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -226,7 +226,9 @@
     bool is_quiet(connection& link) {
         auto& socket = link.stream.socket();
         boost::system::error_code error;
-        socket.non_blocking(true, error);
+        if (!socket.non_blocking()) {
+            socket.non_blocking(true, error);
+        }
         char byte = 0;
         socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
         return error == asio::error::would_block;
--- a/carawayway/entry/http_listener.cpp
+++ b/carawayway/entry/http_listener.cpp
@@ -26,6 +26,7 @@
 constexpr auto write_timeout = std::chrono::seconds(10);  // a client that reads more slowly is cut off
 constexpr auto header_timeout = std::chrono::seconds(10); // from the first byte of a request to its last
 constexpr auto pause_without_descriptors = std::chrono::milliseconds(50);
+constexpr std::size_t first_read_bytes = 4096; // holds most requests, which then need no second read
 constexpr unsigned http_1_1 = 11;
 
 } // namespace
@@ -113,7 +114,8 @@
             stream.expires_after(
                 std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.idle_timeout));
             // The idle time ends with the first byte; the time for the request itself is shorter.
-            auto [idle_error, first] = co_await stream.async_read_some(buffer.prepare(1), use_tuple);
+            auto [idle_error, first] =
+                co_await stream.async_read_some(buffer.prepare(first_read_bytes), use_tuple);
             if (idle_error) {
                 co_return;
             }
