store: Rename the part that holds the store port from platform

Cause: the adapter to the users' platform gets the folder platform/ at the root; two folders of that name mislead. Change: carawayway/platform becomes carawayway/store, with its namespace, library and tests. No behaviour changes.

--- a/Tests/operators/memory_store.hpp
+++ b/Tests/operators/memory_store.hpp
@@ -1,7 +1,7 @@
 // A store in memory whose answers and outages a test commands, for faults at an exact call.
 #pragma once
 
-#include "carawayway/platform/config_store.hpp"
+#include "carawayway/store/config_store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/post.hpp>
@@ -18,10 +18,10 @@
 public:
     explicit memory_store(boost::asio::any_io_executor executor) : m_executor(std::move(executor)) {}
 
-    void range(std::string_view key, std::string_view, platform::range_handler handler) {
-        platform::range_result result;
+    void range(std::string_view key, std::string_view, store::range_handler handler) {
+        store::range_result result;
         if (reads_answered) {
-            result = {platform::read_outcome::answered, {}, revision, {}};
+            result = {store::read_outcome::answered, {}, revision, {}};
             if (const auto found = values.find(std::string(key)); found != values.end()) {
                 result.values.push_back(found->second);
             }
@@ -30,7 +30,7 @@
     }
 
     void compare_and_swap(std::string_view key, std::int64_t expected, std::string_view value, std::int64_t,
-                          platform::write_handler handler) {
+                          store::write_handler handler) {
         if (on_write) {
             deliver(std::move(handler),
                     std::exchange(on_write, nullptr)(std::string(key), std::string(value)));
@@ -39,35 +39,35 @@
         deliver(std::move(handler), write(std::string(key), expected, std::string(value)));
     }
 
-    void erase(std::string_view key, platform::write_handler handler) {
+    void erase(std::string_view key, store::write_handler handler) {
         values.erase(std::string(key));
-        deliver(std::move(handler), platform::write_result{platform::write_outcome::written, ++revision, {}});
+        deliver(std::move(handler), store::write_result{store::write_outcome::written, ++revision, {}});
     }
 
-    platform::cancel_handle watch(std::string_view, std::string_view, std::int64_t,
-                                  const platform::watch_handler&, const platform::watch_closed_handler&) {
+    store::cancel_handle watch(std::string_view, std::string_view, std::int64_t, const store::watch_handler&,
+                               const store::watch_closed_handler&) {
         return {};
     }
-    void grant_lease(base::duration, const platform::lease_handler&) {}
-    void keep_lease_alive(std::int64_t, const platform::lease_handler&) {}
-    void revoke_lease(std::int64_t, const platform::lease_handler&) {}
+    void grant_lease(base::duration, const store::lease_handler&) {}
+    void keep_lease_alive(std::int64_t, const store::lease_handler&) {}
+    void revoke_lease(std::int64_t, const store::lease_handler&) {}
 
-    platform::write_result write(const std::string& key, std::int64_t expected, std::string value) {
+    store::write_result write(const std::string& key, std::int64_t expected, std::string value) {
         const auto found = values.find(key);
         if ((found == values.end() ? 0 : found->second.mod_revision) != expected) {
-            return {platform::write_outcome::conflict, revision, {}};
+            return {store::write_outcome::conflict, revision, {}};
         }
         ++writes[key];
         values[key] = {key, std::move(value), ++revision};
-        return {platform::write_outcome::written, revision, {}};
+        return {store::write_outcome::written, revision, {}};
     }
 
-    std::map<std::string, platform::key_value> values;
+    std::map<std::string, store::key_value> values;
     std::map<std::string, int> writes; // per key
     std::int64_t revision = 1;
     bool reads_answered = true;
     // Takes the place of the next write and gives its result.
-    std::function<platform::write_result(const std::string& key, const std::string& value)> on_write;
+    std::function<store::write_result(const std::string& key, const std::string& value)> on_write;
 
 private:
     template <class Handler, class Result>
@@ -79,6 +79,6 @@
     boost::asio::any_io_executor m_executor;
 };
 
-static_assert(platform::config_store<memory_store>);
+static_assert(store::config_store<memory_store>);
 
 } // namespace carawayway::operators
--- a/Tests/operators/operator_service_test.cpp
+++ b/Tests/operators/operator_service_test.cpp
@@ -59,7 +59,7 @@
 private:
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work{m_context.get_executor()};
-    platform::etcd_json_store m_store{m_context.get_executor(), {}};
+    store::etcd_json_store m_store{m_context.get_executor(), {}};
     std::optional<operator_service> m_service;
     std::thread m_thread;
 };
--- a/Tests/operators/policy_editor_test.cpp
+++ b/Tests/operators/policy_editor_test.cpp
@@ -1,7 +1,7 @@
 // Guards changes of the policy in the store against lost updates, double writes and unclear outcomes.
 #include "Tests/operators/editor_fixture.hpp"
 #include "carawayway/config/policy_reader.hpp"
-#include "carawayway/platform/etcd_json_store.hpp"
+#include "carawayway/store/etcd_json_store.hpp"
 #include "stand_ins/platform/platform_server.hpp"
 
 #include <algorithm>
@@ -15,10 +15,10 @@
 
 class policy_editor_test : public coroutine_test {
 protected:
-    using editor = policy_editor<platform::etcd_json_store>;
+    using editor = policy_editor<store::etcd_json_store>;
 
-    static platform::etcd_json_options options(const std::string& address) {
-        platform::etcd_json_options made;
+    static store::etcd_json_options options(const std::string& address) {
+        store::etcd_json_options made;
         made.addresses = {address};
         made.call_timeout = std::chrono::seconds(60);
         made.connect_timeout = std::chrono::seconds(60);
@@ -60,13 +60,13 @@
         std::int64_t seen = last == 0 ? 0 : -1;
         auto watch = store.watch(
             policy_key, "", 1,
-            [&](const platform::watch_batch& batch) {
+            [&](const store::watch_batch& batch) {
                 for (const auto& event : batch.events) {
                     ++count;
                     seen = event.item.mod_revision;
                 }
             },
-            [](const platform::watch_closed&) {});
+            [](const store::watch_closed&) {});
         run_until([&] { return seen == last; });
         watch.cancel();
         return count;
@@ -75,8 +75,8 @@
     void command(const std::string& message) { ASSERT_EQ(server.control(message), R"({"ok":true})"); }
 
     stand_ins::platform_server server;
-    platform::etcd_json_store store{context.get_executor(), options(server.address())};
-    platform::etcd_json_store other_store{context.get_executor(), options(server.address())};
+    store::etcd_json_store store{context.get_executor(), options(server.address())};
+    store::etcd_json_store other_store{context.get_executor(), options(server.address())};
     editor operators{context.get_executor(), store, policy_key, test_clock};
     editor other_operators{context.get_executor(), other_store, policy_key, test_clock};
     call_error error;
@@ -222,7 +222,7 @@
 TEST_F(policy_editor_test, the_newest_documents_are_kept_and_older_ones_erased) {
     std::vector<std::int64_t> written;
     std::int64_t revision = 0;
-    constexpr std::size_t kept = policy_history<platform::etcd_json_store>::kept_documents;
+    constexpr std::size_t kept = policy_history<store::etcd_json_store>::kept_documents;
     for (std::size_t number = 0; number < kept + 3; ++number) {
         revision = apply(document("change-" + std::to_string(number)), revision).value().revision;
         written.insert(written.begin(), revision);
@@ -236,9 +236,9 @@
 }
 
 TEST_F(policy_editor_test, a_document_that_its_writer_did_not_keep_is_kept_by_the_next_writer) {
-    std::optional<platform::write_result> put;
+    std::optional<store::write_result> put;
     store.compare_and_swap(policy_key, 0, document("change-0"), 0,
-                           [&put](const platform::write_result& result) { put = result; });
+                           [&put](const store::write_result& result) { put = result; });
     run_until([&put] { return put.has_value(); });
     EXPECT_EQ(kept_revisions(), (std::vector{put->revision})) << "the current one is always listed";
     const auto second = apply(document("change-1"), put->revision);
--- a/Tests/operators/unreliable_store_test.cpp
+++ b/Tests/operators/unreliable_store_test.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 using base::error_kind;
-using platform::write_outcome;
-using platform::write_result;
+using store::write_outcome;
+using store::write_result;
 
 const std::string policy_key = "/policy";
 const write_result lost_reply{write_outcome::outcome_unknown, 0, "reply lost"};
--- a/Tests/platform/etcd_json_codec_test.cpp
+++ b/Tests/store/etcd_json_codec_test.cpp
@@ -1,5 +1,5 @@
 // Guards the codec: a reply that is read wrongly would turn into a wrong write outcome or a lost event.
-#include "carawayway/platform/etcd_json_codec.hpp"
+#include "carawayway/store/etcd_json_codec.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <array>
 
-namespace carawayway::platform::etcd_json {
+namespace carawayway::store::etcd_json {
 namespace {
 
 // A valid message of every kind.
@@ -77,4 +77,4 @@
 }
 
 } // namespace
-} // namespace carawayway::platform::etcd_json
+} // namespace carawayway::store::etcd_json
--- a/Tests/platform/etcd_json_store_test.cpp
+++ b/Tests/store/etcd_json_store_test.cpp
@@ -1,5 +1,5 @@
 // Guards the adapter's outcomes: a write that may have taken effect must never be reported as not written.
-#include "carawayway/platform/etcd_json_store.hpp"
+#include "carawayway/store/etcd_json_store.hpp"
 #include "stand_ins/platform/platform_server.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -10,7 +10,7 @@
 #include <optional>
 #include <stdexcept>
 
-namespace carawayway::platform {
+namespace carawayway::store {
 namespace {
 
 class etcd_json_store_test : public testing::Test {
@@ -231,4 +231,4 @@
 }
 
 } // namespace
-} // namespace carawayway::platform
+} // namespace carawayway::store
--- a/carawayway/entry/instance.cpp
+++ b/carawayway/entry/instance.cpp
@@ -8,7 +8,7 @@
 #include "carawayway/entry/peer_adapter.hpp"
 #include "carawayway/entry/steering_loop.hpp"
 #include "carawayway/entry/store_watcher.hpp"
-#include "carawayway/platform/etcd_json_store.hpp"
+#include "carawayway/store/etcd_json_store.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -44,8 +44,8 @@
     return address.host + ":" + std::to_string(address.port);
 }
 
-platform::etcd_json_options to_store_options(const config::instance_settings& settings) {
-    platform::etcd_json_options options;
+store::etcd_json_options to_store_options(const config::instance_settings& settings) {
+    store::etcd_json_options options;
     for (const auto& address : settings.platform_addresses) {
         options.addresses.push_back(to_text(address));
     }
@@ -230,8 +230,8 @@
     std::optional<peer_adapter> m_peers;
 
     outbox<control_event> m_control_outbox{m_control_events};
-    platform::etcd_json_store m_store{m_control_duty.context().get_executor(), to_store_options(m_settings)};
-    store_watcher<platform::etcd_json_store> m_watcher{
+    store::etcd_json_store m_store{m_control_duty.context().get_executor(), to_store_options(m_settings)};
+    store_watcher<store::etcd_json_store> m_watcher{
         m_control_duty.context(), m_store, m_settings,
         [this](control_event event) { send_control(std::move(event)); }};
     operator_service m_operators{m_control_duty.context(), m_store, m_settings, m_secrets.operator_token,
--- a/carawayway/entry/instance_list.cpp
+++ b/carawayway/entry/instance_list.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-std::vector<engine::instance_record> parse_instances(const std::vector<platform::key_value>& values) {
+std::vector<engine::instance_record> parse_instances(const std::vector<store::key_value>& values) {
     std::vector<engine::instance_record> records;
     for (const auto& item : values) {
         if (auto record = parse_record(item.value)) {
--- a/carawayway/entry/instance_list.hpp
+++ b/carawayway/entry/instance_list.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "carawayway/engine/instance_record.hpp"
-#include "carawayway/platform/config_store.hpp"
+#include "carawayway/store/config_store.hpp"
 
 #include <string>
 #include <vector>
@@ -10,7 +10,7 @@
 namespace carawayway::entry {
 
 // Values that are no valid record are skipped and logged: one broken record must not hide the others.
-std::vector<engine::instance_record> parse_instances(const std::vector<platform::key_value>& values);
+std::vector<engine::instance_record> parse_instances(const std::vector<store::key_value>& values);
 
 // The end of the key range that holds all keys with this prefix.
 std::string prefix_end(std::string prefix);
--- a/carawayway/entry/operator_service.cpp
+++ b/carawayway/entry/operator_service.cpp
@@ -64,7 +64,7 @@
 
 class operator_service::implementation {
 public:
-    implementation(asio::io_context& context, platform::etcd_json_store& store,
+    implementation(asio::io_context& context, store::etcd_json_store& store,
                    const config::instance_settings& settings, const std::string& token,
                    submit_function submit)
         : m_context(context), m_submit(std::move(submit)), m_token(token),
@@ -222,15 +222,15 @@
     asio::io_context& m_context;
     submit_function m_submit;
     operators::bearer_token m_token;
-    operators::policy_editor<platform::etcd_json_store> m_editor;
-    operators::call_handler<platform::etcd_json_store> m_calls;
+    operators::policy_editor<store::etcd_json_store> m_editor;
+    operators::call_handler<store::etcd_json_store> m_calls;
     config::socket_address m_address;
     std::uint64_t m_last_token = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<pending_reply>> m_pending;
     std::shared_ptr<http_listener> m_listener;
 };
 
-operator_service::operator_service(asio::io_context& context, platform::etcd_json_store& store,
+operator_service::operator_service(asio::io_context& context, store::etcd_json_store& store,
                                    const config::instance_settings& settings, const std::string& token,
                                    submit_function submit)
     : m_implementation(std::make_shared<implementation>(context, store, settings, token, std::move(submit))) {
--- a/carawayway/entry/operator_service.hpp
+++ b/carawayway/entry/operator_service.hpp
@@ -5,7 +5,7 @@
 #include "carawayway/base/error_kind.hpp"
 #include "carawayway/config/instance_settings.hpp"
 #include "carawayway/entry/control_event.hpp"
-#include "carawayway/platform/etcd_json_store.hpp"
+#include "carawayway/store/etcd_json_store.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,7 +20,7 @@
     using submit_function = std::function<void(control_event)>;
 
     // `store` outlives the service. An empty token refuses all calls; /health, /ready and /metrics need none.
-    operator_service(boost::asio::io_context& context, platform::etcd_json_store& store,
+    operator_service(boost::asio::io_context& context, store::etcd_json_store& store,
                      const config::instance_settings& settings, const std::string& token,
                      submit_function submit);
     ~operator_service();
--- a/carawayway/entry/store_watcher.hpp
+++ b/carawayway/entry/store_watcher.hpp
@@ -7,7 +7,7 @@
 #include "carawayway/engine/effect.hpp"
 #include "carawayway/entry/control_event.hpp"
 #include "carawayway/entry/instance_list.hpp"
-#include "carawayway/platform/config_store.hpp"
+#include "carawayway/store/config_store.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,7 +18,7 @@
 
 namespace carawayway::entry {
 
-template <platform::config_store Store>
+template <store::config_store Store>
 class store_watcher {
 public:
     using report_function = std::function<void(control_event)>;
@@ -61,8 +61,8 @@
     }
 
     void read_policy() {
-        m_store.range(m_policy_key, "", in_round([this](platform::range_result result) {
-                          if (result.outcome != platform::read_outcome::answered) {
+        m_store.range(m_policy_key, "", in_round([this](store::range_result result) {
+                          if (result.outcome != store::read_outcome::answered) {
                               retry(result.detail);
                               return;
                           }
@@ -77,17 +77,17 @@
     void open_watch(std::int64_t start_revision) {
         m_next_revision = start_revision;
         m_watch = m_store.watch(
-            m_policy_key, "", start_revision, in_round([this](platform::watch_batch batch) {
+            m_policy_key, "", start_revision, in_round([this](store::watch_batch batch) {
                 m_retry_delay = shortest_retry;
                 for (auto& event : batch.events) {
                     m_next_revision = std::max(m_next_revision, event.item.mod_revision + 1);
-                    if (event.kind == platform::watch_event_kind::put) {
+                    if (event.kind == store::watch_event_kind::put) {
                         m_report(policy_arrived{event.item.mod_revision, std::move(event.item.value)});
                     }
                 }
             }),
-            in_round([this](const platform::watch_closed& closed) {
-                if (closed.reason == platform::watch_end::expired) {
+            in_round([this](const store::watch_closed& closed) {
+                if (closed.reason == store::watch_end::expired) {
                     open_watch(m_next_revision);
                     return;
                 }
@@ -110,8 +110,8 @@
     // on every record.
     void read_instances() {
         m_store.range(m_instance_prefix, prefix_end(m_instance_prefix),
-                      in_round([this](const platform::range_result& result) {
-                          if (result.outcome == platform::read_outcome::answered) {
+                      in_round([this](const store::range_result& result) {
+                          if (result.outcome == store::read_outcome::answered) {
                               m_report(instances_arrived{parse_instances(result.values)});
                           }
                           m_list_timer.expires_after(m_list_interval);
@@ -134,7 +134,7 @@
     std::uint64_t m_round = 0; // grows with each change of state
     base::duration m_retry_delay = shortest_retry;
     std::int64_t m_next_revision = 0;
-    platform::cancel_handle m_watch;
+    store::cancel_handle m_watch;
 };
 
 } // namespace carawayway::entry
--- a/carawayway/operators/call_handler.hpp
+++ b/carawayway/operators/call_handler.hpp
@@ -43,7 +43,7 @@
             error.kind};
 }
 
-template <platform::config_store Store>
+template <store::config_store Store>
 class call_handler {
 public:
     // `editor` outlives the handler.
--- a/carawayway/operators/policy_editor.hpp
+++ b/carawayway/operators/policy_editor.hpp
@@ -18,7 +18,7 @@
 
 enum class run_mode : std::uint8_t { write, dry_run };
 
-template <platform::config_store Store>
+template <store::config_store Store>
 class policy_editor {
 public:
     using wall_clock = typename policy_history<Store>::wall_clock;
@@ -36,7 +36,7 @@
     boost::asio::awaitable<std::optional<stored_policy>> current(call_error& error) {
         auto call = read_key(m_store, m_key);
         auto result = co_await std::move(call);
-        if (result.outcome != platform::read_outcome::answered) {
+        if (result.outcome != store::read_outcome::answered) {
             error.kind = base::error_kind::store_unavailable;
             error.detail = std::move(result.detail);
             co_return std::nullopt;
@@ -174,7 +174,7 @@
         auto call = write_key(m_store, m_key, before.revision, text);
         const auto result = co_await std::move(call);
         stored_policy written{result.revision, std::move(text)};
-        if (result.outcome != platform::write_outcome::written) {
+        if (result.outcome != store::write_outcome::written) {
             auto resolution = resolve(result, before, written, error);
             const bool resolved = co_await std::move(resolution);
             if (!resolved) {
@@ -188,9 +188,9 @@
     }
 
     // True when the document turns out to be written; `written` then has its revision.
-    boost::asio::awaitable<bool> resolve(const platform::write_result& result, const stored_policy& before,
+    boost::asio::awaitable<bool> resolve(const store::write_result& result, const stored_policy& before,
                                          stored_policy& written, call_error& error) {
-        if (result.outcome == platform::write_outcome::unavailable) {
+        if (result.outcome == store::write_outcome::unavailable) {
             error.kind = base::error_kind::store_unavailable;
             error.detail = result.detail;
             co_return false;
@@ -201,7 +201,7 @@
             written.revision = found->revision;
             co_return true;
         }
-        if (result.outcome == platform::write_outcome::conflict) {
+        if (result.outcome == store::write_outcome::conflict) {
             set_conflict(found.value_or(stored_policy{}), before.revision, error);
             if (!found) {
                 error.current.reset();
--- a/carawayway/operators/policy_history.hpp
+++ b/carawayway/operators/policy_history.hpp
@@ -16,7 +16,7 @@
 
 namespace carawayway::operators {
 
-template <platform::config_store Store>
+template <store::config_store Store>
 class policy_history {
 public:
     static constexpr std::size_t kept_documents = 20;
@@ -38,11 +38,11 @@
             co_await add(index, replaced);
             co_await add(index, written);
             const auto outcome = co_await write_index(index);
-            if (outcome == platform::write_outcome::written) {
+            if (outcome == store::write_outcome::written) {
                 co_await erase_dropped(index);
                 co_return;
             }
-            if (outcome != platform::write_outcome::conflict) {
+            if (outcome != store::write_outcome::conflict) {
                 break;
             }
         }
@@ -63,7 +63,7 @@
     boost::asio::awaitable<std::optional<stored_policy>> find(std::int64_t revision) {
         auto call = read_key(m_store, key_of(revision));
         auto result = co_await std::move(call);
-        if (result.outcome != platform::read_outcome::answered) {
+        if (result.outcome != store::read_outcome::answered) {
             co_return std::nullopt;
         }
         stored_policy found;
@@ -88,7 +88,7 @@
     boost::asio::awaitable<bool> read_index(index_state& index) {
         auto call = read_key(m_store, index_key());
         auto result = co_await std::move(call);
-        if (result.outcome != platform::read_outcome::answered) {
+        if (result.outcome != store::read_outcome::answered) {
             co_return false;
         }
         if (!result.values.empty()) {
@@ -114,8 +114,8 @@
         auto call = write_key(m_store, key_of(policy.revision), 0, policy.text);
         const auto result = co_await std::move(call);
         // A conflict says that the document is there already.
-        if (result.outcome != platform::write_outcome::written &&
-            result.outcome != platform::write_outcome::conflict) {
+        if (result.outcome != store::write_outcome::written &&
+            result.outcome != store::write_outcome::conflict) {
             co_return;
         }
         const auto summary = summarize(policy);
@@ -128,7 +128,7 @@
         records.push_back(std::move(record));
     }
 
-    boost::asio::awaitable<platform::write_outcome> write_index(index_state& index) {
+    boost::asio::awaitable<store::write_outcome> write_index(index_state& index) {
         auto& records = index.records.revisions;
         std::sort(records.begin(), records.end(),
                   [](const auto& left, const auto& right) { return left->revision > right->revision; });
@@ -139,7 +139,7 @@
         base::failure failure;
         const auto text = encode(index.records, message_encoding::json, failure);
         if (!text) {
-            co_return platform::write_outcome::unavailable;
+            co_return store::write_outcome::unavailable;
         }
         auto call = write_key(m_store, index_key(), index.store_revision, *text);
         const auto result = co_await std::move(call);
@@ -150,7 +150,7 @@
         for (const auto revision : index.dropped) {
             auto call = erase_key(m_store, key_of(revision));
             const auto result = co_await std::move(call);
-            if (result.outcome != platform::write_outcome::written) {
+            if (result.outcome != store::write_outcome::written) {
                 base::log(base::log_level::warning, "policy-history-not-erased", {{"revision", revision}});
             }
         }
--- a/carawayway/operators/store_call.hpp
+++ b/carawayway/operators/store_call.hpp
@@ -1,7 +1,7 @@
 // Calls of a configuration store as coroutines.
 #pragma once
 
-#include "carawayway/platform/config_store.hpp"
+#include "carawayway/store/config_store.hpp"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -25,29 +25,27 @@
         boost::asio::use_awaitable, std::move(start));
 }
 
-template <platform::config_store Store>
-boost::asio::awaitable<platform::range_result> read_key(Store& store, std::string key) {
-    return store_call<platform::range_result>(
-        [&store, key = std::move(key)](platform::range_handler handler) {
-            store.range(key, "", std::move(handler));
-        });
+template <store::config_store Store>
+boost::asio::awaitable<store::range_result> read_key(Store& store, std::string key) {
+    return store_call<store::range_result>([&store, key = std::move(key)](store::range_handler handler) {
+        store.range(key, "", std::move(handler));
+    });
 }
 
-template <platform::config_store Store>
-boost::asio::awaitable<platform::write_result> write_key(Store& store, std::string key,
-                                                         std::int64_t expected_revision, std::string value) {
-    return store_call<platform::write_result>([&store, key = std::move(key), expected_revision,
-                                               value = std::move(value)](platform::write_handler handler) {
+template <store::config_store Store>
+boost::asio::awaitable<store::write_result> write_key(Store& store, std::string key,
+                                                      std::int64_t expected_revision, std::string value) {
+    return store_call<store::write_result>([&store, key = std::move(key), expected_revision,
+                                            value = std::move(value)](store::write_handler handler) {
         store.compare_and_swap(key, expected_revision, value, 0, std::move(handler));
     });
 }
 
-template <platform::config_store Store>
-boost::asio::awaitable<platform::write_result> erase_key(Store& store, std::string key) {
-    return store_call<platform::write_result>(
-        [&store, key = std::move(key)](platform::write_handler handler) {
-            store.erase(key, std::move(handler));
-        });
+template <store::config_store Store>
+boost::asio::awaitable<store::write_result> erase_key(Store& store, std::string key) {
+    return store_call<store::write_result>([&store, key = std::move(key)](store::write_handler handler) {
+        store.erase(key, std::move(handler));
+    });
 }
 
 } // namespace carawayway::operators
--- a/carawayway/platform/cancel_handle.hpp
+++ b/carawayway/store/cancel_handle.hpp
@@ -4,7 +4,7 @@
 #include <functional>
 #include <utility>
 
-namespace carawayway::platform {
+namespace carawayway::store {
 
 class cancel_handle {
 public:
@@ -36,4 +36,4 @@
     std::function<void()> m_cancel_operation; // empty when there is nothing to cancel
 };
 
-} // namespace carawayway::platform
+} // namespace carawayway::store
--- a/carawayway/platform/config_store.hpp
+++ b/carawayway/store/config_store.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "carawayway/base/time.hpp"
-#include "carawayway/platform/cancel_handle.hpp"
+#include "carawayway/store/cancel_handle.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace carawayway::platform {
+namespace carawayway::store {
 
 struct key_value {
     std::string key;
@@ -119,4 +119,4 @@
     { store.revoke_lease(number, on_lease) } -> std::same_as<void>;
 };
 
-} // namespace carawayway::platform
+} // namespace carawayway::store
--- a/carawayway/platform/etcd_json_codec.cpp
+++ b/carawayway/store/etcd_json_codec.cpp
@@ -1,5 +1,5 @@
 // Building and parsing of gateway messages with Boost.JSON.
-#include "carawayway/platform/etcd_json_codec.hpp"
+#include "carawayway/store/etcd_json_codec.hpp"
 
 #include "carawayway/json/base64.hpp"
 
@@ -7,7 +7,7 @@
 
 #include <charconv>
 
-namespace carawayway::platform::etcd_json {
+namespace carawayway::store::etcd_json {
 
 namespace {
 
@@ -253,4 +253,4 @@
     return std::string(body.substr(0, maximum_detail_bytes));
 }
 
-} // namespace carawayway::platform::etcd_json
+} // namespace carawayway::store::etcd_json
--- a/carawayway/platform/etcd_json_codec.hpp
+++ b/carawayway/store/etcd_json_codec.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "carawayway/base/error_kind.hpp"
-#include "carawayway/platform/config_store.hpp"
+#include "carawayway/store/config_store.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace carawayway::platform::etcd_json {
+namespace carawayway::store::etcd_json {
 
 std::string range_request(std::string_view key, std::string_view range_end);
 // A transaction that puts the key when its modification revision is the expected one; 0: it must not exist.
@@ -63,4 +63,4 @@
 // The message of an error reply, or the start of the body when it is not one.
 std::string error_detail(std::string_view body);
 
-} // namespace carawayway::platform::etcd_json
+} // namespace carawayway::store::etcd_json
--- a/carawayway/platform/etcd_json_store.cpp
+++ b/carawayway/store/etcd_json_store.cpp
@@ -1,7 +1,7 @@
 // HTTP side of the etcd adapter: one connection for each call, failover and exact outcomes.
-#include "carawayway/platform/etcd_json_store.hpp"
+#include "carawayway/store/etcd_json_store.hpp"
 
-#include "carawayway/platform/etcd_json_codec.hpp"
+#include "carawayway/store/etcd_json_codec.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -21,7 +21,7 @@
 #include <set>
 #include <utility>
 
-namespace carawayway::platform {
+namespace carawayway::store {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -494,4 +494,4 @@
                            });
 }
 
-} // namespace carawayway::platform
+} // namespace carawayway::store
--- a/carawayway/platform/etcd_json_store.hpp
+++ b/carawayway/store/etcd_json_store.hpp
@@ -1,7 +1,7 @@
 // Adapter to a key-value store that speaks the etcd v3 HTTP/JSON gateway protocol.
 #pragma once
 
-#include "carawayway/platform/config_store.hpp"
+#include "carawayway/store/config_store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace carawayway::platform {
+namespace carawayway::store {
 
 struct etcd_json_options {
     std::vector<std::string> addresses; // IP:PORT; tried in order, starting from the one that answered last
@@ -63,4 +63,4 @@
 
 static_assert(config_store<etcd_json_store>);
 
-} // namespace carawayway::platform
+} // namespace carawayway::store
