--- a/carawayway/cli/entry_command.cpp
+++ b/carawayway/cli/entry_command.cpp
@@ -1,28 +1,18 @@
 // `carawayway entry`: runs one entry instance until SIGTERM or SIGINT.
 #include "carawayway/cli/arguments.hpp"
+#include "carawayway/cli/settings_file.hpp"
 #include "carawayway/config/settings_reader.hpp"
 #include "carawayway/entry/instance.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <fstream>
-#include <iterator>
-
 DEFINE_string(settings, "", "settings file (INI) of this entry instance");
 
 namespace carawayway::cli {
 
 namespace {
 
-std::optional<std::string> read_file(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
-}
-
 std::string trimmed(std::string text) {
     while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' ')) {
         text.pop_back();
--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -1,7 +1,7 @@
 // Runs the call's operations on an event loop of its own, so that each has a timeout.
 #include "carawayway/cli/http_call.hpp"
 
-#include "carawayway/entry/endpoint.hpp"
+#include "carawayway/net/endpoint.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -120,7 +120,7 @@
 
 std::optional<http_reply> perform(const http_call& call, call_failure& failure, std::string& reason) {
     call_state state;
-    const auto endpoint = entry::parse_endpoint(call.address);
+    const auto endpoint = net::parse_endpoint(call.address);
     if (!endpoint) {
         failure = call_failure::bad_address;
         reason = "expected IP:port, got \"" + call.address + "\"";
--- a/carawayway/cli/main.cpp
+++ b/carawayway/cli/main.cpp
@@ -28,6 +28,11 @@
     using namespace carawayway::cli;
     const std::vector<subcommand> subcommands{
         {"entry", "Runs one entry instance until SIGTERM.", "--settings FILE", {"settings"}, run_entry},
+        {"gateway",
+         "Runs one gateway on a platform that lists servers and routes, until SIGTERM.",
+         "--settings FILE",
+         {"settings"},
+         run_gateway},
         {"check", "Checks a settings or policy file.", "FILE", {"key_reference"}, run_check},
         {"lookup",
          "Asks an entry instance which entry instances a caller should use.",
--- a/carawayway/config/check_file.cpp
+++ b/carawayway/config/check_file.cpp
@@ -1,6 +1,7 @@
 // Reads a file, decides what it is and checks it.
 #include "carawayway/config/check_file.hpp"
 
+#include "carawayway/config/gateway_settings_reader.hpp"
 #include "carawayway/config/ini_document.hpp"
 #include "carawayway/config/policy_reader.hpp"
 #include "carawayway/config/settings_reader.hpp"
@@ -28,21 +29,30 @@
 }
 
 // Not by `ini_document`: the kind must also be found in a text with syntax errors.
-void count_header(std::string_view line, int& settings_headers, int& policy_headers) {
+struct header_counts {
+    int settings = 0;
+    int policy = 0;
+    int gateway = 0;
+};
+
+void count_header(std::string_view line, header_counts& counts) {
     const auto first = line.find_first_not_of(" \t\r[");
     if (line.empty() || first == std::string_view::npos || line.find('[') >= first) {
         return;
     }
     const auto last = line.find_first_of(" \t\r]", first);
     const std::string_view kind = line.substr(first, last == std::string_view::npos ? last : last - first);
-    settings_headers += find_section(document_kind::settings, kind) != nullptr ? 1 : 0;
-    policy_headers += find_section(document_kind::policy, kind) != nullptr ? 1 : 0;
+    counts.settings += find_section(document_kind::settings, kind) != nullptr ? 1 : 0;
+    counts.policy += find_section(document_kind::policy, kind) != nullptr ? 1 : 0;
+    counts.gateway += find_section(document_kind::gateway, kind) != nullptr ? 1 : 0;
 }
 
 std::vector<diagnostic> check_text(document_kind kind, const std::string& text, const std::string& file) {
     std::vector<diagnostic> diagnostics;
     if (kind == document_kind::settings) {
         read_settings(text, file, diagnostics);
+    } else if (kind == document_kind::gateway) {
+        read_gateway_settings(text, file, diagnostics);
     } else {
         read_valid_policy(text, file, diagnostics);
     }
@@ -52,17 +62,19 @@
 } // namespace
 
 std::optional<document_kind> detect_document_kind(std::string_view text) {
-    int settings_headers = 0;
-    int policy_headers = 0;
+    header_counts counts;
     while (!text.empty()) {
         const auto end = text.find('\n');
-        count_header(text.substr(0, end), settings_headers, policy_headers);
+        count_header(text.substr(0, end), counts);
         text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
     }
-    if (settings_headers == 0 && policy_headers == 0) {
+    if (counts.settings == 0 && counts.policy == 0 && counts.gateway == 0) {
         return std::nullopt;
     }
-    return settings_headers > policy_headers ? document_kind::settings : document_kind::policy;
+    if (counts.gateway > counts.policy && counts.gateway > counts.settings) {
+        return document_kind::gateway;
+    }
+    return counts.settings > counts.policy ? document_kind::settings : document_kind::policy;
 }
 
 int run_check(const std::string& file, std::FILE* out) {
@@ -84,7 +96,7 @@
     if (!diagnostics.empty()) {
         return status_invalid;
     }
-    fmt::print(out, "{}: valid {}\n", file, *kind == document_kind::settings ? "settings" : "policy");
+    fmt::print(out, "{}: valid {}\n", file, *kind == document_kind::policy ? "policy" : "settings");
     return status_valid;
 }
 
--- a/carawayway/config/key_table.cpp
+++ b/carawayway/config/key_table.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto settings = document_kind::settings;
 constexpr auto policy = document_kind::policy;
+constexpr auto gateway = document_kind::gateway;
 constexpr auto required = presence::required;
 constexpr auto optional = presence::optional;
 
@@ -48,6 +49,12 @@
                         "The home regions of callers, by address prefix."},
     section_description{policy, "drain", section_naming::single, section_keys::listed, optional,
                         "Entry instances that are being drained."},
+    section_description{gateway, "gateway", section_naming::single, section_keys::listed, required,
+                        "The gateway itself."},
+    section_description{gateway, "store", section_naming::single, section_keys::listed, required,
+                        "Access to the platform's key-value store."},
+    section_description{gateway, "domain", section_naming::named, section_keys::listed, optional,
+                        "One failure domain; its name is the platform's."},
 };
 
 // clang-format off: one row a key.
@@ -172,6 +179,39 @@
         "Home region of callers in the prefix (ADDRESS/LENGTH, IPv6 up to /64); the longest prefix counts."},
     key_description{policy, "drain", "entries", value_kind::name_list, "", optional, "", 0, 0,
                     "Names of entry instances that are being drained."},
+    key_description{gateway, "gateway", "name", value_kind::name, "", required, "", 0, 0,
+                    "Name of this gateway, unique in the deployment."},
+    key_description{gateway, "gateway", "failure_domain", value_kind::name, "", required, "", 0, 0,
+                    "Failure domain that this gateway runs in."},
+    key_description{gateway, "gateway", "region", value_kind::name, "", required, "", 0, 0,
+                    "Region of the failure domain."},
+    key_description{gateway, "gateway", "caller_address", value_kind::listen_address, "", required, "", 0, 0,
+                    "Address that callers send requests to; also given in look-up answers."},
+    key_description{gateway, "gateway", "readiness_address", value_kind::listen_address, "", required, "", 0,
+                    0, "Address that answers whether this gateway takes requests."},
+    key_description{gateway, "gateway", "lookup_address", value_kind::listen_address, "", required, "", 0, 0,
+                    "Address that tells callers which gateways to use."},
+    key_description{gateway, "gateway", "peer_address", value_kind::listen_address, "", required, "", 0, 0,
+                    "Address that other gateways ask for facts while the store does not answer them."},
+    key_description{gateway, "gateway", "metrics_address", value_kind::listen_address, "", optional, "", 0, 0,
+                    "Address of the metrics; without it they are not served."},
+    key_description{gateway, "gateway", "seeds", value_kind::remote_address_list, "", optional, "", 0, 0,
+                    "Peer addresses of gateways to ask before any other is known."},
+    key_description{gateway, "gateway", "bounds", value_kind::text, "", optional, "", 0, 0,
+                    "The platform's bounds, as the platform writes them."},
+    key_description{gateway, "gateway", "log_level", value_kind::log_level, "", optional, "info", 0, 0,
+                    "Lowest level that is logged."},
+    key_description{gateway, "gateway", "caller_connections", value_kind::integer, "connections", optional,
+                    "3000", 1, 65535, "Caller connections that are open at once."},
+    key_description{gateway, "gateway", "body_memory_bytes", value_kind::integer, "bytes", optional,
+                    "67108864", 1U << 20U, 4e9,
+                    "Memory for the bodies of all requests and answers in progress."},
+    key_description{gateway, "store", "address", value_kind::remote_address, "", required, "", 0, 0,
+                    "Address of the store."},
+    key_description{gateway, "store", "shortest_lease_ms", value_kind::milliseconds, "ms", optional, "1000",
+                    1, longest_time_ms, "Shortest lease that the store grants."},
+    key_description{gateway, "domain", "region", value_kind::name, "", required, "", 0, 0,
+                    "Region of the failure domain."},
 };
 // clang-format on
 
@@ -271,7 +311,7 @@
     for (const auto& section : sections) {
         if (section.document != document) {
             document = section.document;
-            text += "## Policy\n\n";
+            text += document == policy ? "## Policy\n\n" : "## Gateway settings\n\n";
         }
         text += section_markdown(section);
     }
--- a/carawayway/config/key_table.hpp
+++ b/carawayway/config/key_table.hpp
@@ -9,7 +9,7 @@
 
 namespace carawayway::config {
 
-enum class document_kind : std::uint8_t { settings, policy };
+enum class document_kind : std::uint8_t { settings, policy, gateway };
 
 enum class value_kind : std::uint8_t {
     name,
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -2,7 +2,7 @@
 #include "carawayway/entry/backend_client.hpp"
 
 #include "carawayway/entry/caller_http.hpp"
-#include "carawayway/entry/endpoint.hpp"
+#include "carawayway/net/endpoint.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -140,7 +140,7 @@
     }
 
     asio::awaitable<server_result> attempt(const start_attempt& command) {
-        const auto endpoint = parse_endpoint(command.address);
+        const auto endpoint = net::parse_endpoint(command.address);
         if (!endpoint) {
             co_return failed(attempt_outcome::not_sent);
         }
@@ -246,7 +246,7 @@
 
     static asio::awaitable<void> run_probe(std::shared_ptr<implementation> self, probe_server command) {
         auto reach = server_probed::reachability::unreachable;
-        if (const auto endpoint = parse_endpoint(command.address)) {
+        if (const auto endpoint = net::parse_endpoint(command.address)) {
             beast::tcp_stream stream(self->m_context);
             stream.expires_after(probe_timeout);
             auto [error] = co_await stream.async_connect(*endpoint, use_tuple);
--- /dev/null
+++ b/carawayway/fleet/fact_log.cpp
@@ -0,0 +1,82 @@
+// Merging of facts by revision.
+#include "carawayway/fleet/fact_log.hpp"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace carawayway::fleet {
+
+bool fact_log::apply(const fact& item) {
+    auto& known = m_items[item.key];
+    if (known.revision >= item.revision) {
+        return false;
+    }
+    known = item;
+    remember(item);
+    return true;
+}
+
+std::vector<fact> fact_log::replace_all(const std::vector<fact>& items, std::int64_t revision) {
+    std::vector<fact> changes;
+    std::unordered_set<std::string> listed;
+    for (const auto& item : items) {
+        listed.insert(item.key);
+        if (apply(item)) {
+            changes.push_back(item);
+        }
+    }
+    std::vector<fact> gone;
+    for (const auto& [key, known] : m_items) {
+        // A key that changed after the listing began is left to the watch.
+        if (!known.erased && known.revision <= revision && !listed.contains(key)) {
+            gone.push_back({key, {}, revision, true});
+        }
+    }
+    for (const auto& item : gone) {
+        m_items[item.key] = item;
+        remember(item);
+        changes.push_back(item);
+    }
+    advance(revision);
+    return changes;
+}
+
+void fact_log::advance(std::int64_t revision) {
+    m_revision = std::max(m_revision, revision);
+}
+
+std::optional<std::vector<fact>> fact_log::changes_after(std::int64_t revision) const {
+    if (revision < m_changes_complete_from) {
+        return std::nullopt;
+    }
+    std::vector<fact> changes;
+    std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(changes),
+                 [revision](const fact& item) { return item.revision > revision; });
+    return changes;
+}
+
+std::vector<fact> fact_log::all() const {
+    std::vector<fact> items;
+    for (const auto& [key, item] : m_items) {
+        if (!item.erased) {
+            items.push_back(item);
+        }
+    }
+    return items;
+}
+
+void fact_log::remember(const fact& item) {
+    m_changes.push_back(item);
+    if (m_changes.size() <= kept_changes) {
+        return;
+    }
+    const fact& oldest = m_changes.front();
+    m_changes_complete_from = std::max(m_changes_complete_from, oldest.revision);
+    const auto known = m_items.find(oldest.key);
+    if (known != m_items.end() && known->second.erased && known->second.revision == oldest.revision) {
+        m_items.erase(known);
+    }
+    m_changes.pop_front();
+}
+
+} // namespace carawayway::fleet
--- /dev/null
+++ b/carawayway/fleet/relay_codec.cpp
@@ -0,0 +1,79 @@
+// FlatBuffers of the messages between gateways.
+#include "carawayway/fleet/relay_codec.hpp"
+
+#include "carawayway/wire/relay_generated.h"
+
+namespace carawayway::fleet {
+
+namespace {
+
+namespace schema = carawayway::wire::relay;
+
+std::string finish(flatbuffers::FlatBufferBuilder& builder, schema::Body kind,
+                   flatbuffers::Offset<void> body) {
+    builder.Finish(schema::CreateMessage(builder, kind, body));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+const schema::Message* verified(std::span<const std::byte> payload) {
+    const auto* const bytes = reinterpret_cast<const std::uint8_t*>(payload.data());
+    flatbuffers::Verifier verifier(bytes, payload.size());
+    return schema::VerifyMessageBuffer(verifier) ? schema::GetMessage(bytes) : nullptr;
+}
+
+fact read_fact(const schema::Fact& from) {
+    fact item{from.key()->str(), {}, from.revision(), from.erased()};
+    if (const auto* const value = from.value()) {
+        item.value.assign(reinterpret_cast<const char*>(value->data()), value->size());
+    }
+    return item;
+}
+
+} // namespace
+
+std::string encode(const fact_request& request) {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto body = schema::CreateFactRequest(builder, request.revision);
+    return finish(builder, schema::Body::FactRequest, body.Union());
+}
+
+std::string encode(const fact_reply& reply) {
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<schema::Fact>> facts;
+    facts.reserve(reply.facts.size());
+    for (const auto& item : reply.facts) {
+        const auto key = builder.CreateString(item.key);
+        const auto value =
+            builder.CreateVector(reinterpret_cast<const std::uint8_t*>(item.value.data()), item.value.size());
+        facts.push_back(schema::CreateFact(builder, key, value, item.revision, item.erased));
+    }
+    const auto list = builder.CreateVector(facts);
+    const auto body = schema::CreateFactReply(builder, reply.revision, reply.complete, list);
+    return finish(builder, schema::Body::FactReply, body.Union());
+}
+
+std::optional<fact_request> decode_request(std::span<const std::byte> payload) {
+    const auto* const message = verified(payload);
+    const auto* const body = message == nullptr ? nullptr : message->body_as_FactRequest();
+    if (body == nullptr) {
+        return std::nullopt;
+    }
+    return fact_request{body->revision()};
+}
+
+std::optional<fact_reply> decode_reply(std::span<const std::byte> payload) {
+    const auto* const message = verified(payload);
+    const auto* const body = message == nullptr ? nullptr : message->body_as_FactReply();
+    if (body == nullptr) {
+        return std::nullopt;
+    }
+    fact_reply reply{body->revision(), body->complete(), {}};
+    if (const auto* const facts = body->facts()) {
+        for (const auto* const item : *facts) {
+            reply.facts.push_back(read_fact(*item));
+        }
+    }
+    return reply;
+}
+
+} // namespace carawayway::fleet
--- /dev/null
+++ b/carawayway/fleet/store_condition.hpp
@@ -0,0 +1,38 @@
+// Whether the store can be trusted about what disappeared from it.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+namespace carawayway::fleet {
+
+// Entries expire while the store is down, although their owners live, and return once it is back. A
+// disappearance counts only when the store has answered without trouble for the settling time.
+class store_condition {
+public:
+    // Entries of living servers return within about two seconds; the rest is for the watch.
+    static constexpr base::duration settling_time = std::chrono::milliseconds{2300};
+
+    void trouble(base::time_point now) {
+        m_last_trouble = now;
+        m_in_contact = false;
+    }
+
+    // Returns true when contact was lost before.
+    bool contact() {
+        const bool regained = !m_in_contact;
+        m_in_contact = true;
+        return regained;
+    }
+
+    bool in_contact() const { return m_in_contact; }
+
+    bool is_settled(base::time_point now) const {
+        return m_in_contact && now >= m_last_trouble + settling_time;
+    }
+
+private:
+    bool m_in_contact = false;
+    base::time_point m_last_trouble{}; // of the last call that failed
+};
+
+} // namespace carawayway::fleet
--- /dev/null
+++ b/carawayway/gateway/message_headers.cpp
@@ -0,0 +1,56 @@
+// Hop-by-hop headers.
+#include "carawayway/gateway/message_headers.hpp"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace carawayway::gateway {
+
+void remove_connection_headers(http::fields& headers) {
+    std::vector<std::string> named;
+    for (const auto& token : http::token_list{headers[http::field::connection]}) {
+        named.emplace_back(token);
+    }
+    for (const auto& name : named) {
+        headers.erase(name);
+    }
+    constexpr std::array always{
+        http::field::connection,
+        http::field::keep_alive,
+        http::field::proxy_connection,
+        http::field::proxy_authenticate,
+        http::field::proxy_authorization,
+        http::field::te,
+        http::field::trailer,
+        http::field::transfer_encoding,
+        http::field::upgrade,
+        http::field::expect,
+        http::field::content_length,
+    };
+    for (const auto name : always) {
+        headers.erase(name);
+    }
+}
+
+std::optional<base::duration> keep_alive_timeout(const http::fields& headers) {
+    const auto found = headers.find(http::field::keep_alive);
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    constexpr std::string_view parameter = "timeout=";
+    const std::string_view text(found->value());
+    const auto at = text.find(parameter);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    unsigned seconds = 0;
+    const char* const first = text.data() + at + parameter.size();
+    if (std::from_chars(first, text.data() + text.size(), seconds).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds{seconds};
+}
+
+} // namespace carawayway::gateway
--- /dev/null
+++ b/carawayway/gateway/relayed_call.hpp
@@ -0,0 +1,352 @@
+// One request of a caller on its way: finds the route, places it, repeats it where that is allowed, and
+// answers.
+#pragma once
+
+#include "carawayway/base/error_kind.hpp"
+#include "carawayway/base/hash.hpp"
+#include "carawayway/gateway/caller_session.hpp"
+#include "carawayway/gateway/refusal_answer.hpp"
+#include "carawayway/gateway/relay_state.hpp"
+#include "carawayway/gateway/server_exchange.hpp"
+#include "carawayway/net/endpoint.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carawayway::gateway {
+
+template <platform_protocol Platform>
+class relayed_call : public std::enable_shared_from_this<relayed_call<Platform>> {
+public:
+    // Servers that are tried without being reached, besides the attempts of the route.
+    static constexpr std::uint32_t tolerated_connect_failures = 3;
+    static constexpr base::duration shortest_connect_timeout = std::chrono::milliseconds{150};
+    // Connect time-out in round trips: one retransmitted packet still arrives within it.
+    static constexpr int connect_round_trips = 4;
+    // A server may forget idle connections; a request that must not be repeated takes one that was used just
+    // now.
+    static constexpr base::duration idle_for_unrepeatable = std::chrono::seconds{3};
+    static constexpr base::duration idle_for_repeatable = std::chrono::seconds{60};
+    // Advice to callers while this gateway has no configuration.
+    static constexpr base::duration not_ready_retry_after = std::chrono::milliseconds{300};
+
+    relayed_call(relay_state& state, http_request request, base::time_point arrived, answer_function answer)
+        : m_state(state), m_request(std::move(request)), m_arrived(arrived), m_answer(std::move(answer)),
+          m_deadline(state.executor) {}
+
+    void start() {
+        m_marks = Platform::read_call(m_request);
+        m_routes = m_state.routes();
+        if (!m_routes) {
+            refuse_later(base::error_kind::not_ready, not_ready_retry_after);
+            return;
+        }
+        const std::string_view target = m_request.target();
+        if (target.empty() || target.front() != '/' || m_request.count(http::field::host) != 1) {
+            refuse_later(base::error_kind::request_invalid, {});
+            return;
+        }
+        m_route = m_routes->find(m_request[http::field::host], routing::path_of(target));
+        if (m_route == nullptr) {
+            refuse_later(base::error_kind::not_found, {});
+            return;
+        }
+        const auto allowed = std::min(m_marks.time_left.value_or(m_route->timeout), m_route->timeout);
+        m_ends_at = m_arrived + allowed;
+        const std::uint64_t key =
+            base::hash_bytes(m_marks.object.empty() ? m_marks.request_id : m_marks.object);
+        m_service = m_route->targets[m_state.splits.choose(*m_route, key)].service;
+        m_object = base::hash_bytes(m_service, key);
+        m_state.retry_budget_of(m_service, m_arrived).first_attempt(m_arrived);
+        prepare_request();
+        arm_deadline();
+        place();
+    }
+
+    // The caller has left. A request that may be repeated stops at its server; another one runs to its end,
+    // since a half-run booking helps nobody.
+    void cancel() {
+        m_answer = nullptr;
+        m_caller_left = true;
+        if (is_repeatable() || !m_exchange || !m_exchange->was_sent()) {
+            finish_exchange();
+            m_deadline.cancel();
+        }
+    }
+
+private:
+    bool is_repeatable() const {
+        return m_route != nullptr && m_route->semantics == routing::request_semantics::idempotent;
+    }
+
+    void prepare_request() {
+        remove_connection_headers(m_request);
+        m_request.version(11);
+        m_request.keep_alive(true);
+        m_request.prepare_payload();
+    }
+
+    void arm_deadline() {
+        m_deadline.expires_at(std::chrono::time_point_cast<boost::asio::steady_timer::duration>(m_ends_at));
+        m_deadline.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                self->out_of_time();
+            }
+        });
+    }
+
+    void place() {
+        const auto now = base::monotonic_now();
+        const placement::placement_request wanted{*m_route,
+                                                  m_service,
+                                                  m_object,
+                                                  m_ends_at - now,
+                                                  m_arrived + m_route->target_latency - now,
+                                                  m_tried,
+                                                  !m_marks.object.empty()};
+        auto placed = m_state.choice.choose(wanted, now);
+        if (!placed.server) {
+            give_up(placed, now);
+            return;
+        }
+        send_to(std::move(placed), now);
+    }
+
+    void send_to(placement::placement_result placed, base::time_point now) {
+        m_server = std::move(placed.server);
+        m_warmth = placed.warmth;
+        m_tried.push_back(m_server->facts.id);
+        const auto address = net::parse_endpoint(m_server->facts.address);
+        if (!address) {
+            m_state.servers.mark_displaced(*m_server);
+            place();
+            return;
+        }
+        m_state.servers.started(*m_server);
+        const auto trip = m_state.trips.expected(m_server->facts.failure_domain,
+                                                 m_server->region == m_state.servers.own().region);
+        const exchange_limits limits{
+            std::min<base::duration>(m_ends_at - now, std::max<base::duration>(shortest_connect_timeout,
+                                                                               trip * connect_round_trips)),
+            is_repeatable() ? idle_for_repeatable : idle_for_unrepeatable, relay_state::largest_answer};
+        auto request = std::make_shared<http_request>(m_request);
+        Platform::write_call(*request, m_server->facts.id, m_ends_at - now);
+        m_exchange = std::make_shared<server_exchange<Platform>>(m_state.executor, m_state.connections,
+                                                                 m_server->facts.id, *address, limits);
+        m_exchange->start(std::move(request), m_marks.request_id,
+                          [self = this->shared_from_this()](exchange_result result) {
+                              self->exchanged(std::move(result));
+                          });
+    }
+
+    void exchanged(exchange_result result) {
+        const auto now = base::monotonic_now();
+        m_exchange.reset();
+        m_state.servers.ended(*m_server);
+        if (result.connect_time > base::duration::zero()) {
+            m_state.trips.observe(m_server->facts.failure_domain, result.connect_time);
+        }
+        if (result.end == exchange_end::answered) {
+            answered(std::move(result), now);
+            return;
+        }
+        count_attempt(result.end == exchange_end::not_connected ? "not-connected" : "lost");
+        m_state.servers.unanswered(*m_server, now);
+        if (result.end == exchange_end::not_connected) {
+            if (++m_connect_failures <= tolerated_connect_failures) {
+                place();
+                return;
+            }
+            finish(base::error_kind::no_server_available, placement::server_choice::shortest_retry_after,
+                   now);
+            return;
+        }
+        ++m_attempts;
+        m_may_have_run = true;
+        if (may_repeat(now)) {
+            place();
+            return;
+        }
+        finish(result.end == exchange_end::broken ? base::error_kind::answer_truncated
+                                                  : base::error_kind::server_lost,
+               {}, now);
+    }
+
+    void answered(exchange_result result, base::time_point now) {
+        ++m_attempts;
+        const unsigned status = result.answer.result_int();
+        const bool success = status >= 200 && status < 300;
+        const bool intact = !success || (result.marks.genuine && !result.marks.encoded);
+        const bool good = !result.marks.not_executed && status < 500 && intact;
+        if (result.marks.load) {
+            m_state.servers.reported(*m_server, *result.marks.load, now);
+        }
+        m_state.servers.answered(*m_server, good, now);
+        count_attempt(result.marks.not_executed ? "refused" : good ? "good" : "failed");
+        if (result.marks.other_server) {
+            m_state.servers.mark_displaced(*m_server);
+        }
+        if (result.marks.not_executed) {
+            if (m_attempts < m_route->maximum_attempts && spend_budget(now)) {
+                place();
+                return;
+            }
+            finish(base::error_kind::server_refused, placement::server_choice::shortest_retry_after, now);
+            return;
+        }
+        m_may_have_run = true;
+        if (!good && may_repeat(now)) {
+            place();
+            return;
+        }
+        if (!intact) {
+            finish(base::error_kind::answer_truncated, {}, now);
+            return;
+        }
+        if (success) {
+            learn(result, now);
+        }
+        deliver(std::move(result.answer), now);
+    }
+
+    void learn(const exchange_result& result, base::time_point now) {
+        const auto trip = m_state.trips.expected(m_server->facts.failure_domain,
+                                                 m_server->region == m_state.servers.own().region);
+        const bool queued = result.marks.load && result.marks.load->waiting > 0;
+        m_state.affinity.remember(m_object, m_server->id_hash);
+        if (queued || m_state.servers.is_cold(*m_server, now)) {
+            return;
+        }
+        const auto run_time = result.run_time - std::min(result.run_time, trip);
+        m_state.choice.observe(*m_server, m_route->name, m_service, m_warmth, run_time, now);
+    }
+
+    // Whether a request that may have run can be sent to another server.
+    bool may_repeat(base::time_point now) {
+        return is_repeatable() && m_attempts < m_route->maximum_attempts && spend_budget(now);
+    }
+
+    bool spend_budget(base::time_point now) {
+        return !m_caller_left && m_state.retry_budget_of(m_service, now).try_spend(now);
+    }
+
+    void give_up(const placement::placement_result& placed, base::time_point now) {
+        if (m_may_have_run) {
+            finish(base::error_kind::server_lost, {}, now);
+            return;
+        }
+        finish(placed.reason == placement::refusal::no_server ? base::error_kind::no_server_available
+                                                              : base::error_kind::deadline_unreachable,
+               placed.retry_after, now);
+    }
+
+    void out_of_time() {
+        const bool may_have_run = m_may_have_run || (m_exchange && m_exchange->was_sent());
+        if (m_exchange && m_exchange->was_sent()) {
+            m_state.servers.unanswered(*m_server, base::monotonic_now());
+        }
+        finish_exchange();
+        finish(may_have_run ? base::error_kind::deadline_exceeded
+                            : base::error_kind::deadline_exceeded_before_dispatch,
+               placement::server_choice::shortest_retry_after, base::monotonic_now());
+    }
+
+    void finish_exchange() {
+        if (m_exchange) {
+            m_exchange->abort();
+            m_exchange.reset();
+            m_state.servers.ended(*m_server);
+        }
+    }
+
+    void refuse_later(base::error_kind kind, base::duration retry_after) {
+        boost::asio::post(m_state.executor, [self = this->shared_from_this(), kind, retry_after] {
+            self->finish(kind, retry_after, base::monotonic_now());
+        });
+    }
+
+    void finish(base::error_kind kind, base::duration retry_after, base::time_point now) {
+        m_deadline.cancel();
+        if (!m_answer) {
+            return;
+        }
+        const auto& row = base::answer_for(kind);
+        m_state.metrics.add("carawayway_refusals_total",
+                            {{"service", m_service}, {"kind", std::string(row.name)}});
+        m_state.log.write(base::log_level::info, "request-given-up",
+                          {{"request_id", m_marks.request_id},
+                           {"kind", row.name},
+                           {"route", m_route == nullptr ? std::string{} : m_route->name},
+                           {"configuration", m_routes ? m_routes->source().version : 0},
+                           {"attempts", m_attempts},
+                           {"server", m_tried.empty() ? std::string{} : m_tried.back()},
+                           {"after_ms", base::to_milliseconds(now - m_arrived)},
+                           {"retry_after_ms", base::to_milliseconds(retry_after)}},
+                          now);
+        auto answer = refusal_answer(row, m_may_have_run ? base::duration::zero() : retry_after);
+        Platform::write_request_id(answer, m_marks.request_id);
+        complete(std::move(answer), now);
+    }
+
+    void deliver(http_response answer, base::time_point now) {
+        m_deadline.cancel();
+        if (m_tried.size() > 1) {
+            m_state.log.write(base::log_level::info, "request-repeated",
+                              {{"request_id", m_marks.request_id},
+                               {"status", answer.result_int()},
+                               {"attempts", m_attempts},
+                               {"first_server", m_tried.front()},
+                               {"server", m_tried.back()},
+                               {"after_ms", base::to_milliseconds(now - m_arrived)}},
+                              now);
+        }
+        remove_connection_headers(answer);
+        complete(std::move(answer), now);
+    }
+
+    void complete(http_response answer, base::time_point now) {
+        const std::string priority = m_route == nullptr ? "none" : std::to_string(m_route->priority);
+        m_state.metrics.add("carawayway_requests_total", {{"priority", priority},
+                                                          {"service", m_service},
+                                                          {"status", std::to_string(answer.result_int())}});
+        m_state.metrics.observe("carawayway_request_duration_seconds",
+                                {{"priority", priority}, {"service", m_service}}, now - m_arrived);
+        if (!m_answer) {
+            return;
+        }
+        const auto deliver_answer = std::move(m_answer);
+        m_answer = nullptr;
+        deliver_answer(std::move(answer));
+    }
+
+    void count_attempt(std::string_view end) {
+        m_state.metrics.add("carawayway_attempts_total", {{"end", std::string(end)}, {"service", m_service}});
+    }
+
+    relay_state& m_state;
+    http_request m_request;
+    base::time_point m_arrived;
+    answer_function m_answer; // null once answered or when the caller has left
+    boost::asio::steady_timer m_deadline;
+    call_marks m_marks;
+    std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
+    const routing::route* m_route = nullptr;
+    std::string m_service;
+    std::uint64_t m_object = 0;
+    base::time_point m_ends_at{};
+    placement::server_handle m_server; // of the attempt in progress, or the last one
+    placement::object_warmth m_warmth = placement::object_warmth::not_held;
+    std::shared_ptr<server_exchange<Platform>> m_exchange;
+    std::vector<std::string> m_tried; // IDs of servers
+    std::uint32_t m_attempts = 0;     // that reached a server
+    std::uint32_t m_connect_failures = 0;
+    bool m_may_have_run = false;
+    bool m_caller_left = false;
+};
+
+} // namespace carawayway::gateway
--- /dev/null
+++ b/carawayway/gateway/store_session.hpp
@@ -0,0 +1,265 @@
+// Keeps this gateway's copy of the store up to date and its own entry alive.
+#pragma once
+
+#include "carawayway/base/log.hpp"
+#include "carawayway/fleet/fact_log.hpp"
+#include "carawayway/fleet/store_condition.hpp"
+#include "carawayway/gateway/fact_relay.hpp"
+#include "carawayway/gateway/store_channel.hpp"
+#include "carawayway/gateway/wire_types.hpp"
+#include "carawayway/steering/retry_budget.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+#include <random>
+
+namespace carawayway::gateway {
+
+// One waiting watch over all keys, resumed at its revision; a whole listing when the history is gone; and the
+// facts of another gateway while the store does not answer.
+template <platform_protocol Platform>
+class store_session {
+public:
+    // Longest wait of a watch: bounds how long a silent connection goes unnoticed, and each return costs a
+    // call.
+    static constexpr base::duration watch_wait = std::chrono::seconds{4};
+    static constexpr base::duration watch_margin = std::chrono::seconds{1};
+    // Pause after news, so that a series of changes costs few calls. Changes must be in force within seconds.
+    static constexpr base::duration watch_pause = std::chrono::milliseconds{200};
+    static constexpr base::duration list_timeout = std::chrono::seconds{3};
+    // Above the answers of a slow store, and well below the time after which others count a gateway as gone.
+    static constexpr base::duration call_timeout = std::chrono::milliseconds{900};
+    static constexpr base::duration first_backoff = std::chrono::milliseconds{150};
+    static constexpr base::duration longest_backoff = std::chrono::milliseconds{800};
+    // A gateway that was killed leaves the look-up answers after the lease; callers' connections fail before.
+    static constexpr base::duration lease_lifetime = std::chrono::milliseconds{3500};
+    static constexpr base::duration renew_interval = std::chrono::milliseconds{1100};
+    static constexpr base::duration relay_timeout = std::chrono::milliseconds{700};
+
+    using facts_handler = std::function<void(const std::vector<fleet::fact>&)>;
+    using peers_function = std::function<std::vector<boost::asio::ip::tcp::endpoint>()>;
+
+    store_session(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint store,
+                  fleet::gateway_facts own, fleet::fact_log& facts, facts_handler on_facts,
+                  peers_function peers)
+        : m_executor(std::move(executor)), m_own(std::move(own)), m_facts(facts),
+          m_on_facts(std::move(on_facts)), m_peers(std::move(peers)), m_watch(m_executor, store),
+          m_calls(m_executor, store), m_watch_timer(m_executor), m_lease_timer(m_executor),
+          m_random(std::random_device{}()) {}
+
+    void start() {
+        boost::asio::co_spawn(m_executor, keep_facts(), boost::asio::detached);
+        boost::asio::co_spawn(m_executor, keep_entry(), boost::asio::detached);
+    }
+
+    // Takes this gateway's entry away, so that look-ups stop naming it.
+    void withdraw() {
+        m_withdrawn = true;
+        m_lease_timer.cancel();
+    }
+
+    // The entry disappeared although this gateway runs: the store took it away.
+    void own_entry_lost() {
+        if (!m_withdrawn && m_lease != 0) {
+            base::log(base::log_level::warning, "own-entry-lost", {{"lease", m_lease}});
+            m_lease = 0;
+            m_lease_timer.cancel();
+        }
+    }
+
+    const fleet::store_condition& condition() const { return m_condition; }
+
+private:
+    boost::asio::awaitable<void> keep_facts() {
+        std::uint32_t failures = 0;
+        bool listed = false;
+        for (;;) {
+            auto status = fleet::store_status::refused;
+            if (listed) {
+                status = co_await watch_once();
+            } else {
+                status = co_await list_all();
+            }
+            if (status == fleet::store_status::done) {
+                listed = true;
+                failures = 0;
+                regained();
+                continue;
+            }
+            if (status == fleet::store_status::compacted) {
+                base::log(base::log_level::warning, "store-history-lost", {{"revision", m_facts.revision()}});
+                listed = false;
+                continue;
+            }
+            lost(status);
+            co_await ask_peer();
+            co_await pause(m_watch_timer,
+                           steering::jittered_backoff(++failures, first_backoff, longest_backoff, m_random) +
+                               first_backoff);
+        }
+    }
+
+    boost::asio::awaitable<fleet::store_status> list_all() {
+        std::vector<fleet::fact> items;
+        std::string last_key;
+        std::int64_t revision = 0;
+        for (bool more = true; more;) {
+            const auto answer = co_await m_watch.call(Platform::list_call(last_key), list_timeout);
+            if (!answer) {
+                co_return fleet::store_status::refused;
+            }
+            auto page = Platform::read_page(answer->status, answer->body);
+            if (page.status != fleet::store_status::done) {
+                co_return page.status;
+            }
+            // The pages are not a snapshot: the watch starts where the first one was read.
+            revision = revision == 0 ? page.revision : revision;
+            more = page.has_more && !page.items.empty();
+            last_key = more ? page.items.back().key : std::string{};
+            std::move(page.items.begin(), page.items.end(), std::back_inserter(items));
+        }
+        m_on_facts(m_facts.replace_all(items, revision));
+        base::log(base::log_level::info, "store-listed", {{"items", items.size()}, {"revision", revision}});
+        co_return fleet::store_status::done;
+    }
+
+    boost::asio::awaitable<fleet::store_status> watch_once() {
+        const auto answer = co_await m_watch.call(Platform::watch_call(m_facts.revision(), watch_wait),
+                                                  watch_wait + watch_margin);
+        if (!answer) {
+            co_return fleet::store_status::refused;
+        }
+        const auto page = Platform::read_events(answer->status, answer->body);
+        if (page.status != fleet::store_status::done) {
+            co_return page.status;
+        }
+        std::vector<fleet::fact> changes;
+        for (const auto& item : page.items) {
+            if (m_facts.apply(item)) {
+                changes.push_back(item);
+            }
+        }
+        m_facts.advance(page.revision);
+        if (!changes.empty()) {
+            m_on_facts(changes);
+            co_await pause(m_watch_timer, watch_pause);
+        }
+        co_return fleet::store_status::done;
+    }
+
+    boost::asio::awaitable<void> ask_peer() {
+        const auto peers = m_peers();
+        if (peers.empty()) {
+            co_return;
+        }
+        const auto peer = peers[m_random() % peers.size()];
+        const auto reply = co_await ask_for_facts(m_executor, peer, {m_facts.revision()}, relay_timeout);
+        if (!reply || reply->revision < m_facts.revision()) {
+            co_return;
+        }
+        std::vector<fleet::fact> changes;
+        if (reply->complete) {
+            changes = m_facts.replace_all(reply->facts, reply->revision);
+        } else {
+            for (const auto& item : reply->facts) {
+                if (m_facts.apply(item)) {
+                    changes.push_back(item);
+                }
+            }
+            m_facts.advance(reply->revision);
+        }
+        if (!changes.empty()) {
+            base::log(base::log_level::info, "facts-from-peer",
+                      {{"peer", peer.address().to_string()},
+                       {"changes", changes.size()},
+                       {"revision", reply->revision}});
+            m_on_facts(changes);
+        }
+    }
+
+    boost::asio::awaitable<void> keep_entry() {
+        while (!m_withdrawn) {
+            bool kept = false;
+            if (m_lease == 0) {
+                kept = co_await make_entry();
+            } else {
+                kept = co_await renew();
+            }
+            co_await pause(m_lease_timer, kept ? renew_interval : first_backoff * 2);
+        }
+        if (m_lease != 0) {
+            co_await m_calls.call(Platform::revoke_call(m_lease), call_timeout);
+        }
+    }
+
+    boost::asio::awaitable<bool> make_entry() {
+        const auto granted = co_await m_calls.call(Platform::grant_call(lease_lifetime), call_timeout);
+        const auto lease =
+            granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
+        if (lease.status != fleet::store_status::done) {
+            co_return false;
+        }
+        const auto written = co_await m_calls.call(Platform::register_call(m_own, lease.id), call_timeout);
+        if (!written || Platform::read_status(written->status) != fleet::store_status::done) {
+            co_return false;
+        }
+        m_lease = lease.id;
+        base::log(base::log_level::info, "own-entry-made", {{"lease", m_lease}});
+        co_return true;
+    }
+
+    boost::asio::awaitable<bool> renew() {
+        const auto answer = co_await m_calls.call(Platform::renew_call(m_lease), call_timeout);
+        const auto status = answer ? Platform::read_status(answer->status) : fleet::store_status::refused;
+        if (status == fleet::store_status::missing) {
+            m_lease = 0;
+            co_return false;
+        }
+        if (!answer) {
+            // The store is silent: the waiting watch would notice only at its own time-out.
+            m_watch.interrupt();
+        }
+        co_return status == fleet::store_status::done;
+    }
+
+    void lost(fleet::store_status status) {
+        if (m_condition.in_contact()) {
+            base::log(base::log_level::warning, "store-lost",
+                      {{"status", static_cast<int>(status)}, {"revision", m_facts.revision()}});
+        }
+        m_condition.trouble(base::monotonic_now());
+    }
+
+    void regained() {
+        if (m_condition.contact()) {
+            base::log(base::log_level::info, "store-regained", {{"revision", m_facts.revision()}});
+        }
+    }
+
+    static boost::asio::awaitable<void> pause(boost::asio::steady_timer& timer, base::duration length) {
+        timer.expires_after(length);
+        boost::system::error_code ended_early;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ended_early));
+    }
+
+    boost::asio::any_io_executor m_executor;
+    fleet::gateway_facts m_own;
+    fleet::fact_log& m_facts;
+    facts_handler m_on_facts;
+    peers_function m_peers;
+    store_channel m_watch; // listing and watch
+    store_channel m_calls; // lease and own entry
+    boost::asio::steady_timer m_watch_timer;
+    boost::asio::steady_timer m_lease_timer;
+    std::minstd_rand m_random;
+    fleet::store_condition m_condition;
+    std::int64_t m_lease = 0; // 0: none
+    bool m_withdrawn = false;
+};
+
+} // namespace carawayway::gateway
--- /dev/null
+++ b/carawayway/gateway/wire_types.hpp
@@ -0,0 +1,110 @@
+// What a gateway reads from and writes into the headers of callers and servers, free of the platform's names.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+#include "carawayway/fleet/facts.hpp"
+#include "carawayway/fleet/store_messages.hpp"
+#include "carawayway/placement/server_state.hpp"
+#include "carawayway/placement/server_table.hpp"
+#include "carawayway/routing/configuration.hpp"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carawayway::gateway {
+
+namespace http = boost::beast::http;
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+
+struct call_marks {
+    std::string request_id;                  // of this attempt of the caller
+    std::string object;                      // empty: the request concerns no object
+    std::optional<base::duration> time_left; // nothing: the caller did not say
+
+    bool operator==(const call_marks&) const = default;
+};
+
+struct answer_marks {
+    std::string request_id; // the request that it answers
+    bool not_executed = false;
+    bool other_server = false; // the address belongs to another server
+    bool genuine = false;      // signed by the server
+    bool encoded = false;      // the body is not as the server made it
+    std::optional<placement::load_report> load;
+
+    bool operator==(const answer_marks&) const = default;
+};
+
+struct health_marks {
+    placement::health_verdict verdict = placement::health_verdict::no_answer;
+    base::duration cold_left{};
+
+    bool operator==(const health_marks&) const = default;
+};
+
+struct lookup_query {
+    std::string host;
+    std::string region;         // of the caller
+    std::string failure_domain; // of the caller
+
+    bool operator==(const lookup_query&) const = default;
+};
+
+// Bounds that the platform sets for a deployment.
+struct platform_bounds {
+    double retry_share = 0.1;  // repeats for each request of a service, over all gateways
+    double retry_slack = 10.0; // repeats in a window beyond the share, over all gateways
+    placement::cold_limits cold;
+    double region_shift_share = 0.15;                         // most that may change region between windows
+    base::duration lookup_lifetime = std::chrono::seconds{2}; // longest
+    base::duration stop_grace = std::chrono::seconds{6};      // from SIGTERM to SIGKILL
+
+    bool operator==(const platform_bounds&) const = default;
+};
+
+// The translation between a platform's protocol and the product. It holds no state and decides nothing.
+template <class Platform>
+concept platform_protocol = requires(const http::fields& headers, http::fields& out, std::string_view text,
+                                     std::string_view body, std::int64_t number, base::duration duration,
+                                     unsigned status, const fleet::gateway_facts& own,
+                                     const std::vector<std::string>& addresses) {
+    { Platform::read_bounds(text) } -> std::same_as<std::optional<platform_bounds>>;
+
+    // Callers and servers.
+    { Platform::read_call(headers) } -> std::same_as<call_marks>;
+    { Platform::write_call(out, text, duration) } -> std::same_as<void>; // server ID, time left
+    { Platform::read_answer(status, headers) } -> std::same_as<answer_marks>;
+    { Platform::read_health(status, headers, text) } -> std::same_as<health_marks>; // expected server ID
+    { Platform::write_request_id(out, text) } -> std::same_as<void>;
+    { Platform::is_readiness(text) } -> std::same_as<bool>;
+    { Platform::read_lookup(text) } -> std::same_as<std::optional<lookup_query>>;
+    { Platform::write_lookup(addresses, duration) } -> std::same_as<std::string>;
+
+    // The store.
+    { Platform::list_call(text) } -> std::same_as<fleet::store_call>; // last key of the page before
+    { Platform::watch_call(number, duration) } -> std::same_as<fleet::store_call>; // revision, longest wait
+    { Platform::grant_call(duration) } -> std::same_as<fleet::store_call>;
+    { Platform::renew_call(number) } -> std::same_as<fleet::store_call>;
+    { Platform::revoke_call(number) } -> std::same_as<fleet::store_call>;
+    { Platform::register_call(own, number) } -> std::same_as<fleet::store_call>; // lease
+    { Platform::read_page(status, body) } -> std::same_as<fleet::store_page>;
+    { Platform::read_events(status, body) } -> std::same_as<fleet::store_page>;
+    { Platform::read_lease(status, body) } -> std::same_as<fleet::store_lease>;
+    { Platform::read_status(status) } -> std::same_as<fleet::store_status>;
+
+    // Facts.
+    { Platform::subject_of(text) } -> std::same_as<fleet::fact_subject>;
+    { Platform::read_server(text, text) } -> std::same_as<std::optional<fleet::server_facts>>;
+    { Platform::read_configuration(text) } -> std::same_as<std::optional<routing::configuration>>;
+    { Platform::read_gateway(text, text) } -> std::same_as<std::optional<fleet::gateway_facts>>;
+};
+
+} // namespace carawayway::gateway
--- a/carawayway/net/endpoint.cpp
+++ b/carawayway/net/endpoint.cpp
@@ -1,10 +1,10 @@
 // Parsing of IP:port.
-#include "carawayway/entry/endpoint.hpp"
+#include "carawayway/net/endpoint.hpp"
 
 #include <charconv>
 #include <cstdint>
 
-namespace carawayway::entry {
+namespace carawayway::net {
 
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
     const auto colon = address.rfind(':');
@@ -26,4 +26,4 @@
     return boost::asio::ip::tcp::endpoint(parsed, port);
 }
 
-} // namespace carawayway::entry
+} // namespace carawayway::net
--- a/carawayway/net/endpoint.hpp
+++ b/carawayway/net/endpoint.hpp
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-namespace carawayway::entry {
+namespace carawayway::net {
 
 // Reads IP:port, with an IPv6 address in brackets. Empty for anything else; names are not resolved.
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
 
-} // namespace carawayway::entry
+} // namespace carawayway::net
--- /dev/null
+++ b/carawayway/placement/affinity_memory.hpp
@@ -0,0 +1,41 @@
+// Remembers which servers handled an object recently: they still hold it and answer faster.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+namespace carawayway::placement {
+
+class affinity_memory {
+public:
+    // Servers remembered for each object: the usual one and the one that took its overflow.
+    static constexpr std::size_t servers_per_object = 2;
+
+    explicit affinity_memory(std::size_t capacity) : m_capacity(capacity) {}
+
+    // `object` identifies service and object; `server` is the hash of the server's ID.
+    void remember(std::uint64_t object, std::uint64_t server);
+
+    bool holds(std::uint64_t object, std::uint64_t server) const;
+
+    // The server that handled the object last, or 0.
+    std::uint64_t latest(std::uint64_t object) const;
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct entry {
+        std::array<std::uint64_t, servers_per_object> servers{}; // the latest first; 0: none
+        std::list<std::uint64_t>::iterator position;
+    };
+
+    std::size_t m_capacity;
+    std::list<std::uint64_t> m_order; // objects, the latest first
+    std::unordered_map<std::uint64_t, entry> m_entries;
+};
+
+} // namespace carawayway::placement
--- /dev/null
+++ b/carawayway/placement/server_choice.cpp
@@ -0,0 +1,191 @@
+// Expected completion of each candidate and the choice among them.
+#include "carawayway/placement/server_choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawayway::placement {
+
+namespace {
+
+// Servers that are considered for an object in the own domain, the own region and each other region. More
+// would spread an object over servers that do not hold it.
+constexpr std::size_t own_domain_options = 2;
+constexpr std::size_t own_region_options = 2;
+constexpr std::size_t other_region_options = 2;
+
+// Bytes across domains and regions are priced; these make a near server win unless a far one is clearly
+// faster.
+constexpr base::duration other_domain_cost = std::chrono::milliseconds{12};
+constexpr base::duration other_region_cost = std::chrono::milliseconds{40};
+
+// A later choice for an object must be faster by this much, so that all gateways agree while there is no
+// load.
+constexpr base::duration rank_cost = std::chrono::milliseconds{8};
+
+// A server that has just started takes about this many times as long.
+constexpr double cold_slowness = 2.0;
+
+// Reports older than this lose weight, by the same time again.
+constexpr base::duration report_lifetime = std::chrono::milliseconds{500};
+
+// Time that a failed answer costs: the request is sent again or lost.
+constexpr base::duration failure_cost = std::chrono::milliseconds{600};
+// A failure rate halves in this time without requests, so that a server that recovered is tried again.
+constexpr double failure_half_life_seconds = 2.0;
+
+// Answers that would arrive in the last moments are not worth the work.
+constexpr base::duration completion_margin = std::chrono::milliseconds{20};
+
+// Weight of one observation in the moving average of a server's slowness, and the range that is believed.
+constexpr double slowness_weight = 0.2;
+constexpr double least_slowness = 0.5;
+constexpr double most_slowness = 8.0;
+// Slowness halves towards 1 in this time without observations, so that a server that recovered is tried
+// again.
+constexpr double slowness_half_life_seconds = 3.0;
+
+std::uint64_t mix(std::uint64_t object, std::uint64_t server) {
+    std::uint64_t value = object ^ (server * 0x9e3779b97f4a7c15ULL);
+    value ^= value >> 30U;
+    value *= 0xbf58476d1ce4e5b9ULL;
+    value ^= value >> 27U;
+    value *= 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+base::duration scaled(base::duration value, double factor) {
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double, std::nano>(static_cast<double>(value.count()) * factor));
+}
+
+double slowness_now(const server_state& server, base::time_point now) {
+    const double age = base::to_seconds(now - server.slowness_at);
+    return 1.0 + (server.slowness - 1.0) * std::exp2(-age / slowness_half_life_seconds);
+}
+
+} // namespace
+
+void server_choice::observe(server_state& server, const std::string& route, const std::string& service,
+                            object_warmth warmth, base::duration run_time, base::time_point now) {
+    const double expected = base::to_seconds(m_times.expected(route, service, warmth));
+    m_times.observe(route, service, warmth, run_time);
+    if (expected <= 0.0) {
+        return;
+    }
+    const double ratio = std::clamp(base::to_seconds(run_time) / expected, least_slowness, most_slowness);
+    server.slowness = slowness_now(server, now);
+    server.slowness += slowness_weight * (ratio - server.slowness);
+    server.slowness_at = now;
+}
+
+base::duration server_choice::expected_wait(const server_state& server, base::time_point now) const {
+    const double age = base::to_seconds(now - server.reported_at) / base::to_seconds(report_lifetime);
+    const double others = server.others_reported * std::exp2(-std::max(0.0, age - 1.0));
+    const double load = others + server.own_in_flight;
+    const double slots = std::max(1U, server.facts.slots);
+    const double excess = load + 1.0 - slots;
+    if (excess <= 0.0) {
+        return base::duration::zero();
+    }
+    return scaled(m_times.mean_of_service(server.facts.service), slowness_now(server, now) * excess / slots);
+}
+
+std::vector<server_handle> server_choice::shortlist(const placement_request& request) const {
+    struct ranked {
+        std::uint64_t rank;
+        server_handle server;
+    };
+    std::vector<ranked> all;
+    for (auto& server : m_servers.candidates(request.service)) {
+        const auto& allowed = request.route.allowed_regions;
+        const bool may_serve =
+            allowed.empty() || std::find(allowed.begin(), allowed.end(), server->region) != allowed.end();
+        const bool tried =
+            std::find(request.tried.begin(), request.tried.end(), server->facts.id) != request.tried.end();
+        if (may_serve && !tried) {
+            all.push_back({mix(request.object, server->id_hash), std::move(server)});
+        }
+    }
+    std::sort(all.begin(), all.end(),
+              [](const ranked& left, const ranked& right) { return left.rank > right.rank; });
+    const auto& own = m_servers.own();
+    std::map<std::string, std::size_t> taken_in_region;
+    std::size_t taken_in_domain = 0;
+    std::vector<server_handle> listed;
+    for (auto& [rank, server] : all) {
+        const bool holds = m_affinity.holds(request.object, server->id_hash);
+        if (server->facts.failure_domain == own.failure_domain && taken_in_domain < own_domain_options) {
+            ++taken_in_domain;
+            listed.push_back(server);
+            continue;
+        }
+        const std::size_t most = server->region == own.region ? own_region_options : other_region_options;
+        auto& taken = taken_in_region[server->region];
+        if (taken < most || holds) {
+            ++taken;
+            listed.push_back(server);
+        }
+    }
+    return listed;
+}
+
+server_choice::option server_choice::evaluate(const placement_request& request, server_handle server,
+                                              base::time_point now) const {
+    const auto& own = m_servers.own();
+    const bool same_region = server->region == own.region;
+    const bool same_domain = server->facts.failure_domain == own.failure_domain;
+    option made;
+    made.warmth =
+        m_affinity.holds(request.object, server->id_hash) ? object_warmth::held : object_warmth::not_held;
+    double factor = slowness_now(*server, now);
+    if (m_servers.is_cold(*server, now)) {
+        factor = std::max(factor, cold_slowness);
+    }
+    made.expected = m_trips.expected(server->facts.failure_domain, same_region) +
+                    expected_wait(*server, now) +
+                    scaled(m_times.expected(request.route.name, request.service, made.warmth), factor);
+    const double quiet_seconds = base::to_seconds(now - server->last_failure);
+    const double failure_rate = server->failure_rate * std::exp2(-quiet_seconds / failure_half_life_seconds);
+    made.cost = made.expected + scaled(failure_cost, failure_rate);
+    if (!same_region) {
+        made.cost += other_region_cost;
+    } else if (!same_domain) {
+        made.cost += other_domain_cost;
+    }
+    made.server = std::move(server);
+    return made;
+}
+
+placement_result server_choice::choose(const placement_request& request, base::time_point now) {
+    std::vector<option> options;
+    std::map<std::string, int> rank_in_domain;
+    for (auto& server : shortlist(request)) {
+        const int rank = rank_in_domain[server->facts.failure_domain]++;
+        options.push_back(evaluate(request, std::move(server), now));
+        options.back().cost += rank * rank_cost;
+    }
+    if (options.empty()) {
+        return {nullptr, refusal::no_server, {}, {}, shortest_retry_after};
+    }
+    std::sort(options.begin(), options.end(),
+              [](const option& left, const option& right) { return left.cost < right.cost; });
+    base::duration soonest = options.front().expected;
+    for (auto& item : options) {
+        soonest = std::min(soonest, item.expected);
+        if (item.expected + completion_margin > request.time_left) {
+            continue;
+        }
+        if (!m_shifts.allows(item.server->region, now)) {
+            continue;
+        }
+        if (m_servers.is_cold(*item.server, now) && !m_servers.take_cold_send(*item.server, now)) {
+            continue;
+        }
+        m_shifts.ran(item.server->region, now);
+        return {item.server, refusal::none, item.warmth, item.expected, {}};
+    }
+    return {nullptr, refusal::too_late, {}, soonest, std::max(shortest_retry_after, soonest / 4)};
+}
+
+} // namespace carawayway::placement
--- /dev/null
+++ b/carawayway/placement/server_choice.hpp
@@ -0,0 +1,77 @@
+// Chooses the backend server for a request: affinity first, while the expected completion allows it.
+#pragma once
+
+#include "carawayway/placement/affinity_memory.hpp"
+#include "carawayway/placement/region_shift_guard.hpp"
+#include "carawayway/placement/server_table.hpp"
+#include "carawayway/placement/service_times.hpp"
+#include "carawayway/placement/trip_times.hpp"
+#include "carawayway/routing/configuration.hpp"
+
+#include <span>
+
+namespace carawayway::placement {
+
+struct placement_request {
+    const routing::route& route;
+    const std::string& service;
+    std::uint64_t object = 0;           // hash of service and object, or of the request when it concerns none
+    base::duration time_left{};         // until the answer is useless
+    base::duration target_left{};       // until the answer loses most of its value; may be negative
+    std::span<const std::string> tried; // IDs of servers that already had the request
+
+    bool concerns_object = false;
+};
+
+enum class refusal : std::uint8_t {
+    none,
+    no_server, // none is usable
+    too_late,  // all usable servers would take longer than the time that is left
+};
+
+struct placement_result {
+    server_handle server; // null: refused
+    refusal reason = refusal::none;
+    object_warmth warmth = object_warmth::not_held;
+    base::duration expected{};    // until the answer arrives
+    base::duration retry_after{}; // for refusals
+};
+
+class server_choice {
+public:
+    // Advice to callers when nothing better is known.
+    static constexpr base::duration shortest_retry_after = std::chrono::milliseconds{100};
+
+    server_choice(server_table& servers, service_times& times, const affinity_memory& affinity,
+                  const trip_times& trips, region_shift_guard& shifts)
+        : m_servers(servers), m_times(times), m_affinity(affinity), m_trips(trips), m_shifts(shifts) {}
+
+    // The caller sends the request to the server that is returned: it counts against cold limits and shifts.
+    placement_result choose(const placement_request& request, base::time_point now);
+
+    // A good answer took `run_time` at the server, without waiting there.
+    void observe(server_state& server, const std::string& route, const std::string& service,
+                 object_warmth warmth, base::duration run_time, base::time_point now);
+
+    // Time until a new request would start to run at the server.
+    base::duration expected_wait(const server_state& server, base::time_point now) const;
+
+private:
+    struct option {
+        server_handle server;
+        object_warmth warmth = object_warmth::not_held;
+        base::duration expected{};
+        base::duration cost{}; // the expected time with what the choice costs besides
+    };
+
+    std::vector<server_handle> shortlist(const placement_request& request) const;
+    option evaluate(const placement_request& request, server_handle server, base::time_point now) const;
+
+    server_table& m_servers;
+    service_times& m_times;
+    const affinity_memory& m_affinity;
+    const trip_times& m_trips;
+    region_shift_guard& m_shifts;
+};
+
+} // namespace carawayway::placement
--- /dev/null
+++ b/carawayway/routing/configuration.hpp
@@ -0,0 +1,75 @@
+// The operators' configuration of a platform deployment as values: services, routes by host and path, limits.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carawayway::routing {
+
+enum class request_semantics : std::uint8_t {
+    idempotent,     // may run more than once
+    non_idempotent, // runs at most once for each attempt of the caller
+};
+
+struct service {
+    std::string name;
+    std::string health_path;
+    std::uint32_t maximum_connections = 0; // that one server accepts from all callers together
+    base::duration cold_start{};           // time for which a server that has just started is cold
+    double cold_requests_per_second = 0.0; // that a cold server tolerates from all callers together
+
+    bool operator==(const service&) const = default;
+};
+
+struct weighted_service {
+    std::string service;
+    double weight = 0.0;
+
+    bool operator==(const weighted_service&) const = default;
+};
+
+struct route {
+    std::string name;
+    std::string prefix; // begins and ends with a slash
+    request_semantics semantics = request_semantics::non_idempotent;
+    std::vector<weighted_service> targets;    // at least one
+    std::vector<std::string> allowed_regions; // empty: all regions may serve
+    base::duration timeout{};                 // longest time that a caller is kept waiting
+    base::duration target_latency{};          // an answer within it has its full value
+    std::uint32_t priority = 0;               // 0 is the highest
+    std::uint32_t maximum_attempts = 1;       // servers that one request may be sent to
+    bool keeps_affinity = false;              // a server that handled the object recently is faster
+
+    bool operator==(const route&) const = default;
+};
+
+struct host_routes {
+    std::string host;
+    std::vector<route> routes;
+
+    bool operator==(const host_routes&) const = default;
+};
+
+// Bounds on what a caller may send.
+struct caller_limits {
+    std::uint32_t header_bytes = 16U << 10U;
+    std::uint64_t body_bytes = 64U << 20U;
+    base::duration header_timeout = std::chrono::seconds{3};
+    base::duration idle_timeout = std::chrono::seconds{15};
+
+    bool operator==(const caller_limits&) const = default;
+};
+
+struct configuration {
+    std::uint64_t version = 0; // rises with each change
+    std::vector<service> services;
+    std::vector<host_routes> hosts;
+    caller_limits limits;
+
+    bool operator==(const configuration&) const = default;
+};
+
+} // namespace carawayway::routing
--- /dev/null
+++ b/carawayway/routing/route_table.cpp
@@ -0,0 +1,82 @@
+// Index over a configuration and the look-up of a route.
+#include "carawayway/routing/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace carawayway::routing {
+
+route_table::route_table(std::shared_ptr<const configuration> source) : m_source(std::move(source)) {
+    for (const auto& item : m_source->services) {
+        m_services.emplace(item.name, &item);
+    }
+    for (const auto& host : m_source->hosts) {
+        auto& routes = m_hosts[normalized_host(host.host)];
+        for (const auto& item : host.routes) {
+            routes.emplace(item.prefix, &item);
+        }
+    }
+}
+
+const route* route_table::find(std::string_view host, std::string_view path) const {
+    const auto routes = m_hosts.find(normalized_host(host));
+    if (routes == m_hosts.end()) {
+        return nullptr;
+    }
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+        const auto found = routes->second.find(path.substr(0, slash + 1));
+        if (found != routes->second.end()) {
+            return found->second;
+        }
+        if (slash == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+const service* route_table::find_service(std::string_view name) const {
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+std::vector<std::string> route_table::allowed_regions(std::string_view host) const {
+    const auto routes = m_hosts.find(normalized_host(host));
+    std::vector<std::string> common;
+    bool restricted = false;
+    if (routes == m_hosts.end()) {
+        return common;
+    }
+    for (const auto& [prefix, item] : routes->second) {
+        if (item->allowed_regions.empty()) {
+            continue;
+        }
+        if (!restricted) {
+            common = item->allowed_regions;
+            restricted = true;
+            continue;
+        }
+        std::erase_if(common, [&](const std::string& region) {
+            return std::find(item->allowed_regions.begin(), item->allowed_regions.end(), region) ==
+                   item->allowed_regions.end();
+        });
+    }
+    return common;
+}
+
+std::string normalized_host(std::string_view host) {
+    const auto colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos) {
+        host = host.substr(0, colon);
+    }
+    std::string lower(host);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    return lower;
+}
+
+std::string_view path_of(std::string_view target) {
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace carawayway::routing
