placement: Keep each object on two servers of its region and one elsewhere

Change: rank over the whole region, two servers there and one among all others. Conclusion: affinity decides capacity.

--- a/carawayway/base/log.cpp
+++ b/carawayway/base/log.cpp
@@ -67,6 +67,10 @@
     lowest_level().store(level);
 }
 
+bool is_logged(log_level level) {
+    return level >= lowest_level().load();
+}
+
 std::string format_log_line(log_level level, std::string_view event,
                             std::initializer_list<log_field> fields) {
     std::string line = fmt::format("level={} event=", level_names.at(static_cast<std::size_t>(level)));
--- a/carawayway/base/log.hpp
+++ b/carawayway/base/log.hpp
@@ -28,6 +28,9 @@
 // The lowest level that is written; process-wide because standard error is.
 void set_log_level(log_level level);
 
+// Lets callers skip the making of fields for lines that are not written.
+bool is_logged(log_level level);
+
 // Thread-safe. Writes "time=... level=... event=... key=value ...\n" in one call.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
--- a/carawayway/gateway/relayed_call.hpp
+++ b/carawayway/gateway/relayed_call.hpp
@@ -120,6 +120,7 @@
     void send_to(placement::placement_result placed, base::time_point now) {
         m_server = std::move(placed.server);
         m_warmth = placed.warmth;
+        m_expected = placed.expected;
         m_tried.push_back(m_server->facts.id);
         const auto address = net::parse_endpoint(m_server->facts.address);
         if (!address) {
@@ -211,6 +212,21 @@
         if (success) {
             learn(result, now);
         }
+        if (base::is_logged(base::log_level::debug)) {
+            base::log(
+                base::log_level::debug, "request-served",
+                {{"request_id", m_marks.request_id},
+                 {"route", m_route->name},
+                 {"service", m_service},
+                 {"object", m_marks.object},
+                 {"server", m_server->facts.id},
+                 {"domain", m_server->facts.failure_domain},
+                 {"status", status},
+                 {"held", m_warmth == placement::object_warmth::held},
+                 {"run_ms", base::to_milliseconds(result.run_time)},
+                 {"load", result.marks.load ? result.marks.load->running + result.marks.load->waiting : 0},
+                 {"expected_ms", base::to_milliseconds(m_expected)}});
+        }
         deliver(std::move(result.answer), now);
     }
 
@@ -341,6 +357,7 @@
     base::time_point m_ends_at{};
     placement::server_handle m_server; // of the attempt in progress, or the last one
     placement::object_warmth m_warmth = placement::object_warmth::not_held;
+    base::duration m_expected{}; // that the choice of the server expected until the answer
     std::shared_ptr<server_exchange<Platform>> m_exchange;
     std::vector<std::string> m_tried; // IDs of servers
     std::uint32_t m_attempts = 0;     // that reached a server
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -16,7 +16,6 @@
 
 // Bytes across domains and regions are priced; these make a near server win unless a far one is clearly
 // faster.
-constexpr base::duration other_domain_cost = std::chrono::milliseconds{12};
 constexpr base::duration other_region_cost = std::chrono::milliseconds{40};
 
 // A later choice for an object must be faster by this much, so that all gateways agree while there is no
@@ -110,19 +109,13 @@
     std::sort(all.begin(), all.end(),
               [](const ranked& left, const ranked& right) { return left.rank > right.rank; });
     const auto& own = m_servers.own();
-    std::map<std::string, std::size_t> taken_in_region;
-    std::size_t taken_in_domain = 0;
+    std::size_t taken_in_own_region = 0;
+    std::size_t taken_elsewhere = 0;
     std::vector<server_handle> listed;
     for (auto& [rank, server] : all) {
-        const bool holds = m_affinity.holds(request.object, server->id_hash);
-        if (server->facts.failure_domain == own.failure_domain && taken_in_domain < own_domain_options) {
-            ++taken_in_domain;
-            listed.push_back(server);
-            continue;
-        }
-        const std::size_t most = server->region == own.region ? own_region_options : other_region_options;
-        auto& taken = taken_in_region[server->region];
-        if (taken < most || holds) {
+        const bool near = server->region == own.region;
+        auto& taken = near ? taken_in_own_region : taken_elsewhere;
+        if (taken < (near ? own_region_options : other_region_options)) {
             ++taken;
             listed.push_back(server);
         }
@@ -134,7 +127,6 @@
                                               base::time_point now) const {
     const auto& own = m_servers.own();
     const bool same_region = server->region == own.region;
-    const bool same_domain = server->facts.failure_domain == own.failure_domain;
     option made;
     made.warmth =
         m_affinity.holds(request.object, server->id_hash) ? object_warmth::held : object_warmth::not_held;
@@ -150,8 +142,6 @@
     made.cost = made.expected + scaled(failure_cost, failure_rate);
     if (!same_region) {
         made.cost += other_region_cost;
-    } else if (!same_domain) {
-        made.cost += other_domain_cost;
     }
     made.server = std::move(server);
     return made;
@@ -159,9 +149,9 @@
 
 placement_result server_choice::choose(const placement_request& request, base::time_point now) {
     std::vector<option> options;
-    std::map<std::string, int> rank_in_domain;
+    std::map<std::string, int> rank_in_region;
     for (auto& server : shortlist(request)) {
-        const int rank = rank_in_domain[server->facts.failure_domain]++;
+        const int rank = rank_in_region[server->region]++;
         options.push_back(evaluate(request, std::move(server), now));
         options.back().cost += rank * rank_cost;
     }
