placement: Move objects to other regions while the home region is busy

Change: region_spill follows the reported load and moves a share of the objects, by hash, at most 0.06 a second.

--- a/carawayway/gateway/relay_state.hpp
+++ b/carawayway/gateway/relay_state.hpp
@@ -44,6 +44,7 @@
     placement::affinity_memory affinity;
     placement::trip_times trips;
     placement::region_shift_guard shifts;
+    placement::region_spill spill;
     placement::server_choice choice;
     routing::split_chooser splits;
     backend_pool connections;
--- a/carawayway/gateway/relayed_call.hpp
+++ b/carawayway/gateway/relayed_call.hpp
@@ -186,6 +186,7 @@
         const bool good = !result.marks.not_executed && status < 500 && intact;
         if (result.marks.load) {
             m_state.servers.reported(*m_server, *result.marks.load, now);
+            m_state.spill.reported(m_service, m_server->region, result.marks.load->share(), now);
         }
         m_state.servers.answered(*m_server, good, now);
         count_attempt(result.marks.not_executed ? "refused" : good ? "good" : "failed");
--- /dev/null
+++ b/carawayway/placement/region_spill.hpp
@@ -0,0 +1,59 @@
+// Moves part of a region's objects to other regions while the region's own servers are too busy.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace carawayway::placement {
+
+// Answers the load pattern of a region whose callers need more than its servers have, for longer than a queue lasts.
+// Waiting until a far server is faster for a single request is too late: the object is not held there, so that its
+// first run takes several times as long. The share of objects that move follows the load that servers report, slowly,
+// and the hash of an object decides whether it is among them, so that all gateways of the region move the same ones.
+class region_spill {
+public:
+    // Load is requests in progress over slots. Above `busy` a region's share rises, below `idle` it falls back.
+    static constexpr double busy = 0.70;
+    static constexpr double idle = 0.45;
+    // Other regions take more only while they are less busy by this much.
+    static constexpr double least_difference = 0.12;
+    // Most change of the share in a second: well inside the cap on moves between regions.
+    static constexpr double rise_per_second = 0.06;
+    static constexpr double fall_per_second = 0.03;
+    static constexpr double most_share = 0.9;
+    // Time over which load reports are averaged.
+    static constexpr base::duration averaging_time = std::chrono::milliseconds{1200};
+
+    explicit region_spill(std::string home) : m_home(std::move(home)) {}
+
+    // A server of the region reported its load as a part of its slots; above 1 requests wait.
+    void reported(const std::string& service, const std::string& region, double load, base::time_point now);
+
+    // Whether the object is served by another region now.
+    bool moves(const std::string& service, std::uint64_t object, base::time_point now);
+
+    // Share of the objects that move, 0..1.
+    double share(const std::string& service) const;
+
+private:
+    struct average {
+        double load = 0.0;
+        base::time_point at{};
+    };
+
+    struct state {
+        std::map<std::string, average> regions;
+        double share = 0.0;
+        base::time_point updated{};
+    };
+
+    void update(state& service, base::time_point now) const;
+
+    std::string m_home;
+    std::map<std::string, state> m_services;
+};
+
+} // namespace carawayway::placement
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -18,6 +18,9 @@
 // faster.
 constexpr base::duration other_region_cost = std::chrono::milliseconds{40};
 
+// An object that moves to another region is not held there, and its first run takes longer; this outweighs it.
+constexpr base::duration moved_object_cost = std::chrono::milliseconds{400};
+
 // A later choice for an object must be faster by this much, so that all gateways agree while there is no
 // load.
 constexpr base::duration rank_cost = std::chrono::milliseconds{8};
@@ -126,7 +129,6 @@
 server_choice::option server_choice::evaluate(const placement_request& request, server_handle server,
                                               base::time_point now) const {
     const auto& own = m_servers.own();
-    const bool same_region = server->region == own.region;
     option made;
     made.warmth =
         m_affinity.holds(request.object, server->id_hash) ? object_warmth::held : object_warmth::not_held;
@@ -134,26 +136,37 @@
     if (m_servers.is_cold(*server, now)) {
         factor = std::max(factor, cold_slowness);
     }
-    made.expected = m_trips.expected(server->facts.failure_domain, same_region) +
+    made.expected = m_trips.expected(server->facts.failure_domain, server->region == own.region) +
                     expected_wait(*server, now) +
                     scaled(m_times.expected(request.route.name, request.service, made.warmth), factor);
     const double quiet_seconds = base::to_seconds(now - server->last_failure);
     const double failure_rate = server->failure_rate * std::exp2(-quiet_seconds / failure_half_life_seconds);
     made.cost = made.expected + scaled(failure_cost, failure_rate);
-    if (!same_region) {
-        made.cost += other_region_cost;
-    }
     made.server = std::move(server);
     return made;
 }
 
+base::duration server_choice::order_cost(const server_state& server, int rank_in_region,
+                                         bool object_moves) const {
+    const bool near = server.region == m_servers.own().region;
+    base::duration cost = rank_in_region * rank_cost;
+    if (near == object_moves) {
+        cost += other_region_cost;
+    }
+    if (near && object_moves) {
+        cost += moved_object_cost;
+    }
+    return cost;
+}
+
 placement_result server_choice::choose(const placement_request& request, base::time_point now) {
     std::vector<option> options;
     std::map<std::string, int> rank_in_region;
+    const bool moves = request.concerns_object && m_spill.moves(request.service, request.object, now);
     for (auto& server : shortlist(request)) {
         const int rank = rank_in_region[server->region]++;
         options.push_back(evaluate(request, std::move(server), now));
-        options.back().cost += rank * rank_cost;
+        options.back().cost += order_cost(*options.back().server, rank, moves);
     }
     if (options.empty()) {
         return {nullptr, refusal::no_server, {}, {}, shortest_retry_after};
--- a/carawayway/placement/server_choice.hpp
+++ b/carawayway/placement/server_choice.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/placement/affinity_memory.hpp"
 #include "carawayway/placement/region_shift_guard.hpp"
+#include "carawayway/placement/region_spill.hpp"
 #include "carawayway/placement/server_table.hpp"
 #include "carawayway/placement/service_times.hpp"
 #include "carawayway/placement/trip_times.hpp"
@@ -43,8 +44,9 @@
     static constexpr base::duration shortest_retry_after = std::chrono::milliseconds{100};
 
     server_choice(server_table& servers, service_times& times, const affinity_memory& affinity,
-                  const trip_times& trips, region_shift_guard& shifts)
-        : m_servers(servers), m_times(times), m_affinity(affinity), m_trips(trips), m_shifts(shifts) {}
+                  const trip_times& trips, region_shift_guard& shifts, region_spill& spill)
+        : m_servers(servers), m_times(times), m_affinity(affinity), m_trips(trips), m_shifts(shifts),
+          m_spill(spill) {}
 
     // The caller sends the request to the server that is returned: it counts against cold limits and shifts.
     placement_result choose(const placement_request& request, base::time_point now);
@@ -66,12 +68,15 @@
 
     std::vector<server_handle> shortlist(const placement_request& request) const;
     option evaluate(const placement_request& request, server_handle server, base::time_point now) const;
+    // Cost of a server that is not the first choice for the object.
+    base::duration order_cost(const server_state& server, int rank_in_region, bool object_moves) const;
 
     server_table& m_servers;
     service_times& m_times;
     const affinity_memory& m_affinity;
     const trip_times& m_trips;
     region_shift_guard& m_shifts;
+    region_spill& m_spill;
 };
 
 } // namespace carawayway::placement
--- a/carawayway/placement/server_state.hpp
+++ b/carawayway/placement/server_state.hpp
@@ -15,6 +15,9 @@
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
 
+    // Requests in progress as a part of the slots; above 1 requests wait.
+    double share() const { return slots == 0 ? 0.0 : static_cast<double>(running + waiting) / slots; }
+
     bool operator==(const load_report&) const = default;
 };
 
