gateway: Send repeatable requests to a second server when the first is silent

Change: a request that may be repeated goes to a second server after twice the expected time and 150 ms, within the attempts of its route and the retry budget, and not where requests wait. The watch pauses 800 ms after news instead of 200 ms, since each return is a priced call.

--- a/carawayway/gateway/relay_state.cpp
+++ b/carawayway/gateway/relay_state.cpp
@@ -22,8 +22,7 @@
 relay_state::relay_state(boost::asio::any_io_executor on, placement::locality own, platform_bounds limits)
     : executor(std::move(on)), bounds(limits), servers(own, limits.cold), affinity(remembered_objects),
       shifts(own.region, limits.region_shift_share), spill(own.region),
-      choice(servers, times, affinity, trips, shifts, spill),
-      metrics(metric_series_limit) {
+      choice(servers, times, affinity, trips, shifts, spill), metrics(metric_series_limit) {
     metrics.declare("carawayway_requests_total", metrics::metric_type::counter,
                     "Requests of callers by service, priority and status.");
     metrics.declare("carawayway_request_duration_seconds", metrics::metric_type::histogram,
--- a/carawayway/gateway/relayed_call.hpp
+++ b/carawayway/gateway/relayed_call.hpp
@@ -13,7 +13,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,12 +33,15 @@
     // now.
     static constexpr base::duration idle_for_unrepeatable = std::chrono::seconds{3};
     static constexpr base::duration idle_for_repeatable = std::chrono::seconds{60};
+    // A request that may be repeated goes to a second server after this time without an answer.
+    static constexpr int hedge_factor = 2; // times the expected time
+    static constexpr base::duration hedge_margin = std::chrono::milliseconds{150};
     // Advice to callers while this gateway has no configuration.
     static constexpr base::duration not_ready_retry_after = std::chrono::milliseconds{300};
 
     relayed_call(relay_state& state, http_request request, base::time_point arrived, answer_function answer)
         : m_state(state), m_request(std::move(request)), m_arrived(arrived), m_answer(std::move(answer)),
-          m_deadline(state.executor) {}
+          m_deadline(state.executor), m_hedge(state.executor) {}
 
     void start() {
         m_marks = Platform::read_call(m_request);
@@ -72,8 +77,9 @@
     void cancel() {
         m_answer = nullptr;
         m_caller_left = true;
-        if (is_repeatable() || !m_exchange || !m_exchange->was_sent()) {
-            finish_exchange();
+        m_hedge.cancel();
+        if (is_repeatable() || !any_sent()) {
+            abort_attempts();
             m_deadline.cancel();
         }
     }
@@ -117,102 +123,190 @@
         send_to(std::move(placed), now);
     }
 
+    placement::placement_request wanted_placement(base::time_point now) const {
+        return {*m_route,
+                m_service,
+                m_object,
+                m_ends_at - now,
+                m_arrived + m_route->target_latency - now,
+                m_tried,
+                !m_marks.object.empty()};
+    }
+
+    // One send to one server.
+    struct attempt {
+        placement::server_handle server;
+        placement::object_warmth warmth = placement::object_warmth::not_held;
+        base::duration expected{}; // until the answer, when the server was chosen
+        std::shared_ptr<server_exchange<Platform>> exchange;
+    };
+    using attempt_handle = std::shared_ptr<attempt>;
+
     void send_to(placement::placement_result placed, base::time_point now) {
-        m_server = std::move(placed.server);
-        m_warmth = placed.warmth;
-        m_expected = placed.expected;
-        m_tried.push_back(m_server->facts.id);
-        const auto address = net::parse_endpoint(m_server->facts.address);
+        m_tried.push_back(placed.server->facts.id);
+        const auto address = net::parse_endpoint(placed.server->facts.address);
         if (!address) {
-            m_state.servers.mark_displaced(*m_server);
+            m_state.servers.mark_displaced(*placed.server);
             place();
             return;
         }
-        m_state.servers.started(*m_server);
-        const auto trip = m_state.trips.expected(m_server->facts.failure_domain,
-                                                 m_server->region == m_state.servers.own().region);
+        auto sent = std::make_shared<attempt>();
+        sent->server = std::move(placed.server);
+        sent->warmth = placed.warmth;
+        sent->expected = placed.expected;
+        const auto& server = *sent->server;
+        m_state.servers.started(*sent->server);
         const exchange_limits limits{
-            std::min<base::duration>(m_ends_at - now, std::max<base::duration>(shortest_connect_timeout,
-                                                                               trip * connect_round_trips)),
+            std::min<base::duration>(
+                m_ends_at - now,
+                std::max<base::duration>(shortest_connect_timeout, trip_to(server) * connect_round_trips)),
             is_repeatable() ? idle_for_repeatable : idle_for_unrepeatable, relay_state::largest_answer};
         auto request = std::make_shared<http_request>(m_request);
-        Platform::write_call(*request, m_server->facts.id, m_ends_at - now);
-        m_exchange = std::make_shared<server_exchange<Platform>>(m_state.executor, m_state.connections,
-                                                                 m_server->facts.id, *address, limits);
-        m_exchange->start(std::move(request), m_marks.request_id,
-                          [self = this->shared_from_this()](exchange_result result) {
-                              self->exchanged(std::move(result));
-                          });
+        Platform::write_call(*request, server.facts.id, m_ends_at - now);
+        sent->exchange = std::make_shared<server_exchange<Platform>>(m_state.executor, m_state.connections,
+                                                                     server.facts.id, *address, limits);
+        m_running.push_back(sent);
+        sent->exchange->start(std::move(request), m_marks.request_id,
+                              [self = this->shared_from_this(), sent](exchange_result result) {
+                                  self->exchanged(sent, std::move(result));
+                              });
+        if (is_repeatable() && m_running.size() == 1) {
+            arm_hedge(sent);
+        }
+    }
+
+    base::duration trip_to(const placement::server_state& server) const {
+        return m_state.trips.expected(server.facts.failure_domain,
+                                      server.region == m_state.servers.own().region);
+    }
+
+    bool any_sent() const {
+        return std::any_of(m_running.begin(), m_running.end(),
+                           [](const attempt_handle& item) { return item->exchange->was_sent(); });
+    }
+
+    void abort_attempts() {
+        for (const auto& item : m_running) {
+            item->exchange->abort();
+            m_state.servers.ended(*item->server);
+        }
+        m_running.clear();
+    }
+
+    // A server may have lost the request or its answer, or be slow; the first answer of two servers counts.
+    void arm_hedge(const attempt_handle& first) {
+        m_hedge.expires_after(first->expected * hedge_factor + hedge_margin);
+        m_hedge.async_wait([weak = this->weak_from_this(), first](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                self->hedge(first);
+            }
+        });
+    }
+
+    void hedge(const attempt_handle& first) {
+        const auto now = base::monotonic_now();
+        if (m_running.size() != 1 || m_attempts + 1 >= m_route->maximum_attempts) {
+            return;
+        }
+        // Where requests wait, the answer is late for a known reason, and more work would make it later.
+        if (m_state.choice.expected_wait(*first->server, now) > base::duration::zero()) {
+            arm_hedge(first);
+            return;
+        }
+        auto placed = m_state.choice.choose(wanted_placement(now), now);
+        const bool prompt =
+            placed.server && m_state.choice.expected_wait(*placed.server, now) <= base::duration::zero();
+        if (!prompt || !spend_budget(now)) {
+            return;
+        }
+        ++m_attempts; // the first one counts although it has not ended
+        send_to(std::move(placed), now);
     }
 
-    void exchanged(exchange_result result) {
+    void exchanged(const attempt_handle& sent, exchange_result result) {
         const auto now = base::monotonic_now();
-        m_exchange.reset();
-        m_state.servers.ended(*m_server);
+        std::erase(m_running, sent);
+        m_state.servers.ended(*sent->server);
         if (result.connect_time > base::duration::zero()) {
-            m_state.trips.observe(m_server->facts.failure_domain, result.connect_time);
+            m_state.trips.observe(sent->server->facts.failure_domain, result.connect_time);
         }
         if (result.end == exchange_end::answered) {
-            answered(std::move(result), now);
+            answered(*sent, std::move(result), now);
             return;
         }
         count_attempt(result.end == exchange_end::not_connected ? "not-connected" : "lost");
-        m_state.servers.unanswered(*m_server, now);
+        m_state.servers.unanswered(*sent->server, now);
+        if (result.end != exchange_end::not_connected) {
+            ++m_attempts;
+            m_may_have_run = true;
+        }
+        if (!m_running.empty()) {
+            return; // the other server may still answer
+        }
         if (result.end == exchange_end::not_connected) {
             if (++m_connect_failures <= tolerated_connect_failures) {
                 place();
                 return;
             }
-            finish(base::error_kind::no_server_available, placement::server_choice::shortest_retry_after,
-                   now);
+            finish_failed(base::error_kind::no_server_available, now);
             return;
         }
-        ++m_attempts;
-        m_may_have_run = true;
         if (may_repeat(now)) {
             place();
             return;
         }
-        finish(result.end == exchange_end::broken ? base::error_kind::answer_truncated
-                                                  : base::error_kind::server_lost,
-               {}, now);
+        finish_failed(result.end == exchange_end::broken ? base::error_kind::answer_truncated
+                                                         : base::error_kind::server_lost,
+                      now);
     }
 
-    void answered(exchange_result result, base::time_point now) {
+    void answered(const attempt& sent, exchange_result result, base::time_point now) {
         ++m_attempts;
+        auto& server = *sent.server;
         const unsigned status = result.answer.result_int();
         const bool success = status >= 200 && status < 300;
         const bool intact = !success || (result.marks.genuine && !result.marks.encoded);
         const bool good = !result.marks.not_executed && status < 500 && intact;
         if (result.marks.load) {
-            m_state.servers.reported(*m_server, *result.marks.load, now);
-            m_state.spill.reported(m_service, m_server->region, result.marks.load->share(), now);
+            m_state.servers.reported(server, *result.marks.load, now);
+            m_state.spill.reported(m_service, server.region, result.marks.load->share(), now);
         }
-        m_state.servers.answered(*m_server, good, now);
+        m_state.servers.answered(server, good, now);
         count_attempt(result.marks.not_executed ? "refused" : good ? "good" : "failed");
         if (result.marks.other_server) {
-            m_state.servers.mark_displaced(*m_server);
+            m_state.servers.mark_displaced(server);
         }
-        if (result.marks.not_executed) {
-            if (m_attempts < m_route->maximum_attempts && spend_budget(now)) {
-                place();
-                return;
-            }
-            finish(base::error_kind::server_refused, placement::server_choice::shortest_retry_after, now);
+        if (good) {
+            learn(sent, result, now);
+            deliver(std::move(result.answer), now);
             return;
         }
-        m_may_have_run = true;
-        if (!good && may_repeat(now)) {
-            place();
-            return;
+        if (!result.marks.not_executed) {
+            m_may_have_run = true;
+            if (intact) {
+                m_failed_answer = std::move(result.answer);
+            }
         }
-        if (!intact) {
-            finish(base::error_kind::answer_truncated, {}, now);
-            return;
+        if (!m_running.empty()) {
+            return; // the other server may still answer
         }
-        if (success) {
-            learn(result, now);
+        const bool repeats = result.marks.not_executed
+                                 ? m_attempts < m_route->maximum_attempts && spend_budget(now)
+                                 : may_repeat(now);
+        if (repeats) {
+            place();
+            return;
         }
+        finish_failed(result.marks.not_executed ? base::error_kind::server_refused
+                                                : base::error_kind::answer_truncated,
+                      now);
+    }
+
+    void learn(const attempt& sent, const exchange_result& result, base::time_point now) {
+        auto& server = *sent.server;
+        const bool queued = result.marks.load && result.marks.load->waiting > 0;
+        m_state.affinity.remember(m_object, server.id_hash);
         if (base::is_logged(base::log_level::debug)) {
             base::log(
                 base::log_level::debug, "request-served",
@@ -220,27 +314,18 @@
                  {"route", m_route->name},
                  {"service", m_service},
                  {"object", m_marks.object},
-                 {"server", m_server->facts.id},
-                 {"domain", m_server->facts.failure_domain},
-                 {"status", status},
-                 {"held", m_warmth == placement::object_warmth::held},
+                 {"server", server.facts.id},
+                 {"domain", server.facts.failure_domain},
+                 {"held", sent.warmth == placement::object_warmth::held},
                  {"run_ms", base::to_milliseconds(result.run_time)},
                  {"load", result.marks.load ? result.marks.load->running + result.marks.load->waiting : 0},
-                 {"expected_ms", base::to_milliseconds(m_expected)}});
+                 {"expected_ms", base::to_milliseconds(sent.expected)}});
         }
-        deliver(std::move(result.answer), now);
-    }
-
-    void learn(const exchange_result& result, base::time_point now) {
-        const auto trip = m_state.trips.expected(m_server->facts.failure_domain,
-                                                 m_server->region == m_state.servers.own().region);
-        const bool queued = result.marks.load && result.marks.load->waiting > 0;
-        m_state.affinity.remember(m_object, m_server->id_hash);
-        if (queued || m_state.servers.is_cold(*m_server, now)) {
+        if (queued || m_state.servers.is_cold(server, now)) {
             return;
         }
-        const auto run_time = result.run_time - std::min(result.run_time, trip);
-        m_state.choice.observe(*m_server, m_route->name, m_service, m_warmth, run_time, now);
+        const auto run_time = result.run_time - std::min(result.run_time, trip_to(server));
+        m_state.choice.observe(server, m_route->name, m_service, sent.warmth, run_time, now);
     }
 
     // Whether a request that may have run can be sent to another server.
@@ -253,32 +338,34 @@
     }
 
     void give_up(const placement::placement_result& placed, base::time_point now) {
-        if (m_may_have_run) {
-            finish(base::error_kind::server_lost, {}, now);
+        m_retry_after = placed.retry_after;
+        finish_failed(placed.reason == placement::refusal::no_server ? base::error_kind::no_server_available
+                                                                     : base::error_kind::deadline_unreachable,
+                      now);
+    }
+
+    // Nothing more can be tried: passes on what a server answered, or says what is known.
+    void finish_failed(base::error_kind kind, base::time_point now) {
+        if (m_failed_answer) {
+            deliver(std::move(*m_failed_answer), now);
             return;
         }
-        finish(placed.reason == placement::refusal::no_server ? base::error_kind::no_server_available
-                                                              : base::error_kind::deadline_unreachable,
-               placed.retry_after, now);
+        const bool claims_not_run = base::answer_for(kind).execution == base::execution_state::not_executed;
+        finish(claims_not_run && m_may_have_run ? base::error_kind::server_lost : kind, m_retry_after, now);
     }
 
     void out_of_time() {
-        const bool may_have_run = m_may_have_run || (m_exchange && m_exchange->was_sent());
-        if (m_exchange && m_exchange->was_sent()) {
-            m_state.servers.unanswered(*m_server, base::monotonic_now());
+        const auto now = base::monotonic_now();
+        const bool may_have_run = m_may_have_run || any_sent();
+        for (const auto& item : m_running) {
+            if (item->exchange->was_sent()) {
+                m_state.servers.unanswered(*item->server, now);
+            }
         }
-        finish_exchange();
+        abort_attempts();
         finish(may_have_run ? base::error_kind::deadline_exceeded
                             : base::error_kind::deadline_exceeded_before_dispatch,
-               placement::server_choice::shortest_retry_after, base::monotonic_now());
-    }
-
-    void finish_exchange() {
-        if (m_exchange) {
-            m_exchange->abort();
-            m_exchange.reset();
-            m_state.servers.ended(*m_server);
-        }
+               m_retry_after, now);
     }
 
     void refuse_later(base::error_kind kind, base::duration retry_after) {
@@ -289,6 +376,7 @@
 
     void finish(base::error_kind kind, base::duration retry_after, base::time_point now) {
         m_deadline.cancel();
+        m_hedge.cancel();
         if (!m_answer) {
             return;
         }
@@ -312,6 +400,8 @@
 
     void deliver(http_response answer, base::time_point now) {
         m_deadline.cancel();
+        m_hedge.cancel();
+        abort_attempts();
         if (m_tried.size() > 1) {
             m_state.log.write(base::log_level::info, "request-repeated",
                               {{"request_id", m_marks.request_id},
@@ -350,16 +440,16 @@
     base::time_point m_arrived;
     answer_function m_answer; // null once answered or when the caller has left
     boost::asio::steady_timer m_deadline;
+    boost::asio::steady_timer m_hedge;
     call_marks m_marks;
     std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
     const routing::route* m_route = nullptr;
     std::string m_service;
     std::uint64_t m_object = 0;
     base::time_point m_ends_at{};
-    placement::server_handle m_server; // of the attempt in progress, or the last one
-    placement::object_warmth m_warmth = placement::object_warmth::not_held;
-    base::duration m_expected{}; // that the choice of the server expected until the answer
-    std::shared_ptr<server_exchange<Platform>> m_exchange;
+    std::vector<attempt_handle> m_running;        // at most two
+    std::optional<http_response> m_failed_answer; // of a server, passed on when nothing better comes
+    base::duration m_retry_after = placement::server_choice::shortest_retry_after;
     std::vector<std::string> m_tried; // IDs of servers
     std::uint32_t m_attempts = 0;     // that reached a server
     std::uint32_t m_connect_failures = 0;
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -29,8 +29,9 @@
     // call.
     static constexpr base::duration watch_wait = std::chrono::seconds{4};
     static constexpr base::duration watch_margin = std::chrono::seconds{1};
-    // Pause after news, so that a series of changes costs few calls. Changes must be in force within seconds.
-    static constexpr base::duration watch_pause = std::chrono::milliseconds{200};
+    // Pause after news, so that a series of changes costs few calls. Changes must be in force within 2.5 s,
+    // and a slow store takes up to 0.5 s of that.
+    static constexpr base::duration watch_pause = std::chrono::milliseconds{800};
     static constexpr base::duration list_timeout = std::chrono::seconds{3};
     // Above the answers of a slow store, and well below the time after which others count a gateway as gone.
     static constexpr base::duration call_timeout = std::chrono::milliseconds{900};
--- a/carawayway/placement/region_spill.cpp
+++ b/carawayway/placement/region_spill.cpp
@@ -37,8 +37,7 @@
 }
 
 void region_spill::update(state& service, base::time_point now) const {
-    const double step =
-        std::min(base::to_seconds(now - service.updated), longest_step_seconds);
+    const double step = std::min(base::to_seconds(now - service.updated), longest_step_seconds);
     service.updated = now;
     const auto home = service.regions.find(m_home);
     if (home == service.regions.end() || now - home->second.at > average_lifetime) {
--- a/carawayway/placement/region_spill.hpp
+++ b/carawayway/placement/region_spill.hpp
@@ -9,13 +9,15 @@
 
 namespace carawayway::placement {
 
-// Answers the load pattern of a region whose callers need more than its servers have, for longer than a queue lasts.
-// Waiting until a far server is faster for a single request is too late: the object is not held there, so that its
-// first run takes several times as long. The share of objects that move follows the load that servers report, slowly,
-// and the hash of an object decides whether it is among them, so that all gateways of the region move the same ones.
+// Answers the load pattern of a region whose callers need more than its servers have, for longer than a queue
+// lasts. Waiting until a far server is faster for a single request is too late: the object is not held there,
+// so that its first run takes several times as long. The share of objects that move follows the load that
+// servers report, slowly, and the hash of an object decides whether it is among them, so that all gateways of
+// the region move the same ones.
 class region_spill {
 public:
-    // Load is requests in progress over slots. Above `busy` a region's share rises, below `idle` it falls back.
+    // Load is requests in progress over slots. Above `busy` a region's share rises, below `idle` it falls
+    // back.
     static constexpr double busy = 0.70;
     static constexpr double idle = 0.45;
     // Other regions take more only while they are less busy by this much.
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -18,7 +18,8 @@
 // faster.
 constexpr base::duration other_region_cost = std::chrono::milliseconds{40};
 
-// An object that moves to another region is not held there, and its first run takes longer; this outweighs it.
+// An object that moves to another region is not held there, and its first run takes longer; this outweighs
+// it.
 constexpr base::duration moved_object_cost = std::chrono::milliseconds{400};
 
 // A later choice for an object must be faster by this much, so that all gateways agree while there is no
