fleet: Answer peers behind a listing with the whole listing

Ruled out: the watch (resumed behind the relayed revision) and the merge of pages. Change: after a listing, only peers that know it get changes; the others get the whole listing.

--- a/carawayway/fleet/fact_log.cpp
+++ b/carawayway/fleet/fact_log.cpp
@@ -37,6 +37,9 @@
         remember(item);
         changes.push_back(item);
     }
+    // Keys that were written and erased before the listing are not among the changes, so that a peer that is
+    // behind it needs the whole listing.
+    m_changes_complete_from = std::max(m_changes_complete_from, revision);
     advance(revision);
     return changes;
 }
