placement: Count the first run of an object at a server more than once

Cause: in overload requests went to servers that did not hold their object as soon as that was faster for the single request; each such run takes a slot three times as long and makes the overload worse (shade-hold 480 ms instead of 154 ms). Change: the additional run time is counted twice more when servers are compared.

--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -22,6 +22,10 @@
 // it.
 constexpr base::duration moved_object_cost = std::chrono::milliseconds{400};
 
+// A run at a server that does not hold the object takes a slot longer, which delays other requests too. Part of the
+// additional run time that is counted again.
+constexpr double first_run_cost = 2.0;
+
 // A later choice for an object must be faster by this much, so that all gateways agree while there is no
 // load.
 constexpr base::duration rank_cost = std::chrono::milliseconds{8};
@@ -143,6 +147,11 @@
     const double quiet_seconds = base::to_seconds(now - server->last_failure);
     const double failure_rate = server->failure_rate * std::exp2(-quiet_seconds / failure_half_life_seconds);
     made.cost = made.expected + scaled(failure_cost, failure_rate);
+    if (made.warmth == object_warmth::not_held) {
+        const auto extra = m_times.expected(request.route.name, request.service, object_warmth::not_held) -
+                           m_times.expected(request.route.name, request.service, object_warmth::held);
+        made.cost += scaled(std::max(extra, base::duration::zero()), first_run_cost);
+    }
     made.server = std::move(server);
     return made;
 }
