placement: Move objects between servers by plan and judge the preferred server as if it held them

Cause: hashing gives some servers half as many objects again as others; they shed while others idle. An object whose share moved (by region) still stayed, since the first run elsewhere was counted against the move. Change: a busy server's share of objects moves to its second choice, slowly and by hash (server_choice, moved_share), as between regions; the preferred server is compared as if it held the object, others with their first run.

--- a/carawayway/placement/region_spill.hpp
+++ b/carawayway/placement/region_spill.hpp
@@ -1,7 +1,8 @@
 // Moves part of a region's objects to other regions while the region's own servers are too busy.
 #pragma once
 
-#include "carawayway/base/time.hpp"
+#include "carawayway/placement/load_average.hpp"
+#include "carawayway/placement/moved_share.hpp"
 
 #include <cstdint>
 #include <map>
@@ -25,9 +26,6 @@
     // Most change of the share in a second: well inside the cap on moves between regions.
     static constexpr double rise_per_second = 0.06;
     static constexpr double fall_per_second = 0.03;
-    static constexpr double most_share = 0.9;
-    // Time over which load reports are averaged.
-    static constexpr base::duration averaging_time = std::chrono::milliseconds{1200};
 
     explicit region_spill(std::string home) : m_home(std::move(home)) {}
 
@@ -41,15 +39,9 @@
     double share(const std::string& service) const;
 
 private:
-    struct average {
-        double load = 0.0;
-        base::time_point at{};
-    };
-
     struct state {
-        std::map<std::string, average> regions;
-        double share = 0.0;
-        base::time_point updated{};
+        std::map<std::string, load_average> regions;
+        moved_share moved;
     };
 
     void update(state& service, base::time_point now) const;
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -22,13 +22,22 @@
 // it.
 constexpr base::duration moved_object_cost = std::chrono::milliseconds{400};
 
-// A run at a server that does not hold the object takes a slot longer, which delays other requests too. Part of the
-// additional run time that is counted again.
+// A run at a server that does not hold the object takes a slot longer, which delays other requests too. Part
+// of the additional run time that is counted again.
 constexpr double first_run_cost = 2.0;
 
-// A later choice for an object must be faster by this much, so that all gateways agree while there is no
-// load.
-constexpr base::duration rank_cost = std::chrono::milliseconds{8};
+// Another server than the preferred one must be faster by this much, so that all gateways agree while there
+// is no load.
+constexpr base::duration other_server_cost = std::chrono::milliseconds{8};
+
+// Objects move from the first to the second choice of a region while the first one is busy and the second one
+// is less so. Hashing gives some servers half as many objects again as others. Loads are requests in progress
+// over slots; the shares change slowly, since each move costs a first run.
+constexpr double busy_server = 0.9;
+constexpr double idle_server = 0.45;
+constexpr double least_server_difference = 0.2;
+constexpr double server_rise_per_second = 0.12;
+constexpr double server_fall_per_second = 0.03;
 
 // A server that has just started takes about this many times as long.
 constexpr double cold_slowness = 2.0;
@@ -132,7 +141,7 @@
 }
 
 server_choice::option server_choice::evaluate(const placement_request& request, server_handle server,
-                                              base::time_point now) const {
+                                              preference order, base::time_point now) const {
     const auto& own = m_servers.own();
     option made;
     made.warmth =
@@ -147,36 +156,74 @@
     const double quiet_seconds = base::to_seconds(now - server->last_failure);
     const double failure_rate = server->failure_rate * std::exp2(-quiet_seconds / failure_half_life_seconds);
     made.cost = made.expected + scaled(failure_cost, failure_rate);
-    if (made.warmth == object_warmth::not_held) {
-        const auto extra = m_times.expected(request.route.name, request.service, object_warmth::not_held) -
+    const auto first_run = m_times.expected(request.route.name, request.service, object_warmth::not_held) -
                            m_times.expected(request.route.name, request.service, object_warmth::held);
-        made.cost += scaled(std::max(extra, base::duration::zero()), first_run_cost);
+    if (made.warmth == object_warmth::not_held) {
+        // The first run at the preferred server is not counted: it serves the requests that follow.
+        made.cost += scaled(std::max(first_run, base::duration::zero()),
+                            order == preference::first ? -1.0 : first_run_cost);
+    }
+    if (order == preference::other) {
+        made.cost += server->region == own.region ? other_server_cost : other_region_cost;
     }
     made.server = std::move(server);
     return made;
 }
 
-base::duration server_choice::order_cost(const server_state& server, int rank_in_region,
-                                         bool object_moves) const {
-    const bool near = server.region == m_servers.own().region;
-    base::duration cost = rank_in_region * rank_cost;
-    if (near == object_moves) {
-        cost += other_region_cost;
+// The first choice of the own region, or the server elsewhere that takes the objects that move.
+const server_state* server_choice::preferred(const placement_request& request,
+                                             const std::vector<server_handle>& listed,
+                                             base::time_point now) const {
+    const bool moves = request.concerns_object && m_spill.moves(request.service, request.object, now);
+    for (const auto& server : listed) {
+        if ((server->region == m_servers.own().region) != moves) {
+            return server.get();
+        }
     }
-    if (near && object_moves) {
-        cost += moved_object_cost;
+    return listed.empty() ? nullptr : listed.front().get();
+}
+
+void server_choice::order_by_load(const placement_request& request, std::vector<server_handle>& listed,
+                                  base::time_point now) const {
+    const auto in_own_region = [this](const server_handle& server) {
+        return server->region == m_servers.own().region;
+    };
+    const auto first = std::find_if(listed.begin(), listed.end(), in_own_region);
+    if (first == listed.end()) {
+        return;
+    }
+    const auto second = std::find_if(std::next(first), listed.end(), in_own_region);
+    if (second != listed.end() && moves_to_second(request, **first, **second, now)) {
+        std::iter_swap(first, second);
+    }
+}
+
+bool server_choice::moves_to_second(const placement_request& request, server_state& first,
+                                    const server_state& second, base::time_point now) const {
+    const double other_load = second.load.is_current(now) ? second.load.load() : 0.0;
+    double direction = 0.0;
+    if (first.load.is_current(now)) {
+        const double load = first.load.load();
+        if (load > busy_server && load > other_load + least_server_difference) {
+            direction = server_rise_per_second;
+        } else if (load < idle_server || other_load > load + least_server_difference) {
+            direction = -server_fall_per_second;
+        }
     }
-    return cost;
+    first.moved.change(direction, now);
+    return first.moved.contains(request.object, first.id_hash);
 }
 
 placement_result server_choice::choose(const placement_request& request, base::time_point now) {
     std::vector<option> options;
-    std::map<std::string, int> rank_in_region;
-    const bool moves = request.concerns_object && m_spill.moves(request.service, request.object, now);
-    for (auto& server : shortlist(request)) {
-        const int rank = rank_in_region[server->region]++;
-        options.push_back(evaluate(request, std::move(server), now));
-        options.back().cost += order_cost(*options.back().server, rank, moves);
+    auto listed = shortlist(request);
+    if (request.concerns_object) {
+        order_by_load(request, listed, now);
+    }
+    const auto* const first = preferred(request, listed, now);
+    for (const auto& server : listed) {
+        options.push_back(
+            evaluate(request, server, server.get() == first ? preference::first : preference::other, now));
     }
     if (options.empty()) {
         return {nullptr, refusal::no_server, {}, {}, shortest_retry_after};
--- a/carawayway/placement/server_choice.hpp
+++ b/carawayway/placement/server_choice.hpp
@@ -67,9 +67,18 @@
     };
 
     std::vector<server_handle> shortlist(const placement_request& request) const;
-    option evaluate(const placement_request& request, server_handle server, base::time_point now) const;
-    // Cost of a server that is not the first choice for the object.
-    base::duration order_cost(const server_state& server, int rank_in_region, bool object_moves) const;
+    enum class preference : std::uint8_t { first, other };
+
+    option evaluate(const placement_request& request, server_handle server, preference order,
+                    base::time_point now) const;
+    const server_state* preferred(const placement_request& request, const std::vector<server_handle>& listed,
+                                  base::time_point now) const;
+    // Puts the second choice of the own region first for objects that move.
+    void order_by_load(const placement_request& request, std::vector<server_handle>& listed,
+                       base::time_point now) const;
+    // Moves some objects of a server that is busier than the second choice of its region.
+    bool moves_to_second(const placement_request& request, server_state& first, const server_state& second,
+                         base::time_point now) const;
 
     server_table& m_servers;
     service_times& m_times;
--- a/carawayway/placement/server_state.hpp
+++ b/carawayway/placement/server_state.hpp
@@ -3,6 +3,8 @@
 
 #include "carawayway/base/time.hpp"
 #include "carawayway/fleet/facts.hpp"
+#include "carawayway/placement/load_average.hpp"
+#include "carawayway/placement/moved_share.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -48,6 +50,8 @@
     std::uint32_t own_in_flight = 0;
     std::uint32_t others_reported = 0; // requests of other gateways at the last report
     base::time_point reported_at{};
+    load_average load;
+    moved_share moved; // of the objects for which the server is the first choice of its region
 
     double failure_rate = 0.0; // moving average of answers that were failures or refusals
     base::time_point last_failure{};
--- a/carawayway/placement/server_table.cpp
+++ b/carawayway/placement/server_table.cpp
@@ -148,6 +148,7 @@
     const std::uint32_t total = report.running + report.waiting;
     server.others_reported = total > server.own_in_flight ? total - server.own_in_flight : 0;
     server.reported_at = now;
+    server.load.add(report.share(), now);
     if (report.slots > 0) {
         server.facts.slots = report.slots;
     }
