--- /dev/null
+++ b/Tests/platform/headers_test.cpp
@@ -0,0 +1,110 @@
+// Headers of callers and servers, look-ups and bounds.
+#include "platform/protocol.hpp"
+
+#include <gtest/gtest.h>
+
+namespace platform {
+namespace {
+
+using namespace std::chrono_literals;
+using carawayway::placement::health_verdict;
+
+TEST(read_call, finds_request_id_object_and_time) {
+    gateway::http::fields headers;
+    headers.set("Request-Id", "9c41");
+    headers.set("Cookie", "other=1; Affinity-Key=17; last=2");
+    headers.set("Deadline-Ms", "2500");
+    const auto marks = protocol::read_call(headers);
+    EXPECT_EQ(marks.request_id, "9c41");
+    EXPECT_EQ(marks.object, "17");
+    EXPECT_EQ(marks.time_left, base::duration{2500ms});
+}
+
+TEST(read_call, works_without_headers) {
+    const auto marks = protocol::read_call({});
+    EXPECT_EQ(marks, gateway::call_marks{});
+}
+
+// Guards against a deadline of zero, which a server takes as passed.
+TEST(write_call, names_the_server_and_the_time_left) {
+    gateway::http::fields headers;
+    headers.set("Deadline-Ms", "2500");
+    protocol::write_call(headers, "i-1", 1499900us);
+    EXPECT_EQ(headers["Deadline-Ms"], "1499");
+    EXPECT_EQ(headers["Target-Instance"], "i-1");
+    protocol::write_call(headers, "i-1", 10us);
+    EXPECT_EQ(headers["Deadline-Ms"], "1");
+}
+
+// Guards against "not run" being said on weaker evidence than the server's own word.
+TEST(read_answer, not_executed_needs_the_header_or_421) {
+    gateway::http::fields headers;
+    EXPECT_FALSE(protocol::read_answer(503, headers).not_executed);
+    EXPECT_FALSE(protocol::read_answer(429, headers).not_executed);
+    EXPECT_TRUE(protocol::read_answer(421, headers).not_executed);
+    EXPECT_TRUE(protocol::read_answer(421, headers).other_server);
+    headers.set("Not-Executed", "1");
+    EXPECT_TRUE(protocol::read_answer(503, headers).not_executed);
+    EXPECT_FALSE(protocol::read_answer(503, headers).other_server);
+}
+
+TEST(read_answer, reads_signature_encoding_and_load) {
+    gateway::http::fields headers;
+    headers.set("Response-Stamp", "3e1b");
+    headers.set("Content-Encoding", "gzip");
+    headers.set("Server-Load", "3, 1,8");
+    const auto marks = protocol::read_answer(200, headers);
+    EXPECT_TRUE(marks.genuine);
+    EXPECT_TRUE(marks.encoded);
+    EXPECT_EQ(marks.load, (carawayway::placement::load_report{3, 1, 8}));
+    headers.set("Server-Load", "3,1");
+    EXPECT_FALSE(protocol::read_answer(200, headers).load.has_value());
+    headers.set("Server-Load", "a,b,c");
+    EXPECT_FALSE(protocol::read_answer(200, headers).load.has_value());
+}
+
+// Guards against a reused address bringing the old server back.
+TEST(read_health, compares_the_server) {
+    gateway::http::fields headers;
+    headers.set("Instance-Id", "i-2");
+    headers.set("Cold-Ms", "1200");
+    EXPECT_EQ(protocol::read_health(200, headers, "i-1").verdict, health_verdict::other_server);
+    const auto own = protocol::read_health(200, headers, "i-2");
+    EXPECT_EQ(own.verdict, health_verdict::healthy);
+    EXPECT_EQ(own.cold_left, base::duration{1200ms});
+    EXPECT_EQ(protocol::read_health(503, headers, "i-2").verdict, health_verdict::unhealthy);
+}
+
+TEST(read_lookup, reads_the_query) {
+    const auto query = protocol::read_lookup("/resolve?name=h.example&region=a%20b&zone=z");
+    ASSERT_TRUE(query.has_value());
+    EXPECT_EQ(*query, (gateway::lookup_query{"h.example", "a b", "z"}));
+    EXPECT_FALSE(protocol::read_lookup("/other?name=h").has_value());
+    EXPECT_TRUE(protocol::read_lookup("/resolve").has_value());
+}
+
+TEST(write_lookup, has_addresses_and_lifetime) {
+    EXPECT_EQ(protocol::write_lookup({"10.0.0.1:80"}, 2s), R"({"addrs":["10.0.0.1:80"],"ttlS":2E0})");
+}
+
+TEST(read_bounds, takes_numbers_and_flags) {
+    const auto bounds =
+        protocol::read_bounds("budgetRatio=0.3,budgetSlack=60,coldOver=1.5,coldSlack=5,graceS=6,shiftMost=0.2,"
+                              "ttl_max_s=1,unknown=true");
+    ASSERT_TRUE(bounds.has_value());
+    EXPECT_EQ(bounds->retry_share, 0.3);
+    EXPECT_EQ(bounds->retry_slack, 60.0);
+    EXPECT_EQ(bounds->cold.over, 1.5);
+    EXPECT_EQ(bounds->region_shift_share, 0.2);
+    EXPECT_EQ(bounds->lookup_lifetime, base::duration{1s});
+    EXPECT_EQ(bounds->stop_grace, base::duration{6s});
+}
+
+// Guards against a bound that is silently read as zero.
+TEST(read_bounds, refuses_what_is_no_number) {
+    EXPECT_FALSE(protocol::read_bounds("budgetRatio=much").has_value());
+    EXPECT_TRUE(protocol::read_bounds("").has_value());
+}
+
+} // namespace
+} // namespace platform
--- /dev/null
+++ b/Tests/routing/route_table_test.cpp
@@ -0,0 +1,81 @@
+// Which route a request takes.
+#include "carawayway/routing/route_table.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace carawayway::routing {
+namespace {
+
+route route_to(const std::string& prefix, const std::string& service) {
+    route made;
+    made.name = prefix;
+    made.prefix = prefix;
+    made.targets = {{service, 1.0}};
+    return made;
+}
+
+route_table example() {
+    configuration made;
+    made.version = 7;
+    made.services = {{"stock", "/health", 10, {}, 0.0}};
+    made.hosts = {{"one.example", {route_to("/a/", "outer"), route_to("/a/b/", "inner")}},
+                  {"Two.Example", {route_to("/", "all")}}};
+    return route_table(std::make_shared<const configuration>(made));
+}
+
+std::string service_of(const route_table& table, std::string_view host, std::string_view path) {
+    const auto* const found = table.find(host, path);
+    return found == nullptr ? "none" : found->targets.front().service;
+}
+
+// Guards against a request that runs at the service of a shorter prefix.
+TEST(route_table, takes_the_longest_prefix) {
+    const auto table = example();
+    EXPECT_EQ(service_of(table, "one.example", "/a/x"), "outer");
+    EXPECT_EQ(service_of(table, "one.example", "/a/b/x"), "inner");
+    EXPECT_EQ(service_of(table, "one.example", "/a/b/"), "inner");
+    EXPECT_EQ(service_of(table, "one.example", "/a/bc/x"), "outer");
+}
+
+// Guards against a prefix that matches within a path segment.
+TEST(route_table, a_prefix_ends_at_a_slash) {
+    const auto table = example();
+    EXPECT_EQ(service_of(table, "one.example", "/a"), "none");
+    EXPECT_EQ(service_of(table, "one.example", "/ab/x"), "none");
+    EXPECT_EQ(service_of(table, "one.example", "/a/b"), "outer");
+}
+
+TEST(route_table, compares_hosts_without_case_and_port) {
+    const auto table = example();
+    EXPECT_EQ(service_of(table, "ONE.example:8080", "/a/x"), "outer");
+    EXPECT_EQ(service_of(table, "two.example", "/anything"), "all");
+    EXPECT_EQ(service_of(table, "three.example", "/a/x"), "none");
+}
+
+TEST(route_table, finds_services) {
+    const auto table = example();
+    ASSERT_NE(table.find_service("stock"), nullptr);
+    EXPECT_EQ(table.find_service("other"), nullptr);
+}
+
+// Guards against a look-up that names gateways in a region that must not serve the host.
+TEST(route_table, the_regions_of_a_host_are_those_of_all_its_routes) {
+    configuration made;
+    auto first = route_to("/a/", "s");
+    first.allowed_regions = {"north", "south"};
+    auto second = route_to("/b/", "s");
+    second.allowed_regions = {"south"};
+    made.hosts = {{"h", {first, second, route_to("/c/", "s")}}};
+    const route_table table(std::make_shared<const configuration>(made));
+    EXPECT_THAT(table.allowed_regions("h"), testing::ElementsAre("south"));
+    EXPECT_THAT(table.allowed_regions("other"), testing::IsEmpty());
+}
+
+TEST(path_of, leaves_the_query_out) {
+    EXPECT_EQ(path_of("/a/b?c=/d/"), "/a/b");
+    EXPECT_EQ(path_of("/a/b"), "/a/b");
+}
+
+} // namespace
+} // namespace carawayway::routing
