bench/placement: Add a model of a deployment and an experiment that compares placement rules

Change: regions, gateways, and servers with slots, a queue and a memory of objects in virtual time, on the product's own placement; placement_experiment prints one row a load and rule.

--- /dev/null
+++ b/bench/placement/fleet_model.hpp
@@ -0,0 +1,123 @@
+// A deployment in virtual time: regions with callers, gateways that place requests, and servers with slots, a queue and a
+// memory of objects. Answers which requests are served in time under a load, without network or clock.
+#pragma once
+
+#include "carawayway/placement/server_choice.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace placement_model {
+
+namespace base = carawayway::base;
+namespace placement = carawayway::placement;
+
+struct region_options {
+    std::string name;
+    std::uint32_t servers = 4;
+    double requests_per_second = 100.0; // mean
+    double swing = 0.0;                 // part of the mean by which a wave goes up and down
+    double phase = 0.0;                 // of the wave, in periods
+
+    bool operator==(const region_options&) const = default;
+};
+
+enum class placement_rule : std::uint8_t {
+    planned,          // the product's rule
+    affinity_only,    // always the first choice of the own region
+    two_random,       // the less loaded of two random servers of all regions
+    least_loaded_home // the least loaded server of the own region
+};
+
+struct model_options {
+    std::vector<region_options> regions;
+    placement_rule rule = placement_rule::planned;
+    std::uint32_t gateways_per_region = 2;
+    std::uint32_t slots = 6;
+    std::uint32_t queue_limit = 18;
+    std::uint32_t objects_per_region = 80;
+    std::uint32_t objects_held = 64; // by one server
+    base::duration first_run = std::chrono::milliseconds{360};
+    base::duration held_run = std::chrono::milliseconds{108};
+    double run_spread = 0.15;
+    base::duration region_trip = std::chrono::milliseconds{40}; // there and back
+    base::duration target_latency = std::chrono::milliseconds{250};
+    base::duration deadline = std::chrono::seconds{2};
+    base::duration length = std::chrono::seconds{30};
+    base::duration wave_period = std::chrono::seconds{36};
+    std::uint32_t seed = 1;
+
+    bool operator==(const model_options&) const = default;
+};
+
+struct region_result {
+    std::uint64_t requests = 0;
+    std::uint64_t in_time = 0;
+    std::uint64_t late = 0;
+    std::uint64_t refused = 0; // by the gateway or by a full server
+    std::uint64_t far = 0;     // served by another region
+
+    double in_time_share() const {
+        return requests == 0 ? 0.0 : static_cast<double>(in_time) / static_cast<double>(requests);
+    }
+
+    bool operator==(const region_result&) const = default;
+};
+
+struct model_result {
+    std::map<std::string, region_result> regions;
+    std::uint64_t first_runs = 0;  // runs at a server that did not hold the object
+    double largest_far_change = 0; // of a region's far share between windows of 2 s
+
+    region_result total() const;
+
+    bool operator==(const model_result&) const = default;
+};
+
+class fleet_model {
+public:
+    explicit fleet_model(model_options options);
+    ~fleet_model();
+
+    fleet_model(const fleet_model&) = delete;
+    fleet_model& operator=(const fleet_model&) = delete;
+
+    model_result run();
+
+private:
+    struct server;
+    struct gateway;
+    struct request;
+    struct event;
+
+    void add_regions();
+    void arrive(std::size_t region, base::time_point now);
+    void send(const std::shared_ptr<request>& item, base::time_point now);
+    void begin_runs(server& at, base::time_point now);
+    void finish(const std::shared_ptr<request>& item, base::time_point now);
+    void count_far(const std::string& region, bool far, base::time_point now);
+    std::string choose(request& item, gateway& at, base::time_point now);
+    double rate(const region_options& region, base::time_point now) const;
+    void at(base::time_point when, std::function<void(base::time_point)> action);
+
+    model_options m_options;
+    carawayway::routing::route m_route;
+    std::string m_service = "service";
+    std::mt19937 m_random;
+    std::vector<std::unique_ptr<server>> m_servers;
+    std::map<std::string, server*> m_servers_by_id;
+    std::vector<std::unique_ptr<gateway>> m_gateways; // region by region
+    std::unique_ptr<std::priority_queue<event>> m_events;
+    std::uint64_t m_last_event = 0;
+    model_result m_result;
+    std::map<std::string, std::map<std::int64_t, std::pair<double, double>>> m_far_by_window; // far, all
+};
+
+} // namespace placement_model
