placement: Refuse late requests while a lasting overload makes all answers late

The time that a caller has waited in earlier attempts is taken from the longest time that callers of the route allow.

--- a/Tests/platform/facts_test.cpp
+++ b/Tests/platform/facts_test.cpp
@@ -12,10 +12,9 @@
 using carawayway::fleet::server_intent;
 using carawayway::routing::request_semantics;
 
-constexpr std::string_view whole_entry =
-    R"({"address":"10.0.0.9:8080","born":1790000000123,)"
-    R"("info":{"service":"s","version":"v1","zone":"z","slots":6},)"
-    R"("status":{"state":"ready","seq":4,"coldLeftMs":1500}})";
+constexpr std::string_view whole_entry = R"({"address":"10.0.0.9:8080","born":1790000000123,)"
+                                         R"("info":{"service":"s","version":"v1","zone":"z","slots":6},)"
+                                         R"("status":{"state":"ready","seq":4,"coldLeftMs":1500}})";
 
 TEST(server_entry, is_decoded) {
     const auto facts = protocol::read_server("i-1", whole_entry);
@@ -32,24 +31,30 @@
 
 // Guards against requests to a server that leaves.
 TEST(server_entry, a_draining_server_is_leaving) {
-    const auto facts = protocol::read_server(
-        "i-1", R"({"address":"a:1","info":{"service":"s","zone":"z","slots":1},)"
-               R"("status":{"state":"draining","coldLeftMs":0}})");
+    const auto facts =
+        protocol::read_server("i-1", R"({"address":"a:1","info":{"service":"s","zone":"z","slots":1},)"
+                                     R"("status":{"state":"draining","coldLeftMs":0}})");
     ASSERT_TRUE(facts.has_value());
     EXPECT_EQ(facts->intent, server_intent::leaving);
 }
 
 // Guards against an entry of another writer being used as if it named a server.
 TEST(server_entry, names_no_server_when_it_is_not_whole) {
-    for (const std::string_view entry : {
-             "", "null", "[]", "{}", "\xff\xfe", R"({"address":"a:1"})",
-             R"({"address":"a:1","info":{"service":"s","zone":"z","slots":1},"status":{"state":"odd","coldLeftMs":0}})",
-             R"({"address":"a:1","info":{"service":"s","zone":"z","slots":"6"},"status":{"state":"ready","coldLeftMs":0}})",
-             R"({"address":"a:1","info":{"service":"s","zone":"z","slots":0},"status":{"state":"ready","coldLeftMs":0}})",
-             R"({"address":"a:1","info":{"zone":"z","slots":1},"status":{"state":"ready","coldLeftMs":0}})",
-             R"({"address":7,"info":{"service":"s","zone":"z","slots":1},"status":{"state":"ready","coldLeftMs":0}})",
-             R"({"address":"a:1","info":{"service":"s","zone":"z","slots":1},"status":{"state":"ready"}})",
-         }) {
+    for (
+        const std::string_view entry : {
+            "",
+            "null",
+            "[]",
+            "{}",
+            "\xff\xfe",
+            R"({"address":"a:1"})",
+            R"({"address":"a:1","info":{"service":"s","zone":"z","slots":1},"status":{"state":"odd","coldLeftMs":0}})",
+            R"({"address":"a:1","info":{"service":"s","zone":"z","slots":"6"},"status":{"state":"ready","coldLeftMs":0}})",
+            R"({"address":"a:1","info":{"service":"s","zone":"z","slots":0},"status":{"state":"ready","coldLeftMs":0}})",
+            R"({"address":"a:1","info":{"zone":"z","slots":1},"status":{"state":"ready","coldLeftMs":0}})",
+            R"({"address":7,"info":{"service":"s","zone":"z","slots":1},"status":{"state":"ready","coldLeftMs":0}})",
+            R"({"address":"a:1","info":{"service":"s","zone":"z","slots":1},"status":{"state":"ready"}})",
+        }) {
         EXPECT_FALSE(protocol::read_server("i-1", entry).has_value()) << entry;
     }
 }
@@ -87,7 +92,8 @@
 // Guards against a half-understood configuration dropping routes.
 TEST(configuration, is_refused_as_a_whole_when_a_part_is_not_valid) {
     const std::string whole(configuration_text);
-    for (const std::string_view removed : {R"("version":"0000001a",)", R"("prefix":"/b/",)", R"("host":"h.example",)"}) {
+    for (const std::string_view removed :
+         {R"("version":"0000001a",)", R"("prefix":"/b/",)", R"("host":"h.example",)"}) {
         std::string text = whole;
         text.erase(text.find(removed), removed.size());
         EXPECT_FALSE(protocol::read_configuration(text).has_value()) << removed;
@@ -108,7 +114,8 @@
     const auto call = protocol::register_call(own, 42);
     EXPECT_EQ(call.target, "/kv-txn");
     EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
-    EXPECT_EQ(protocol::read_gateway("g", R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81"})"),
+    EXPECT_EQ(protocol::read_gateway(
+                  "g", R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81"})"),
               own);
     EXPECT_FALSE(protocol::read_gateway("g", R"({"domain":"z"})").has_value());
 }
--- a/Tests/platform/headers_test.cpp
+++ b/Tests/platform/headers_test.cpp
@@ -88,9 +88,9 @@
 }
 
 TEST(read_bounds, takes_numbers_and_flags) {
-    const auto bounds =
-        protocol::read_bounds("budgetRatio=0.3,budgetSlack=60,coldOver=1.5,coldSlack=5,graceS=6,shiftMost=0.2,"
-                              "ttl_max_s=1,unknown=true");
+    const auto bounds = protocol::read_bounds(
+        "budgetRatio=0.3,budgetSlack=60,coldOver=1.5,coldSlack=5,graceS=6,shiftMost=0.2,"
+        "ttl_max_s=1,unknown=true");
     ASSERT_TRUE(bounds.has_value());
     EXPECT_EQ(bounds->retry_share, 0.3);
     EXPECT_EQ(bounds->retry_slack, 60.0);
--- a/Tests/platform/store_calls_test.cpp
+++ b/Tests/platform/store_calls_test.cpp
@@ -48,7 +48,8 @@
 
 // Guards against a value of another writer stopping the whole listing.
 TEST(store_answers, a_value_that_is_not_base64_is_kept_empty) {
-    const auto page = protocol::read_page(200, R"({"items":[{"key":"servers/a","value":"%%","rev":2}],"currentRev":3})");
+    const auto page =
+        protocol::read_page(200, R"({"items":[{"key":"servers/a","value":"%%","rev":2}],"currentRev":3})");
     EXPECT_EQ(page.status, store_status::done);
     EXPECT_THAT(page.items, testing::ElementsAre(fleet::fact{"servers/a", "", 2, false}));
 }
--- a/Tests/routing/split_chooser_test.cpp
+++ b/Tests/routing/split_chooser_test.cpp
@@ -1,7 +1,6 @@
 // The parts of a split receive their weights, and objects keep their part.
-#include "carawayway/routing/split_chooser.hpp"
-
 #include "carawayway/base/hash.hpp"
+#include "carawayway/routing/split_chooser.hpp"
 
 #include <gtest/gtest.h>
 
@@ -25,7 +24,8 @@
     return base::hash_bytes(std::to_string(object));
 }
 
-// Guards against weights that are missed because there are few objects and some are used far more than others.
+// Guards against weights that are missed because there are few objects and some are used far more than
+// others.
 TEST(split_chooser, keeps_the_weights_with_few_objects) {
     for (const double weight : {5.0, 10.0, 50.0}) {
         split_chooser chooser;
--- a/bench/placement/fleet_model.cpp
+++ b/bench/placement/fleet_model.cpp
@@ -42,8 +42,8 @@
 
 struct fleet_model::gateway {
     gateway(const std::string& name, const std::string& region, std::map<std::string, std::string> domains)
-        : servers({name, region, region, std::move(domains)}, {1.5, 5.0}), affinity(4096), shifts(region, shift_cap),
-          spill(region), choice(servers, times, affinity, trips, shifts, spill) {}
+        : servers({name, region, region, std::move(domains)}, {1.5, 5.0}), affinity(4096),
+          shifts(region, shift_cap), spill(region), choice(servers, times, affinity, trips, shifts, spill) {}
 
     placement::server_table servers;
     placement::service_times times;
@@ -176,9 +176,8 @@
     auto all = through.servers.candidates(m_service);
     switch (m_options.rule) {
     case placement_rule::planned: {
-        const auto placed = through.choice.choose({m_route, m_service, object, m_options.deadline,
-                                                   m_options.target_latency, {}, true},
-                                                  now);
+        const auto placed = through.choice.choose(
+            {m_route, m_service, object, m_options.deadline, m_options.target_latency, {}, true}, now);
         item.warmth = placed.warmth;
         return placed.server ? placed.server->facts.id : std::string{};
     }
@@ -261,7 +260,8 @@
         through.servers.answered(*known, true, then);
         through.affinity.remember(base::hash_bytes(item->object), known->id_hash);
         if (report.waiting == 0) {
-            through.choice.observe(*known, m_route.name, m_service, item->warmth, now - item->run_began, then);
+            through.choice.observe(*known, m_route.name, m_service, item->warmth, now - item->run_began,
+                                   then);
         }
         auto& counts = m_result.regions[item->region];
         const auto taken = then - item->arrived;
--- a/bench/placement/fleet_model.hpp
+++ b/bench/placement/fleet_model.hpp
@@ -1,5 +1,6 @@
-// A deployment in virtual time: regions with callers, gateways that place requests, and servers with slots, a queue and a
-// memory of objects. Answers which requests are served in time under a load, without network or clock.
+// A deployment in virtual time: regions with callers, gateways that place requests, and servers with slots, a
+// queue and a memory of objects. Answers which requests are served in time under a load, without network or
+// clock.
 #pragma once
 
 #include "carawayway/placement/server_choice.hpp"
--- a/bench/placement/placement_experiment.cpp
+++ b/bench/placement/placement_experiment.cpp
@@ -49,11 +49,11 @@
 int main(int argc, char** argv) {
     gflags::SetUsageMessage("Compares placement rules under named loads.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    fmt::print("{:<14}{:<20}{:>9}{:>9}{:>9}{:>9}{:>9}{:>11}{:>12}\n", "load", "rule", "in time", "worst", "late",
-               "refused", "far", "first runs", "far change");
+    fmt::print("{:<14}{:<20}{:>9}{:>9}{:>9}{:>9}{:>9}{:>11}{:>12}\n", "load", "rule", "in time", "worst",
+               "late", "refused", "far", "first runs", "far change");
     for (auto& [name, options] : loads()) {
-        for (const auto rule : {placement_rule::planned, placement_rule::affinity_only, placement_rule::two_random,
-                                placement_rule::least_loaded_home}) {
+        for (const auto rule : {placement_rule::planned, placement_rule::affinity_only,
+                                placement_rule::two_random, placement_rule::least_loaded_home}) {
             options.rule = rule;
             options.seed = FLAGS_seed;
             options.length = std::chrono::seconds{FLAGS_seconds};
@@ -66,9 +66,9 @@
             for (const auto& [region, counts] : result.regions) {
                 worst = std::min(worst, counts.in_time_share());
             }
-            fmt::print("{:<14}{:<20}{:>9.3f}{:>9.3f}{:>9.3f}{:>9.3f}{:>9.3f}{:>11}{:>12.3f}\n", name, name_of(rule),
-                       share(total.in_time), worst, share(total.late), share(total.refused), share(total.far),
-                       result.first_runs, result.largest_far_change);
+            fmt::print("{:<14}{:<20}{:>9.3f}{:>9.3f}{:>9.3f}{:>9.3f}{:>9.3f}{:>11}{:>12.3f}\n", name,
+                       name_of(rule), share(total.in_time), worst, share(total.late), share(total.refused),
+                       share(total.far), result.first_runs, result.largest_far_change);
         }
     }
     return 0;
--- a/carawayway/gateway/relay_state.cpp
+++ b/carawayway/gateway/relay_state.cpp
@@ -42,6 +42,12 @@
     m_routes = std::make_shared<const routing::route_table>(std::move(configuration));
 }
 
+base::duration relay_state::waited_before(const std::string& route, base::duration time_left) {
+    auto& longest = m_longest_waits[route];
+    longest = std::max(longest, time_left);
+    return longest - time_left;
+}
+
 steering::retry_budget& relay_state::retry_budget_of(const std::string& service, base::time_point now) {
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end()) {
--- a/carawayway/gateway/relay_state.hpp
+++ b/carawayway/gateway/relay_state.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace carawayway::gateway {
 
@@ -34,6 +35,10 @@
     const std::shared_ptr<const routing::route_table>& routes() const { return m_routes; }
     void set_configuration(std::shared_ptr<const routing::configuration> configuration);
 
+    // Time that the caller has waited before, over its earlier attempts: what is missing to the longest time
+    // that callers of the route allow.
+    base::duration waited_before(const std::string& route, base::duration time_left);
+
     // The gateway's part of the budget of repeats that all gateways share.
     steering::retry_budget& retry_budget_of(const std::string& service, base::time_point now);
 
@@ -53,7 +58,8 @@
 
 private:
     std::shared_ptr<const routing::route_table> m_routes;
-    std::map<std::string, steering::retry_budget> m_budgets; // by service
+    std::map<std::string, steering::retry_budget> m_budgets;         // by service
+    std::unordered_map<std::string, base::duration> m_longest_waits; // by route
 };
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/relayed_call.hpp
+++ b/carawayway/gateway/relayed_call.hpp
@@ -62,6 +62,8 @@
         }
         const auto allowed = std::min(m_marks.time_left.value_or(m_route->timeout), m_route->timeout);
         m_ends_at = m_arrived + allowed;
+        m_waited_before = m_marks.time_left ? m_state.waited_before(m_route->name, *m_marks.time_left)
+                                            : base::duration::zero();
         const std::uint64_t key =
             base::hash_bytes(m_marks.object.empty() ? m_marks.request_id : m_marks.object);
         m_service = m_route->targets[m_state.splits.choose(*m_route, key)].service;
@@ -112,7 +114,7 @@
                                                   m_service,
                                                   m_object,
                                                   m_ends_at - now,
-                                                  m_arrived + m_route->target_latency - now,
+                                                  m_arrived + m_route->target_latency - m_waited_before - now,
                                                   m_tried,
                                                   !m_marks.object.empty()};
         auto placed = m_state.choice.choose(wanted, now);
@@ -128,7 +130,7 @@
                 m_service,
                 m_object,
                 m_ends_at - now,
-                m_arrived + m_route->target_latency - now,
+                m_arrived + m_route->target_latency - m_waited_before - now,
                 m_tried,
                 !m_marks.object.empty()};
     }
@@ -339,9 +341,17 @@
 
     void give_up(const placement::placement_result& placed, base::time_point now) {
         m_retry_after = placed.retry_after;
-        finish_failed(placed.reason == placement::refusal::no_server ? base::error_kind::no_server_available
-                                                                     : base::error_kind::deadline_unreachable,
-                      now);
+        switch (placed.reason) {
+        case placement::refusal::overload:
+            finish_failed(base::error_kind::overloaded, now);
+            return;
+        case placement::refusal::too_late:
+            finish_failed(base::error_kind::deadline_unreachable, now);
+            return;
+        default:
+            finish_failed(base::error_kind::no_server_available, now);
+            return;
+        }
     }
 
     // Nothing more can be tried: passes on what a server answered, or says what is known.
@@ -447,6 +457,7 @@
     std::string m_service;
     std::uint64_t m_object = 0;
     base::time_point m_ends_at{};
+    base::duration m_waited_before{};             // of the caller, over earlier attempts
     std::vector<attempt_handle> m_running;        // at most two
     std::optional<http_response> m_failed_answer; // of a server, passed on when nothing better comes
     base::duration m_retry_after = placement::server_choice::shortest_retry_after;
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -230,7 +230,14 @@
     }
     std::sort(options.begin(), options.end(),
               [](const option& left, const option& right) { return left.cost < right.cost; });
-    base::duration soonest = options.front().expected;
+    const auto& best = options.front();
+    const bool late = best.expected > request.target_left;
+    m_overload.arrived(request.service, late, now);
+    if (late && m_overload.is_overloaded(request.service) &&
+        expected_wait(*best.server, now) > base::duration::zero()) {
+        return {nullptr, refusal::overload, {}, best.expected, request.time_left / 4};
+    }
+    base::duration soonest = best.expected;
     for (auto& item : options) {
         soonest = std::min(soonest, item.expected);
         if (item.expected + completion_margin > request.time_left) {
--- a/carawayway/placement/server_choice.hpp
+++ b/carawayway/placement/server_choice.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/placement/affinity_memory.hpp"
+#include "carawayway/placement/overload_detector.hpp"
 #include "carawayway/placement/region_shift_guard.hpp"
 #include "carawayway/placement/region_spill.hpp"
 #include "carawayway/placement/server_table.hpp"
@@ -28,6 +29,7 @@
     none,
     no_server, // none is usable
     too_late,  // all usable servers would take longer than the time that is left
+    overload,  // the answer would be late, as most are at the moment
 };
 
 struct placement_result {
@@ -86,6 +88,7 @@
     const trip_times& m_trips;
     region_shift_guard& m_shifts;
     region_spill& m_spill;
+    overload_detector m_overload;
 };
 
 } // namespace carawayway::placement
