gateway, placement: Mend what the linter found

Cause: the linter reported unused constants, parameters copied for nothing, and missing move operations; a structured binding in a lambda does not build with clang. Change: these, without a change of behaviour.

--- a/bench/placement/fleet_model.hpp
+++ b/bench/placement/fleet_model.hpp
@@ -88,7 +88,9 @@
     ~fleet_model();
 
     fleet_model(const fleet_model&) = delete;
+    fleet_model(fleet_model&&) = delete;
     fleet_model& operator=(const fleet_model&) = delete;
+    fleet_model& operator=(fleet_model&&) = delete;
 
     model_result run();
 
--- a/carawayway/gateway/relay_state.cpp
+++ b/carawayway/gateway/relay_state.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-relay_state::relay_state(boost::asio::any_io_executor on, placement::locality own, platform_bounds limits)
+relay_state::relay_state(boost::asio::any_io_executor on, const placement::locality& own,
+                         platform_bounds limits)
     : executor(std::move(on)), bounds(limits), servers(own, limits.cold), affinity(remembered_objects),
       shifts(own.region, limits.region_shift_share), spill(own.region),
       choice(servers, times, affinity, trips, shifts, spill), metrics(metric_series_limit) {
--- a/carawayway/gateway/relay_state.hpp
+++ b/carawayway/gateway/relay_state.hpp
@@ -22,10 +22,13 @@
 // Owned by the one thread of a gateway.
 class relay_state {
 public:
-    relay_state(boost::asio::any_io_executor executor, placement::locality own, platform_bounds bounds);
+    relay_state(boost::asio::any_io_executor executor, const placement::locality& own,
+                platform_bounds bounds);
 
     relay_state(const relay_state&) = delete;
+    relay_state(relay_state&&) = delete;
     relay_state& operator=(const relay_state&) = delete;
+    relay_state& operator=(relay_state&&) = delete;
     ~relay_state() = default;
 
     // Largest answer of a server; answers are held whole, so that only complete ones are passed on.
--- a/carawayway/gateway/relayed_call.hpp
+++ b/carawayway/gateway/relayed_call.hpp
@@ -119,12 +119,12 @@
                                                   m_arrived + m_route->target_latency - m_waited_before - now,
                                                   m_tried,
                                                   !m_marks.object.empty()};
-        auto placed = m_state.choice.choose(wanted, now);
+        const auto placed = m_state.choice.choose(wanted, now);
         if (!placed.server) {
             give_up(placed, now);
             return;
         }
-        send_to(std::move(placed), now);
+        send_to(placed, now);
     }
 
     placement::placement_request wanted_placement(base::time_point now) const {
@@ -146,7 +146,7 @@
     };
     using attempt_handle = std::shared_ptr<attempt>;
 
-    void send_to(placement::placement_result placed, base::time_point now) {
+    void send_to(const placement::placement_result& placed, base::time_point now) {
         m_tried.push_back(placed.server->facts.id);
         const auto address = net::parse_endpoint(placed.server->facts.address);
         if (!address) {
@@ -155,7 +155,7 @@
             return;
         }
         auto sent = std::make_shared<attempt>();
-        sent->server = std::move(placed.server);
+        sent->server = placed.server;
         sent->warmth = placed.warmth;
         sent->expected = placed.expected;
         const auto& server = *sent->server;
@@ -218,14 +218,14 @@
             arm_hedge(first);
             return;
         }
-        auto placed = m_state.choice.choose(wanted_placement(now), now);
+        const auto placed = m_state.choice.choose(wanted_placement(now), now);
         const bool prompt =
             placed.server && m_state.choice.expected_wait(*placed.server, now) <= base::duration::zero();
         if (!prompt || !spend_budget(now)) {
             return;
         }
         ++m_attempts; // the first one counts although it has not ended
-        send_to(std::move(placed), now);
+        send_to(placed, now);
     }
 
     void exchanged(const attempt_handle& sent, exchange_result result) {
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -45,7 +45,7 @@
     using facts_handler = std::function<void(const std::vector<fleet::fact>&)>;
     using peers_function = std::function<std::vector<boost::asio::ip::tcp::endpoint>()>;
 
-    store_session(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint store,
+    store_session(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& store,
                   fleet::gateway_facts own, base::duration lease, fleet::fact_log& facts,
                   facts_handler on_facts, peers_function peers)
         : m_executor(std::move(executor)), m_own(std::move(own)), m_lifetime(lease), m_facts(facts),
@@ -158,7 +158,7 @@
         if (peers.empty()) {
             co_return;
         }
-        const auto peer = peers[m_random() % peers.size()];
+        const auto& peer = peers[m_random() % peers.size()];
         const auto reply = co_await ask_for_facts(m_executor, peer, {m_facts.revision()}, relay_timeout);
         if (!reply || reply->revision < m_facts.revision()) {
             co_return;
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -8,20 +8,14 @@
 
 namespace {
 
-// Servers that are considered for an object in the own domain, the own region and each other region. More
-// would spread an object over servers that do not hold it.
-constexpr std::size_t own_domain_options = 2;
+// Servers that are considered for an object in the own region and in all others together. More would spread
+// an object over servers that do not hold it, and make each server forget the objects that it holds.
 constexpr std::size_t own_region_options = 2;
 constexpr std::size_t other_region_options = 2;
 
-// Bytes across domains and regions are priced; these make a near server win unless a far one is clearly
-// faster.
+// Bytes across regions are priced; this makes a near server win unless a far one is clearly faster.
 constexpr base::duration other_region_cost = std::chrono::milliseconds{40};
 
-// An object that moves to another region is not held there, and its first run takes longer; this outweighs
-// it.
-constexpr base::duration moved_object_cost = std::chrono::milliseconds{400};
-
 // A run at a server that does not hold the object takes a slot longer, which delays other requests too. Part
 // of the additional run time that is counted again.
 constexpr double first_run_cost = 2.0;
@@ -221,6 +215,7 @@
         order_by_load(request, listed, now);
     }
     const auto* const first = preferred(request, listed, now);
+    options.reserve(listed.size());
     for (const auto& server : listed) {
         options.push_back(
             evaluate(request, server, server.get() == first ? preference::first : preference::other, now));
--- a/carawayway/routing/route_table.cpp
+++ b/carawayway/routing/route_table.cpp
@@ -47,18 +47,18 @@
     if (routes == m_hosts.end()) {
         return common;
     }
-    for (const auto& [prefix, item] : routes->second) {
-        if (item->allowed_regions.empty()) {
+    for (const auto& entry : routes->second) {
+        const auto& allowed = entry.second->allowed_regions;
+        if (allowed.empty()) {
             continue;
         }
         if (!restricted) {
-            common = item->allowed_regions;
+            common = allowed;
             restricted = true;
             continue;
         }
-        std::erase_if(common, [&](const std::string& region) {
-            return std::find(item->allowed_regions.begin(), item->allowed_regions.end(), region) ==
-                   item->allowed_regions.end();
+        std::erase_if(common, [&allowed](const std::string& region) {
+            return std::find(allowed.begin(), allowed.end(), region) == allowed.end();
         });
     }
     return common;
