placement: Name at most four gateways of a domain in a look-up answer

Change: look-up answers name the first four gateways of the caller's domain; the others stand by. Domains with up to four gateways, as on the two sites of today, are not affected.

--- a/Tests/gateway/caller_session_test.cpp
+++ b/Tests/gateway/caller_session_test.cpp
@@ -24,7 +24,7 @@
     caller_session_test() {
         m_listener = std::make_unique<session_listener>(
             m_context.get_executor(), free_address(), 16,
-            [this](http_request request, base::time_point, answer_function answer) {
+            [this](const http_request& request, base::time_point, answer_function answer) {
                 auto item = std::make_shared<served>();
                 item->target = std::string(request.target());
                 item->answer = std::move(answer);
--- a/Tests/placement/lookup_choice_test.cpp
+++ b/Tests/placement/lookup_choice_test.cpp
@@ -24,6 +24,20 @@
     EXPECT_THAT(choose_gateways(example(), {"a1", "a", {}}), UnorderedElementsAre("g1:80", "g2:80"));
 }
 
+// Guards against each of many gateways opening its own connections to every server for a few requests.
+TEST(lookup_choice, names_few_gateways_of_a_large_domain_and_the_same_to_all) {
+    gateway_map gateways({"g0", "a1", "a", {}});
+    for (int index = 0; index < 12; ++index) {
+        const std::string name = "g" + std::to_string(index);
+        gateways.put({name, "a1", "a", name + ":80", name + ":81"});
+    }
+    const auto named = choose_gateways(gateways, {"a1", "a", {}});
+    EXPECT_EQ(named.size(), 4U);
+    EXPECT_EQ(choose_gateways(gateways, {"a1", "a", {}}), named);
+    gateways.erase("g0");
+    EXPECT_EQ(choose_gateways(gateways, {"a1", "a", {}}).size(), 4U);
+}
+
 // Guards against callers that have no second address when the only gateway of their domain dies.
 TEST(lookup_choice, adds_the_region_when_the_domain_has_one_gateway) {
     EXPECT_THAT(choose_gateways(example(), {"a2", "a", {}}), UnorderedElementsAre("g1:80", "g2:80", "g3:80"));
--- a/Tests/system/drain_test.cpp
+++ b/Tests/system/drain_test.cpp
@@ -43,7 +43,8 @@
     ASSERT_NO_FATAL_FAILURE(system.start());
     caller_load load(system, 6, 20261203);
     EXPECT_TRUE(load.wait_executed("hki-a-1", 50));
-    // Taken before the command: the answers that carry the evidence may come before its reply, and none come after.
+    // Taken before the command: the answers that carry the evidence may come before its reply, and none come
+    // after.
     const auto drained = base::monotonic_now();
     system.control_servers(fmt::format(R"({{"server":"{}","drain":true,"grace_ms":60000}})", leaving_server));
     const auto answers = [drained](const event& item) {
--- a/carawayway/placement/lookup_choice.cpp
+++ b/carawayway/placement/lookup_choice.cpp
@@ -9,6 +9,9 @@
 
 // A caller excludes an address that failed it and needs another one.
 constexpr std::size_t fewest_addresses = 2;
+// Each gateway keeps its own connections to servers and its own view of their load: with fewer gateways for
+// the callers of a domain, connections are used more often and reports are fresher. The others stand by.
+constexpr std::size_t most_in_domain = 4;
 // The platform's callers read no more.
 constexpr std::size_t most_addresses = 64;
 
@@ -31,6 +34,7 @@
         }
     }
     std::vector<std::string> chosen = std::move(in_domain);
+    chosen.resize(std::min(chosen.size(), most_in_domain));
     if (chosen.size() < fewest_addresses) {
         chosen.insert(chosen.end(), in_region.begin(), in_region.end());
     }
