gateway: Probe the store with short watches while it is in trouble

A watch that begins while the store is silent goes unanswered for its whole 5 s. Only an unanswered renewal interrupted it; a gateway that had lost its entry during the outage renews nothing, and its unanswered grants interrupted nothing. Ruled out: relayed facts (all peers were equally behind), the pause after news (0.8 s).

--- /dev/null
+++ b/Tests/gateway/scripted_store.hpp
@@ -0,0 +1,106 @@
+// A store on loopback whose answers the test decides call by call.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace carawayway::gateway {
+
+enum class store_reaction : std::uint8_t {
+    answer,
+    stay_silent, // the connection stays open
+    close,
+};
+
+struct scripted_answer {
+    store_reaction reaction = store_reaction::answer;
+    std::string body;
+};
+
+class scripted_store {
+public:
+    using call_handler = std::function<scripted_answer(const std::string& target)>;
+    using end_handler = std::function<void(const std::string& target)>;
+
+    // `on_end` hears of each connection that the client closes while a call is unanswered.
+    scripted_store(boost::asio::io_context& context, call_handler on_call, end_handler on_end)
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}), m_on_call(std::move(on_call)),
+          m_on_end(std::move(on_end)) {
+        accept_next();
+    }
+
+    boost::asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+private:
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+
+        boost::asio::ip::tcp::socket socket;
+        boost::beast::flat_buffer buffer;
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        boost::beast::http::response<boost::beast::http::string_body> response;
+        std::string unanswered;
+    };
+
+    void accept_next() {
+        m_acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            read_next(std::make_shared<connection>(std::move(socket)));
+            accept_next();
+        });
+    }
+
+    void read_next(const std::shared_ptr<connection>& client) {
+        client->request = {};
+        boost::beast::http::async_read(client->socket, client->buffer, client->request,
+                                       [this, client](boost::system::error_code error, std::size_t) {
+                                           if (error) {
+                                               if (!client->unanswered.empty()) {
+                                                   m_on_end(client->unanswered);
+                                               }
+                                               return;
+                                           }
+                                           react(client);
+                                       });
+    }
+
+    void react(const std::shared_ptr<connection>& client) {
+        const std::string target(client->request.target());
+        const auto answer = m_on_call(target);
+        if (answer.reaction == store_reaction::close) {
+            return;
+        }
+        if (answer.reaction == store_reaction::stay_silent) {
+            client->unanswered = target;
+            read_next(client);
+            return;
+        }
+        client->response = {boost::beast::http::status::ok, 11};
+        client->response.body() = answer.body;
+        client->response.prepare_payload();
+        boost::beast::http::async_write(client->socket, client->response,
+                                        [this, client](boost::system::error_code error, std::size_t) {
+                                            if (!error) {
+                                                read_next(client);
+                                            }
+                                        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    call_handler m_on_call;
+    end_handler m_on_end;
+};
+
+} // namespace carawayway::gateway
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -29,6 +29,9 @@
     // call.
     static constexpr base::duration watch_wait = std::chrono::seconds{4};
     static constexpr base::duration watch_margin = std::chrono::seconds{1};
+    // Wait of a watch while the store is in trouble. A long watch begun during an outage goes unanswered
+    // beyond its end, and changes made meanwhile would be in force too late.
+    static constexpr base::duration probing_wait = std::chrono::milliseconds{100};
     // Pause after news, so that a series of changes costs few calls. Changes must be in force within 2.5 s,
     // and a slow store takes up to 0.5 s of that.
     static constexpr base::duration watch_pause = std::chrono::milliseconds{800};
@@ -130,8 +133,10 @@
     }
 
     boost::asio::awaitable<fleet::store_status> watch_once() {
-        const auto answer = co_await m_watch.call(Platform::watch_call(m_facts.revision(), watch_wait),
-                                                  watch_wait + watch_margin);
+        const bool in_contact = m_condition.in_contact();
+        const auto wait = in_contact ? watch_wait : probing_wait;
+        const auto timeout = in_contact ? watch_wait + watch_margin : call_timeout;
+        const auto answer = co_await m_watch.call(Platform::watch_call(m_facts.revision(), wait), timeout);
         if (!answer) {
             co_return fleet::store_status::refused;
         }
@@ -199,13 +204,13 @@
     }
 
     boost::asio::awaitable<bool> make_entry() {
-        const auto granted = co_await m_calls.call(Platform::grant_call(m_lifetime), call_timeout);
+        const auto granted = co_await call_for_entry(Platform::grant_call(m_lifetime));
         const auto lease =
             granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
         if (lease.status != fleet::store_status::done) {
             co_return false;
         }
-        const auto written = co_await m_calls.call(Platform::register_call(m_own, lease.id), call_timeout);
+        const auto written = co_await call_for_entry(Platform::register_call(m_own, lease.id));
         if (!written || Platform::read_status(written->status) != fleet::store_status::done) {
             co_return false;
         }
@@ -215,17 +220,22 @@
     }
 
     boost::asio::awaitable<bool> renew() {
-        const auto answer = co_await m_calls.call(Platform::renew_call(m_lease), call_timeout);
+        const auto answer = co_await call_for_entry(Platform::renew_call(m_lease));
         const auto status = answer ? Platform::read_status(answer->status) : fleet::store_status::refused;
         if (status == fleet::store_status::missing) {
             m_lease = 0;
             co_return false;
         }
+        co_return status == fleet::store_status::done;
+    }
+
+    boost::asio::awaitable<std::optional<store_answer>> call_for_entry(fleet::store_call call) {
+        auto answer = co_await m_calls.call(std::move(call), call_timeout);
         if (!answer) {
             // The store is silent: the waiting watch would notice only at its own time-out.
             m_watch.interrupt();
         }
-        co_return status == fleet::store_status::done;
+        co_return answer;
     }
 
     void lost(fleet::store_status status) {
