--- a/carawayway/gateway/relayed_call.hpp
+++ b/carawayway/gateway/relayed_call.hpp
@@ -9,6 +9,7 @@
 #include "carawayway/gateway/relay_state.hpp"
 #include "carawayway/gateway/server_exchange.hpp"
 #include "carawayway/net/endpoint.hpp"
+#include "carawayway/placement/overdue_time.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,9 +34,6 @@
     // now.
     static constexpr base::duration idle_for_unrepeatable = std::chrono::seconds{3};
     static constexpr base::duration idle_for_repeatable = std::chrono::seconds{60};
-    // A request that may be repeated goes to a second server after this time without an answer.
-    static constexpr int hedge_factor = 2; // times the expected time
-    static constexpr base::duration hedge_margin = std::chrono::milliseconds{150};
     // Load, as a part of the slots, from which a refusal counts as that of a full server.
     static constexpr double full_share = 1.5;
     // Advice to callers while this gateway has no configuration.
@@ -142,6 +140,7 @@
         placement::server_handle server;
         placement::object_warmth warmth = placement::object_warmth::not_held;
         base::duration expected{}; // until the answer, when the server was chosen
+        base::time_point chosen_at{};
         std::shared_ptr<server_exchange<Platform>> exchange;
     };
     using attempt_handle = std::shared_ptr<attempt>;
@@ -158,6 +157,7 @@
         sent->server = placed.server;
         sent->warmth = placed.warmth;
         sent->expected = placed.expected;
+        sent->chosen_at = now;
         const auto& server = *sent->server;
         m_state.servers.started(*sent->server);
         const exchange_limits limits{
@@ -197,9 +197,10 @@
         m_running.clear();
     }
 
-    // A server may have lost the request or its answer, or be slow; the first answer of two servers counts.
+    // A request that may be repeated goes to a second server once its answer is overdue: the first server may
+    // have lost the request or its answer, or be slow. The first answer of two servers counts.
     void arm_hedge(const attempt_handle& first) {
-        m_hedge.expires_after(first->expected * hedge_factor + hedge_margin);
+        m_hedge.expires_after(placement::overdue_after(first->expected));
         m_hedge.async_wait([weak = this->weak_from_this(), first](boost::system::error_code error) {
             const auto self = weak.lock();
             if (!error && self) {
@@ -373,7 +374,9 @@
         const auto now = base::monotonic_now();
         const bool may_have_run = m_may_have_run || any_sent();
         for (const auto& item : m_running) {
-            if (item->exchange->was_sent()) {
+            // A first run may take longer than the route allows; that says nothing against the server.
+            const bool overdue = now - item->chosen_at > placement::overdue_after(item->expected);
+            if (overdue && item->exchange->was_sent()) {
                 m_state.servers.unanswered(*item->server, now);
             }
         }
