placement: Begin with objects of small regions elsewhere, and bound urgent moves over all gateways

The share of objects that move began at 0 and rose by 0.06/s. Objects that were to move went home as long as no run time was known, because the trip counted against the far server. Change: a service begins with the share that an even spread over slots calls for, with gateways for callers (begin_load 1.2); the trip of the preferred far server is made up for; urgent moves stay below 0.6 of the cap and are rounded at random, so that the sum over gateways keeps it; planned moves change by 0.05/s instead of 0.06; a region without any server moves everything at once.

--- a/Tests/placement/load_patterns_test.cpp
+++ b/Tests/placement/load_patterns_test.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double target_in_time = 0.80;
+// Share of a region's requests that may move between windows of 2 s, as the platform bounds it.
+constexpr double shift_cap = 0.15;
 
 model_result play(std::vector<region_options> regions, placement_rule rule = placement_rule::planned) {
     model_options options;
@@ -59,6 +61,38 @@
     EXPECT_GT(result.total().refused, 0U);
 }
 
+// A deployment with many gateways that each see few requests, and first runs that are late in any case.
+model_result play_start(std::uint32_t seed) {
+    model_options options;
+    options.regions = {{"a", 31, 220}, {"b", 10, 220}, {"c", 32, 220}};
+    options.gateways_per_region = 20;
+    options.objects_per_region = 240;
+    options.objects_held = 24;
+    options.first_run = std::chrono::milliseconds{1344};
+    options.held_run = std::chrono::milliseconds{336};
+    options.target_latency = std::chrono::milliseconds{800};
+    options.deadline = std::chrono::seconds{6};
+    options.length = std::chrono::seconds{16};
+    options.seed = seed;
+    return fleet_model(options).run();
+}
+
+// Pattern: all objects are new at once, and a region with few servers needs them all for first runs. Guards
+// against its callers waiting behind queues of first runs while other regions idle.
+TEST(load_patterns, a_start_with_new_objects_uses_the_servers_of_other_regions) {
+    for (std::uint32_t seed = 1; seed <= 12; ++seed) {
+        const auto result = play_start(seed);
+        EXPECT_GT(result.regions.at("b").in_time_share(), 0.8 * result.regions.at("a").in_time_share());
+    }
+}
+
+// The same load. Guards against gateways that each stay within the cap on moves and exceed it together.
+TEST(load_patterns, many_gateways_keep_the_cap_on_moves_together) {
+    for (std::uint32_t seed = 1; seed <= 12; ++seed) {
+        EXPECT_LE(play_start(seed).largest_far_change, shift_cap);
+    }
+}
+
 // Guards against results that depend on anything but the seed.
 TEST(load_patterns, the_model_repeats) {
     const std::vector<region_options> regions{{"a", 4, 110}, {"b", 2, 110}};
--- a/bench/placement/fleet_model.cpp
+++ b/bench/placement/fleet_model.cpp
@@ -41,9 +41,11 @@
 };
 
 struct fleet_model::gateway {
-    gateway(const std::string& name, const std::string& region, std::map<std::string, std::string> domains)
+    gateway(const std::string& name, const std::string& region, std::map<std::string, std::string> domains,
+            std::uint32_t seed)
         : servers({name, region, region, std::move(domains)}, {1.5, 5.0}), affinity(4096),
-          shifts(region, shift_cap), spill(region), choice(servers, times, affinity, trips, shifts, spill) {}
+          shifts(region, shift_cap, seed), spill(region),
+          choice(servers, times, affinity, trips, shifts, spill) {}
 
     placement::server_table servers;
     placement::service_times times;
@@ -99,11 +101,16 @@
             m_servers_by_id[m_servers.back()->id] = m_servers.back().get();
         }
         for (std::uint32_t index = 0; index < m_options.gateways_per_region; ++index) {
-            m_gateways.push_back(
-                std::make_unique<gateway>(region.name + "-" + std::to_string(index), region.name, domains));
+            m_gateways.push_back(std::make_unique<gateway>(region.name + "-" + std::to_string(index),
+                                                           region.name, domains,
+                                                           static_cast<std::uint32_t>(m_random())));
         }
     }
     for (const auto& through : m_gateways) {
+        for (const auto& other : m_gateways) {
+            const auto& own = other->servers.own();
+            through->servers.gateways().put({own.gateway, own.failure_domain, own.region, {}, {}});
+        }
         for (const auto& known : m_servers) {
             carawayway::fleet::server_facts facts;
             facts.id = known->id;
--- a/carawayway/placement/gateway_map.cpp
+++ b/carawayway/placement/gateway_map.cpp
@@ -24,6 +24,23 @@
     return m_gateways.size() + (m_gateways.contains(m_own.gateway) ? 0 : 1);
 }
 
+std::optional<fleet::gateway_facts> gateway_map::leader_of_own_domain() const {
+    const auto rank = [this](const std::string& name) {
+        return base::rendezvous_rank(m_own.failure_domain, name);
+    };
+    const fleet::gateway_facts* leader = nullptr;
+    for (const auto& [name, facts] : m_gateways) {
+        const bool same_domain = facts.failure_domain == m_own.failure_domain;
+        if (same_domain && (leader == nullptr || rank(name) > rank(leader->name))) {
+            leader = &facts;
+        }
+    }
+    if (leader == nullptr || rank(leader->name) <= rank(m_own.gateway)) {
+        return std::nullopt;
+    }
+    return *leader;
+}
+
 feeder_share gateway_map::feeders_of(const std::string& server, const std::string& region,
                                      std::size_t most) const {
     std::vector<std::string> names;
--- a/carawayway/placement/gateway_map.hpp
+++ b/carawayway/placement/gateway_map.hpp
@@ -4,6 +4,7 @@
 #include "carawayway/fleet/facts.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
     // Gateways that exist, this one included; at least 1.
     std::size_t count() const;
 
+    // The gateway of this failure domain that watches the store for the others: the first by rendezvous rank.
+    // Nothing when it is this gateway, or none is known.
+    std::optional<fleet::gateway_facts> leader_of_own_domain() const;
+
     // Picks at most `most` feeders for a server by rendezvous rank among the gateways of its region, or among
     // all when the region has none. All gateways with the same list pick the same feeders.
     feeder_share feeders_of(const std::string& server, const std::string& region, std::size_t most) const;
--- a/carawayway/placement/moved_share.hpp
+++ b/carawayway/placement/moved_share.hpp
@@ -21,6 +21,11 @@
         m_share = std::clamp(m_share + direction * step, 0.0, most);
     }
 
+    void begin(double share, base::time_point now) {
+        m_share = std::clamp(share, 0.0, most);
+        m_updated = now;
+    }
+
     // Whether the object is among those that move. `salt` makes choices of several shares independent.
     bool contains(std::uint64_t object, std::uint64_t salt) const {
         constexpr double hash_range = 18446744073709551616.0; // 2^64
--- a/carawayway/placement/region_spill.cpp
+++ b/carawayway/placement/region_spill.cpp
@@ -34,6 +34,14 @@
     service.moved.change(direction, now);
 }
 
+void region_spill::begin(const std::string& service, const region_size& home, base::time_point now) {
+    const auto [known, is_new] = m_services.try_emplace(service);
+    if (!is_new || home.callers <= 0.0) {
+        return;
+    }
+    known->second.moved.begin(1.0 - begin_load * home.slots / home.callers, now);
+}
+
 bool region_spill::moves(const std::string& service, std::uint64_t object, base::time_point now) {
     auto& known = m_services[service];
     update(known, now);
--- a/carawayway/placement/region_spill.hpp
+++ b/carawayway/placement/region_spill.hpp
@@ -24,7 +24,7 @@
     // Other regions take more only while they are less busy by this much.
     static constexpr double least_difference = 0.12;
     // Most change of the share in a second: well inside the cap on moves between regions.
-    static constexpr double rise_per_second = 0.06;
+    static constexpr double rise_per_second = 0.05;
     static constexpr double fall_per_second = 0.03;
 
     explicit region_spill(std::string home) : m_home(std::move(home)) {}
@@ -32,6 +32,23 @@
     // A server of the region reported its load as a part of its slots; above 1 requests wait.
     void reported(const std::string& service, const std::string& region, double load, base::time_point now);
 
+    // A region with few servers begins with a part of its objects elsewhere: all objects are new then, and
+    // first runs take several times the work that follows.
+    // Load over that of an even spread up to which a region begins with all objects at home.
+    static constexpr double begin_load = 1.2;
+
+    // Known before any load is reported: of the region's callers and its slots, as parts of all.
+    struct region_size {
+        double callers = 0.0;
+        double slots = 0.0;
+
+        bool operator==(const region_size&) const = default;
+    };
+
+    // Only the first call for a service counts.
+    void begin(const std::string& service, const region_size& home, base::time_point now);
+    bool has_begun(const std::string& service) const { return m_services.contains(service); }
+
     // Whether the object is served by another region now.
     bool moves(const std::string& service, std::uint64_t object, base::time_point now);
 
--- a/carawayway/placement/server_choice.cpp
+++ b/carawayway/placement/server_choice.cpp
@@ -134,8 +134,21 @@
     return listed;
 }
 
+base::duration server_choice::cost_beside(const server_state& preferred, const server_state& other) const {
+    const auto& own_region = m_servers.own().region;
+    if (other.region != own_region) {
+        return other_region_cost;
+    }
+    if (preferred.region == own_region) {
+        return other_server_cost;
+    }
+    // The trip to the preferred server is made up for, so that objects that move stay away as firmly as the
+    // others stay at home.
+    return other_region_cost + m_trips.expected(preferred.facts.failure_domain, false);
+}
+
 server_choice::option server_choice::evaluate(const placement_request& request, server_handle server,
-                                              preference order, base::time_point now) const {
+                                              const server_state& preferred, base::time_point now) const {
     const auto& own = m_servers.own();
     option made;
     made.warmth =
@@ -155,10 +168,10 @@
     if (made.warmth == object_warmth::not_held) {
         // The first run at the preferred server is not counted: it serves the requests that follow.
         made.cost += scaled(std::max(first_run, base::duration::zero()),
-                            order == preference::first ? -1.0 : first_run_cost);
+                            server.get() == &preferred ? -1.0 : first_run_cost);
     }
-    if (order == preference::other) {
-        made.cost += server->region == own.region ? other_server_cost : other_region_cost;
+    if (server.get() != &preferred) {
+        made.cost += cost_beside(preferred, *server);
     }
     made.server = std::move(server);
     return made;
@@ -208,17 +221,38 @@
     return first.moved.contains(request.object, first.id_hash);
 }
 
+region_spill::region_size server_choice::own_region_size(const std::string& service) const {
+    const auto& own = m_servers.own().region;
+    double own_slots = 0.0;
+    double all_slots = 0.0;
+    for (const auto& server : m_servers.candidates(service)) {
+        all_slots += server->facts.slots;
+        own_slots += server->region == own ? server->facts.slots : 0.0;
+    }
+    double own_gateways = 0.0;
+    const auto& gateways = m_servers.gateways().all();
+    for (const auto& [name, facts] : gateways) {
+        own_gateways += facts.region == own ? 1.0 : 0.0;
+    }
+    if (all_slots <= 0.0 || gateways.empty()) {
+        return {};
+    }
+    return {own_gateways / static_cast<double>(gateways.size()), own_slots / all_slots};
+}
+
 placement_result server_choice::choose(const placement_request& request, base::time_point now) {
     std::vector<option> options;
     auto listed = shortlist(request);
     if (request.concerns_object) {
         order_by_load(request, listed, now);
     }
+    if (!m_spill.has_begun(request.service)) {
+        m_spill.begin(request.service, own_region_size(request.service), now);
+    }
     const auto* const first = preferred(request, listed, now);
     options.reserve(listed.size());
     for (const auto& server : listed) {
-        options.push_back(
-            evaluate(request, server, server.get() == first ? preference::first : preference::other, now));
+        options.push_back(evaluate(request, server, *first, now));
     }
     if (options.empty()) {
         return {nullptr, refusal::no_server, {}, {}, shortest_retry_after};
@@ -232,19 +266,25 @@
         expected_wait(*best.server, now) > base::duration::zero()) {
         return {nullptr, refusal::overload, {}, best.expected, request.time_left / 4};
     }
+    // A region that lost all its servers sends everything elsewhere at once.
+    const bool served_at_home = std::any_of(options.begin(), options.end(), [this](const option& item) {
+        return item.server->region == m_servers.own().region;
+    });
     base::duration soonest = best.expected;
     for (auto& item : options) {
         soonest = std::min(soonest, item.expected);
         if (item.expected + completion_margin > request.time_left) {
             continue;
         }
-        if (!m_shifts.allows(item.server->region, now)) {
+        const auto move =
+            item.server.get() == first || !served_at_home ? region_move::planned : region_move::urgent;
+        if (move == region_move::urgent && !m_shifts.allows(item.server->region, now)) {
             continue;
         }
         if (m_servers.is_cold(*item.server, now) && !m_servers.take_cold_send(*item.server, now)) {
             continue;
         }
-        m_shifts.ran(item.server->region, now);
+        m_shifts.ran(item.server->region, move, now);
         return {item.server, refusal::none, item.warmth, item.expected, {}};
     }
     return {nullptr, refusal::too_late, {}, soonest, std::max(shortest_retry_after, soonest / 4)};
--- a/carawayway/placement/server_choice.hpp
+++ b/carawayway/placement/server_choice.hpp
@@ -69,12 +69,14 @@
     };
 
     std::vector<server_handle> shortlist(const placement_request& request) const;
-    enum class preference : std::uint8_t { first, other };
-
-    option evaluate(const placement_request& request, server_handle server, preference order,
+    // What a choice other than the preferred server costs besides its time.
+    base::duration cost_beside(const server_state& preferred, const server_state& other) const;
+    option evaluate(const placement_request& request, server_handle server, const server_state& preferred,
                     base::time_point now) const;
     const server_state* preferred(const placement_request& request, const std::vector<server_handle>& listed,
                                   base::time_point now) const;
+    // Operators place gateways by callers, so their number stands for the callers until load is reported.
+    region_spill::region_size own_region_size(const std::string& service) const;
     // Puts the second choice of the own region first for objects that move.
     void order_by_load(const placement_request& request, std::vector<server_handle>& listed,
                        base::time_point now) const;
