gateway: Let one gateway of a domain watch the store for the others

Change: the first gateway of a failure domain by rendezvous rank watches; the others hold a question of up to 0.7 s at it, which it answers when there is news. A reply says whether its sender follows the store and was disturbed, so that an outage seen only by the leader does not turn expired entries into deaths. Who gets no answer within 1 s, or hears that the leader does not follow the store, watches itself for 3 s.

--- a/Tests/fleet/relay_codec_test.cpp
+++ b/Tests/fleet/relay_codec_test.cpp
@@ -11,11 +11,16 @@
 }
 
 TEST(relay_codec, keeps_requests_and_replies) {
-    const fact_request request{77};
+    const fact_request request{77, std::chrono::milliseconds{700}};
     EXPECT_EQ(decode_request(bytes_of(encode(request))), request);
-    const fact_reply reply{
-        90, true, {{"servers/a", std::string("\0\xff{}", 4), 80, false}, {"op/evacuate/b", {}, 90, true}}};
-    EXPECT_EQ(decode_reply(bytes_of(encode(reply))), reply);
+    for (const auto view : {store_view::indirect, store_view::disturbed, store_view::settled}) {
+        const fact_reply reply{
+            90,
+            true,
+            {{"servers/a", std::string("\0\xff{}", 4), 80, false}, {"op/evacuate/b", {}, 90, true}},
+            view};
+        EXPECT_EQ(decode_reply(bytes_of(encode(reply))), reply);
+    }
 }
 
 // Guards against a reply that is taken for a request, and against bytes of another program on the port.
--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -32,13 +32,22 @@
         scripted_store store(m_context, std::move(on_call), std::move(on_end));
         session followed(
             m_context.get_executor(), store.endpoint(), fleet::gateway_facts{}, session::lease_lifetime,
-            m_facts, [](const std::vector<fleet::fact>&) {},
-            [] { return std::vector<boost::asio::ip::tcp::endpoint>{}; });
+            m_facts,
+            [this](const std::vector<fleet::fact>& facts) {
+                if (m_on_facts) {
+                    m_on_facts(facts);
+                }
+            },
+            [] { return std::vector<boost::asio::ip::tcp::endpoint>{}; }, [this] { return m_leader; });
+        m_session = &followed;
         followed.start();
         m_context.run();
     }
     void stop() { m_context.stop(); }
 
+    std::function<void(const std::vector<fleet::fact>&)> m_on_facts;
+    session* m_session = nullptr;
+    std::optional<boost::asio::ip::tcp::endpoint> m_leader; // that the session is to follow
     fleet::fact_log m_facts;
     boost::asio::io_context m_context;
 };
@@ -97,5 +106,109 @@
     EXPECT_EQ(grants_before_end, 1);
 }
 
+class store_session_follow_test : public store_session_test {
+protected:
+    // Another gateway that knows more than the store has told this one.
+    store_session_follow_test()
+        : m_relay(m_context.get_executor(), {boost::asio::ip::address_v4::loopback(), 0}, m_leader_facts,
+                  [this] { return m_view; }) {
+        m_leader_facts.advance(1);
+        m_leader = m_relay.endpoint();
+    }
+
+    void add_news() {
+        m_leader_facts.apply({"op/config", "new", 2, false});
+        m_leader_facts.advance(2);
+        m_relay.notify();
+    }
+
+    fleet::fact_log m_leader_facts;
+    fleet::store_view m_view = fleet::store_view::settled;
+    fact_relay_server m_relay;
+};
+
+// Guards against calls to the store that grow with the number of gateways.
+TEST_F(store_session_follow_test, a_gateway_that_follows_does_not_watch_the_store) {
+    int watches = 0;
+    boost::asio::steady_timer news(m_context);
+    news.expires_after(std::chrono::milliseconds{100});
+    news.async_wait([this](boost::system::error_code) { add_news(); });
+    m_on_facts = [&](const std::vector<fleet::fact>& facts) {
+        if (!facts.empty() && facts.front().revision == 2) {
+            stop();
+        }
+    };
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (target.starts_with("/kv-range")) {
+                return empty_listing();
+            }
+            watches += is_watch(target) ? 1 : 0;
+            return silence();
+        },
+        [](const std::string&) {});
+    EXPECT_EQ(m_facts.revision(), 2);
+    EXPECT_EQ(watches, 0);
+}
+
+// Guards against a gateway that learns nothing because the one it follows has lost the store.
+TEST_F(store_session_follow_test, watches_the_store_when_the_leader_does_not) {
+    m_view = fleet::store_view::indirect;
+    std::string watch;
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (target.starts_with("/kv-range")) {
+                return empty_listing();
+            }
+            if (is_watch(target)) {
+                watch = target;
+                stop();
+            }
+            return silence();
+        },
+        [](const std::string&) {});
+    EXPECT_TRUE(is_long_watch(watch));
+}
+
+// Guards against a gateway that learns nothing because the one it follows stands still.
+TEST_F(store_session_follow_test, watches_the_store_when_the_leader_is_silent) {
+    boost::asio::ip::tcp::acceptor silent(m_context, {boost::asio::ip::address_v4::loopback(), 0});
+    m_leader = silent.local_endpoint();
+    std::string watch;
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (target.starts_with("/kv-range")) {
+                return empty_listing();
+            }
+            if (is_watch(target)) {
+                watch = target;
+                stop();
+            }
+            return silence();
+        },
+        [](const std::string&) {});
+    EXPECT_TRUE(is_long_watch(watch));
+}
+
+// Guards against servers that are taken for dead because the leader saw their entries expire in an outage
+// that this gateway did not notice.
+TEST_F(store_session_follow_test, trouble_of_the_leader_counts_as_its_own) {
+    m_view = fleet::store_view::disturbed;
+    bool settled = true;
+    m_on_facts = [&](const std::vector<fleet::fact>& facts) {
+        if (!facts.empty()) {
+            settled = m_session->condition().is_settled(base::monotonic_now());
+            stop();
+        }
+    };
+    add_news();
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            return target.starts_with("/kv-range") ? empty_listing() : silence();
+        },
+        [](const std::string&) {});
+    EXPECT_FALSE(settled);
+}
+
 } // namespace
 } // namespace carawayway::gateway
--- a/carawayway/fleet/relay_codec.cpp
+++ b/carawayway/fleet/relay_codec.cpp
@@ -21,6 +21,30 @@
     return schema::VerifyMessageBuffer(verifier) ? schema::GetMessage(bytes) : nullptr;
 }
 
+schema::StoreView to_wire(store_view view) {
+    switch (view) {
+    case store_view::indirect:
+        return schema::StoreView::Indirect;
+    case store_view::disturbed:
+        return schema::StoreView::Disturbed;
+    case store_view::settled:
+        return schema::StoreView::Settled;
+    }
+    return schema::StoreView::Indirect;
+}
+
+// A value that this version does not know vouches for nothing.
+store_view from_wire(schema::StoreView view) {
+    switch (view) {
+    case schema::StoreView::Disturbed:
+        return store_view::disturbed;
+    case schema::StoreView::Settled:
+        return store_view::settled;
+    default:
+        return store_view::indirect;
+    }
+}
+
 fact read_fact(const schema::Fact& from) {
     fact item{from.key()->str(), {}, from.revision(), from.erased()};
     if (const auto* const value = from.value()) {
@@ -33,7 +57,8 @@
 
 std::string encode(const fact_request& request) {
     flatbuffers::FlatBufferBuilder builder;
-    const auto body = schema::CreateFactRequest(builder, request.revision);
+    const auto body = schema::CreateFactRequest(builder, request.revision,
+                                                static_cast<std::uint32_t>(request.wait.count()));
     return finish(builder, schema::Body::FactRequest, body.Union());
 }
 
@@ -48,7 +73,8 @@
         facts.push_back(schema::CreateFact(builder, key, value, item.revision, item.erased));
     }
     const auto list = builder.CreateVector(facts);
-    const auto body = schema::CreateFactReply(builder, reply.revision, reply.complete, list);
+    const auto body =
+        schema::CreateFactReply(builder, reply.revision, reply.complete, list, to_wire(reply.view));
     return finish(builder, schema::Body::FactReply, body.Union());
 }
 
@@ -58,7 +84,7 @@
     if (body == nullptr) {
         return std::nullopt;
     }
-    return fact_request{body->revision()};
+    return fact_request{body->revision(), std::chrono::milliseconds{body->wait_ms()}};
 }
 
 std::optional<fact_reply> decode_reply(std::span<const std::byte> payload) {
@@ -67,7 +93,7 @@
     if (body == nullptr) {
         return std::nullopt;
     }
-    fact_reply reply{body->revision(), body->complete(), {}};
+    fact_reply reply{body->revision(), body->complete(), {}, from_wire(body->store_view())};
     if (const auto* const facts = body->facts()) {
         for (const auto* const item : *facts) {
             reply.facts.push_back(read_fact(*item));
--- a/carawayway/fleet/relay_codec.hpp
+++ b/carawayway/fleet/relay_codec.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/fleet/fact_log.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -13,15 +14,24 @@
 namespace carawayway::fleet {
 
 struct fact_request {
-    std::int64_t revision = 0; // up to which the sender knows all changes
+    std::int64_t revision = 0;         // up to which the sender knows all changes
+    std::chrono::milliseconds wait{0}; // longest time that the answer may wait for news
 
     bool operator==(const fact_request&) const = default;
 };
 
+// What the answering gateway knows of the store's state.
+enum class store_view : std::uint8_t {
+    indirect,  // it does not follow the store itself, or not now
+    disturbed, // it does, and had trouble a short time ago: entries may be missing whose owners live
+    settled,
+};
+
 struct fact_reply {
     std::int64_t revision = 0;
     bool complete = false; // the facts are a whole listing, not only the changes
     std::vector<fact> facts;
+    store_view view = store_view::indirect;
 
     bool operator==(const fact_reply&) const = default;
 };
--- a/carawayway/fleet/store_condition.hpp
+++ b/carawayway/fleet/store_condition.hpp
@@ -17,6 +17,9 @@
         m_in_contact = false;
     }
 
+    // A gateway that is followed had trouble a short time ago; contact is kept.
+    void disturbed(base::time_point now) { m_last_trouble = now; }
+
     // Returns true when contact was lost before.
     bool contact() {
         const bool regained = !m_in_contact;
--- a/carawayway/gateway/fact_relay.cpp
+++ b/carawayway/gateway/fact_relay.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace carawayway::gateway {
@@ -66,8 +67,9 @@
 
 fact_relay_server::fact_relay_server(const boost::asio::any_io_executor& executor,
                                      const boost::asio::ip::tcp::endpoint& address,
-                                     const fleet::fact_log& facts)
-    : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(executor, address)), m_facts(facts) {
+                                     const fleet::fact_log& facts, view_function view)
+    : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(executor, address)), m_facts(facts),
+      m_view(std::move(view)) {
     boost::asio::co_spawn(executor, accept(), boost::asio::detached);
 }
 
@@ -82,8 +84,7 @@
         boost::system::error_code error;
         auto socket = co_await acceptor->async_accept(redirect_error(use_awaitable, error));
         if (!error) {
-            boost::asio::co_spawn(acceptor->get_executor(), serve(std::move(socket), m_facts),
-                                  boost::asio::detached);
+            boost::asio::co_spawn(acceptor->get_executor(), serve(std::move(socket)), boost::asio::detached);
         } else if (acceptor->is_open()) {
             boost::asio::steady_timer pause(acceptor->get_executor(), accept_pause);
             co_await pause.async_wait(redirect_error(use_awaitable, error));
@@ -91,8 +92,22 @@
     }
 }
 
-boost::asio::awaitable<void> fact_relay_server::serve(boost::asio::ip::tcp::socket socket,
-                                                      const fleet::fact_log& facts) {
+void fact_relay_server::notify() {
+    for (auto* const timer : m_held) {
+        timer->cancel();
+    }
+}
+
+boost::asio::awaitable<void> fact_relay_server::hold(const fleet::fact_request& request) {
+    boost::asio::steady_timer timer(m_acceptor->get_executor());
+    timer.expires_after(std::min<base::duration>(request.wait, longest_wait));
+    m_held.insert(&timer);
+    boost::system::error_code answered_early;
+    co_await timer.async_wait(redirect_error(use_awaitable, answered_early));
+    m_held.erase(&timer);
+}
+
+boost::asio::awaitable<void> fact_relay_server::serve(boost::asio::ip::tcp::socket socket) {
     boost::beast::tcp_stream stream(std::move(socket));
     stream.expires_after(whole_milliseconds(serve_timeout));
     const auto payload = co_await read_frame(stream);
@@ -101,8 +116,14 @@
         base::log(base::log_level::warning, "relay-request-invalid");
         co_return;
     }
-    const auto changes = facts.changes_after(request->revision);
-    const fleet::fact_reply reply{facts.revision(), !changes.has_value(), changes ? *changes : facts.all()};
+    const bool has_news = m_facts.revision() > request->revision;
+    if (request->wait.count() > 0 && !has_news && m_view() != fleet::store_view::indirect) {
+        co_await hold(*request);
+    }
+    stream.expires_after(whole_milliseconds(serve_timeout));
+    const auto changes = m_facts.changes_after(request->revision);
+    const fleet::fact_reply reply{m_facts.revision(), !changes.has_value(),
+                                  changes ? *changes : m_facts.all(), m_view()};
     co_await write_frame(stream, fleet::encode(reply));
 }
 
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -44,8 +44,9 @@
               m_facts,
               [this](const std::vector<fleet::fact>& facts) {
                   m_applier.apply(facts, m_store.condition(), base::monotonic_now());
+                  m_relay->notify();
               },
-              [this] { return peer_addresses(); }),
+              [this] { return peer_addresses(); }, [this] { return leader_address(); }),
           m_tick(m_context), m_stop_timer(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
 
     // Serves until a signal ends it. Throws boost::system::system_error when an address cannot be bound.
@@ -97,8 +98,8 @@
         if (m_settings.metrics_address) {
             open_service(*m_settings.metrics_address, [this](const http_request&) { return metrics_page(); });
         }
-        m_relay =
-            std::make_unique<fact_relay_server>(executor, endpoint_of(m_settings.peer_address), m_facts);
+        m_relay = std::make_unique<fact_relay_server>(executor, endpoint_of(m_settings.peer_address), m_facts,
+                                                      [this] { return m_store.view(); });
     }
 
     // Answers from memory, in the next turn of the loop.
@@ -177,6 +178,11 @@
         return addresses;
     }
 
+    std::optional<boost::asio::ip::tcp::endpoint> leader_address() const {
+        const auto leader = m_state.servers.gateways().leader_of_own_domain();
+        return leader ? net::parse_endpoint(leader->peer_address) : std::nullopt;
+    }
+
     void tick() {
         const auto now = base::monotonic_now();
         m_applier.settle(m_store.condition(), now);
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -21,7 +21,8 @@
 namespace carawayway::gateway {
 
 // One waiting watch over all keys, resumed at its revision; a whole listing when the history is gone; and the
-// facts of another gateway while the store does not answer.
+// facts of another gateway while the store does not answer. One gateway of a failure domain watches, and the
+// others follow it: calls to the store grow with the domains and not with the gateways.
 template <platform_protocol Platform>
 class store_session {
 public:
@@ -44,17 +45,25 @@
     static constexpr base::duration lease_lifetime = std::chrono::milliseconds{3500};
     static constexpr base::duration renew_interval = std::chrono::milliseconds{1100};
     static constexpr base::duration relay_timeout = std::chrono::milliseconds{700};
+    // Longest wait of a question to the gateway that is followed. With the margin it bounds how long a
+    // gateway that stands still goes unnoticed; a change must be in force within 2.5 s.
+    static constexpr base::duration follow_wait = std::chrono::milliseconds{700};
+    static constexpr base::duration follow_margin = std::chrono::milliseconds{300};
+    // A gateway that cannot follow watches the store itself for this long before it tries again.
+    static constexpr base::duration follow_pause = std::chrono::seconds{3};
 
     using facts_handler = std::function<void(const std::vector<fleet::fact>&)>;
     using peers_function = std::function<std::vector<boost::asio::ip::tcp::endpoint>()>;
+    // The gateway to follow; nothing when this one is to watch the store.
+    using leader_function = std::function<std::optional<boost::asio::ip::tcp::endpoint>()>;
 
     store_session(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& store,
                   fleet::gateway_facts own, base::duration lease, fleet::fact_log& facts,
-                  facts_handler on_facts, peers_function peers)
+                  facts_handler on_facts, peers_function peers, leader_function leader)
         : m_executor(std::move(executor)), m_own(std::move(own)), m_lifetime(lease), m_facts(facts),
-          m_on_facts(std::move(on_facts)), m_peers(std::move(peers)), m_watch(m_executor, store),
-          m_calls(m_executor, store), m_watch_timer(m_executor), m_lease_timer(m_executor),
-          m_random(std::random_device{}()) {}
+          m_on_facts(std::move(on_facts)), m_peers(std::move(peers)), m_leader(std::move(leader)),
+          m_watch(m_executor, store), m_calls(m_executor, store), m_watch_timer(m_executor),
+          m_lease_timer(m_executor), m_random(std::random_device{}()) {}
 
     void start() {
         boost::asio::co_spawn(m_executor, keep_facts(), boost::asio::detached);
@@ -78,16 +87,33 @@
 
     const fleet::store_condition& condition() const { return m_condition; }
 
+    // What gateways that follow this one may rely on.
+    fleet::store_view view() const {
+        if (!m_watches || !m_condition.in_contact()) {
+            return fleet::store_view::indirect;
+        }
+        return m_condition.is_settled(base::monotonic_now()) ? fleet::store_view::settled
+                                                             : fleet::store_view::disturbed;
+    }
+
 private:
     boost::asio::awaitable<void> keep_facts() {
         std::uint32_t failures = 0;
         bool listed = false;
         for (;;) {
             auto status = fleet::store_status::refused;
-            if (listed) {
-                status = co_await watch_once();
-            } else {
+            if (!listed) {
                 status = co_await list_all();
+            } else {
+                const auto leader = leader_to_follow();
+                bool followed = false;
+                if (leader) {
+                    followed = co_await follow(*leader);
+                }
+                if (followed) {
+                    continue;
+                }
+                status = co_await watch_once();
             }
             if (status == fleet::store_status::done) {
                 listed = true;
@@ -158,32 +184,69 @@
         co_return fleet::store_status::done;
     }
 
+    // Nothing while the store is in trouble: each gateway finds out by itself when it is back.
+    std::optional<boost::asio::ip::tcp::endpoint> leader_to_follow() {
+        const bool may_follow = m_condition.in_contact() && base::monotonic_now() >= m_follow_from;
+        auto leader = may_follow ? m_leader() : std::nullopt;
+        m_watches = !leader.has_value();
+        return leader;
+    }
+
+    // False when the leader does not answer, or does not follow the store itself.
+    boost::asio::awaitable<bool> follow(boost::asio::ip::tcp::endpoint leader) {
+        const fleet::fact_request request{m_facts.revision(),
+                                          std::chrono::duration_cast<std::chrono::milliseconds>(follow_wait)};
+        const auto reply = co_await ask_for_facts(m_executor, leader, request, follow_wait + follow_margin);
+        const bool reliable = reply && reply->view != fleet::store_view::indirect;
+        if (!reliable) {
+            m_watches = true;
+            m_follow_from = base::monotonic_now() + follow_pause;
+            base::log(base::log_level::info, "leader-not-followed",
+                      {{"leader", leader.address().to_string()}, {"answered", reply.has_value()}});
+            co_return false;
+        }
+        if (reply->view == fleet::store_view::disturbed) {
+            m_condition.disturbed(base::monotonic_now());
+        }
+        take(*reply, leader);
+        co_return true;
+    }
+
     boost::asio::awaitable<void> ask_peer() {
         const auto peers = m_peers();
         if (peers.empty()) {
             co_return;
         }
         const auto& peer = peers[m_random() % peers.size()];
-        const auto reply = co_await ask_for_facts(m_executor, peer, {m_facts.revision()}, relay_timeout);
-        if (!reply || reply->revision < m_facts.revision()) {
-            co_return;
+        const fleet::fact_request request{m_facts.revision(), {}};
+        const auto reply = co_await ask_for_facts(m_executor, peer, request, relay_timeout);
+        if (reply) {
+            take(*reply, peer);
+        }
+    }
+
+    // Facts of another gateway; they may be older than the own ones.
+    void take(const fleet::fact_reply& reply, const boost::asio::ip::tcp::endpoint& from) {
+        if (reply.revision < m_facts.revision()) {
+            return;
         }
         std::vector<fleet::fact> changes;
-        if (reply->complete) {
-            changes = m_facts.replace_all(reply->facts, reply->revision);
+        if (reply.complete) {
+            changes = m_facts.replace_all(reply.facts, reply.revision);
         } else {
-            for (const auto& item : reply->facts) {
+            for (const auto& item : reply.facts) {
                 if (m_facts.apply(item)) {
                     changes.push_back(item);
                 }
             }
-            m_facts.advance(reply->revision);
+            m_facts.advance(reply.revision);
         }
         if (!changes.empty()) {
-            base::log(base::log_level::info, "facts-from-peer",
-                      {{"peer", peer.address().to_string()},
+            base::log(m_condition.in_contact() ? base::log_level::debug : base::log_level::info,
+                      "facts-from-peer",
+                      {{"peer", from.address().to_string()},
                        {"changes", changes.size()},
-                       {"revision", reply->revision}});
+                       {"revision", reply.revision}});
             m_on_facts(changes);
         }
     }
@@ -264,13 +327,16 @@
     fleet::fact_log& m_facts;
     facts_handler m_on_facts;
     peers_function m_peers;
+    leader_function m_leader;
     store_channel m_watch; // listing and watch
     store_channel m_calls; // lease and own entry
     boost::asio::steady_timer m_watch_timer;
     boost::asio::steady_timer m_lease_timer;
     std::minstd_rand m_random;
     fleet::store_condition m_condition;
-    std::int64_t m_lease = 0; // 0: none
+    bool m_watches = true;            // the store; not while a leader is followed
+    base::time_point m_follow_from{}; // a leader may be followed again
+    std::int64_t m_lease = 0;         // 0: none
     bool m_withdrawn = false;
 };
 
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -29,6 +29,39 @@
 struct Message;
 struct MessageBuilder;
 
+enum class StoreView : uint8_t {
+  Indirect = 0,
+  Disturbed = 1,
+  Settled = 2,
+  MIN = Indirect,
+  MAX = Settled
+};
+
+inline const StoreView (&EnumValuesStoreView())[3] {
+  static const StoreView values[] = {
+    StoreView::Indirect,
+    StoreView::Disturbed,
+    StoreView::Settled
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesStoreView() {
+  static const char * const names[4] = {
+    "Indirect",
+    "Disturbed",
+    "Settled",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameStoreView(StoreView e) {
+  if (flatbuffers::IsOutRange(e, StoreView::Indirect, StoreView::Settled)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesStoreView()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   FactRequest = 1,
@@ -177,14 +210,19 @@
   typedef FactRequestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4
+    VT_REVISION = 4,
+    VT_WAIT_MS = 6
   };
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
   }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -196,6 +234,9 @@
   void add_revision(int64_t revision) {
     fbb_.AddElement<int64_t>(FactRequest::VT_REVISION, revision, 0);
   }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(FactRequest::VT_WAIT_MS, wait_ms, 0);
+  }
   explicit FactRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -209,9 +250,11 @@
 
 inline flatbuffers::Offset<FactRequest> CreateFactRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    int64_t revision = 0) {
+    int64_t revision = 0,
+    uint32_t wait_ms = 0) {
   FactRequestBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_wait_ms(wait_ms);
   return builder_.Finish();
 }
 
@@ -226,7 +269,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISION = 4,
     VT_COMPLETE = 6,
-    VT_FACTS = 8
+    VT_FACTS = 8,
+    VT_STORE_VIEW = 10
   };
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
@@ -237,6 +281,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *facts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *>(VT_FACTS);
   }
+  carawayway::wire::relay::StoreView store_view() const {
+    return static_cast<carawayway::wire::relay::StoreView>(GetField<uint8_t>(VT_STORE_VIEW, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
@@ -244,6 +291,7 @@
            VerifyOffset(verifier, VT_FACTS) &&
            verifier.VerifyVector(facts()) &&
            verifier.VerifyVectorOfTables(facts()) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_VIEW, 1) &&
            verifier.EndTable();
   }
 };
@@ -261,6 +309,9 @@
   void add_facts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>>> facts) {
     fbb_.AddOffset(FactReply::VT_FACTS, facts);
   }
+  void add_store_view(carawayway::wire::relay::StoreView store_view) {
+    fbb_.AddElement<uint8_t>(FactReply::VT_STORE_VIEW, static_cast<uint8_t>(store_view), 0);
+  }
   explicit FactReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -276,10 +327,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t revision = 0,
     bool complete = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>>> facts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>>> facts = 0,
+    carawayway::wire::relay::StoreView store_view = carawayway::wire::relay::StoreView::Indirect) {
   FactReplyBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_facts(facts);
+  builder_.add_store_view(store_view);
   builder_.add_complete(complete);
   return builder_.Finish();
 }
@@ -293,13 +346,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t revision = 0,
     bool complete = false,
-    const std::vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *facts = nullptr) {
+    const std::vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *facts = nullptr,
+    carawayway::wire::relay::StoreView store_view = carawayway::wire::relay::StoreView::Indirect) {
   auto facts__ = facts ? _fbb.CreateVector<flatbuffers::Offset<carawayway::wire::relay::Fact>>(*facts) : 0;
   return carawayway::wire::relay::CreateFactReply(
       _fbb,
       revision,
       complete,
-      facts__);
+      facts__,
+      store_view);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
