gateway: Believe removals that a peer vouches for, and take over its time since trouble

Change: replies carry the time since the sender's last trouble. A removal heard from a sender that is settled counts at once; a follower takes over its leader's time instead of starting its own. Tests: three in store_session_test, one in store_condition_test; before the change the second and third fail.

--- a/Tests/fleet/relay_codec_test.cpp
+++ b/Tests/fleet/relay_codec_test.cpp
@@ -13,12 +13,13 @@
 TEST(relay_codec, keeps_requests_and_replies) {
     const fact_request request{77, std::chrono::milliseconds{700}};
     EXPECT_EQ(decode_request(bytes_of(encode(request))), request);
-    for (const auto view : {store_view::indirect, store_view::disturbed, store_view::settled}) {
+    for (const bool watches_store : {false, true}) {
         const fact_reply reply{
             90,
             true,
             {{"servers/a", std::string("\0\xff{}", 4), 80, false}, {"op/evacuate/b", {}, 90, true}},
-            view};
+            watches_store,
+            std::chrono::milliseconds{2300}};
         EXPECT_EQ(decode_reply(bytes_of(encode(reply))), reply);
     }
 }
--- a/Tests/fleet/store_condition_test.cpp
+++ b/Tests/fleet/store_condition_test.cpp
@@ -23,6 +23,18 @@
     EXPECT_TRUE(store.is_settled(start + store_condition::settling_time));
 }
 
+// Guards against a gateway that doubts removals for the settling time again after the one that it follows has
+// stopped to do so.
+TEST(store_condition, takes_over_the_trouble_of_the_gateway_that_it_follows) {
+    store_condition store;
+    store.contact();
+    store.followed(500ms, start);
+    EXPECT_FALSE(store.is_settled(start));
+    EXPECT_EQ(store.undisturbed(start), 500ms);
+    store.followed(60s, start + 1s);
+    EXPECT_TRUE(store.is_settled(start + store_condition::settling_time - 500ms));
+}
+
 TEST(store_condition, reports_regained_contact_once) {
     store_condition store;
     EXPECT_TRUE(store.contact());
--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -33,20 +33,19 @@
         session followed(
             m_context.get_executor(), store.endpoint(), fleet::gateway_facts{}, session::lease_lifetime,
             m_facts,
-            [this](const std::vector<fleet::fact>& facts) {
+            [this](const std::vector<fleet::fact>& facts, removal_trust trust) {
                 if (m_on_facts) {
-                    m_on_facts(facts);
+                    m_on_facts(facts, trust);
                 }
             },
-            [] { return std::vector<boost::asio::ip::tcp::endpoint>{}; }, [this] { return m_leader; });
-        m_session = &followed;
+            [this] { return m_peers; }, [this] { return m_leader; });
         followed.start();
         m_context.run();
     }
     void stop() { m_context.stop(); }
 
-    std::function<void(const std::vector<fleet::fact>&)> m_on_facts;
-    session* m_session = nullptr;
+    session::facts_handler m_on_facts;
+    std::vector<boost::asio::ip::tcp::endpoint> m_peers;
     std::optional<boost::asio::ip::tcp::endpoint> m_leader; // that the session is to follow
     fleet::fact_log m_facts;
     boost::asio::io_context m_context;
@@ -114,6 +113,22 @@
                   [this] { return m_view; }) {
         m_leader_facts.advance(1);
         m_leader = m_relay.endpoint();
+        m_on_facts = [this](const std::vector<fleet::fact>& facts, removal_trust trust) {
+            if (!facts.empty()) {
+                m_trust = trust;
+                stop();
+            }
+        };
+    }
+
+    // How far the session believes the news that it hears from its leader.
+    std::optional<removal_trust> trust_in_news() {
+        run(
+            [&](const std::string& target) -> scripted_answer {
+                return target.starts_with("/kv-range") ? empty_listing() : silence();
+            },
+            [](const std::string&) {});
+        return m_trust;
     }
 
     void add_news() {
@@ -123,8 +138,9 @@
     }
 
     fleet::fact_log m_leader_facts;
-    fleet::store_view m_view = fleet::store_view::settled;
+    fact_relay_server::store_view m_view{true, std::chrono::seconds{60}};
     fact_relay_server m_relay;
+    std::optional<removal_trust> m_trust; // of the news
 };
 
 // Guards against calls to the store that grow with the number of gateways.
@@ -133,7 +149,7 @@
     boost::asio::steady_timer news(m_context);
     news.expires_after(std::chrono::milliseconds{100});
     news.async_wait([this](boost::system::error_code) { add_news(); });
-    m_on_facts = [&](const std::vector<fleet::fact>& facts) {
+    m_on_facts = [&](const std::vector<fleet::fact>& facts, removal_trust) {
         if (!facts.empty() && facts.front().revision == 2) {
             stop();
         }
@@ -153,7 +169,7 @@
 
 // Guards against a gateway that learns nothing because the one it follows has lost the store.
 TEST_F(store_session_follow_test, watches_the_store_when_the_leader_does_not) {
-    m_view = fleet::store_view::indirect;
+    m_view.watches_store = false;
     std::string watch;
     run(
         [&](const std::string& target) -> scripted_answer {
@@ -193,21 +209,33 @@
 // Guards against servers that are taken for dead because the leader saw their entries expire in an outage
 // that this gateway did not notice.
 TEST_F(store_session_follow_test, trouble_of_the_leader_counts_as_its_own) {
-    m_view = fleet::store_view::disturbed;
-    bool settled = true;
-    m_on_facts = [&](const std::vector<fleet::fact>& facts) {
-        if (!facts.empty()) {
-            settled = m_session->condition().is_settled(base::monotonic_now());
-            stop();
-        }
-    };
+    m_view.undisturbed = std::chrono::milliseconds{500};
+    add_news();
+    EXPECT_EQ(trust_in_news(), removal_trust::uncertain);
+}
+
+// Guards against removals that a follower doubts for longer than its leader: the time since the leader's last
+// trouble counts, not the time since it was heard.
+TEST_F(store_session_follow_test, old_trouble_of_the_leader_is_over) {
+    m_view.undisturbed = fleet::store_condition::settling_time + std::chrono::milliseconds{100};
+    add_news();
+    EXPECT_EQ(trust_in_news(), removal_trust::certain);
+}
+
+// Guards against a gateway that is cut off from the store and sends to a server that left, although a peer
+// that sees the store well has told it of the removal. Days with node_cut played this: a request reached a
+// server 12 s after it had said that it leaves.
+TEST_F(store_session_follow_test, a_peer_that_sees_the_store_well_vouches_for_removals) {
+    m_peers.push_back(*m_leader);
+    m_leader.reset();
     add_news();
     run(
         [&](const std::string& target) -> scripted_answer {
-            return target.starts_with("/kv-range") ? empty_listing() : silence();
+            return target.starts_with("/kv-range") ? empty_listing()
+                                                   : scripted_answer{store_reaction::close, {}};
         },
         [](const std::string&) {});
-    EXPECT_FALSE(settled);
+    EXPECT_EQ(m_trust, removal_trust::certain);
 }
 
 } // namespace
--- a/carawayway/fleet/relay_codec.cpp
+++ b/carawayway/fleet/relay_codec.cpp
@@ -3,6 +3,8 @@
 
 #include "carawayway/wire/relay_generated.h"
 
+#include <algorithm>
+
 namespace carawayway::fleet {
 
 namespace {
@@ -21,28 +23,8 @@
     return schema::VerifyMessageBuffer(verifier) ? schema::GetMessage(bytes) : nullptr;
 }
 
-schema::StoreView to_wire(store_view view) {
-    switch (view) {
-    case store_view::indirect:
-        return schema::StoreView::Indirect;
-    case store_view::disturbed:
-        return schema::StoreView::Disturbed;
-    case store_view::settled:
-        return schema::StoreView::Settled;
-    }
-    return schema::StoreView::Indirect;
-}
-
-// A value that this version does not know vouches for nothing.
-store_view from_wire(schema::StoreView view) {
-    switch (view) {
-    case schema::StoreView::Disturbed:
-        return store_view::disturbed;
-    case schema::StoreView::Settled:
-        return store_view::settled;
-    default:
-        return store_view::indirect;
-    }
+std::uint32_t to_wire(std::chrono::milliseconds value) {
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, UINT32_MAX));
 }
 
 fact read_fact(const schema::Fact& from) {
@@ -57,8 +39,7 @@
 
 std::string encode(const fact_request& request) {
     flatbuffers::FlatBufferBuilder builder;
-    const auto body = schema::CreateFactRequest(builder, request.revision,
-                                                static_cast<std::uint32_t>(request.wait.count()));
+    const auto body = schema::CreateFactRequest(builder, request.revision, to_wire(request.wait));
     return finish(builder, schema::Body::FactRequest, body.Union());
 }
 
@@ -73,8 +54,8 @@
         facts.push_back(schema::CreateFact(builder, key, value, item.revision, item.erased));
     }
     const auto list = builder.CreateVector(facts);
-    const auto body =
-        schema::CreateFactReply(builder, reply.revision, reply.complete, list, to_wire(reply.view));
+    const auto body = schema::CreateFactReply(builder, reply.revision, reply.complete, list,
+                                              reply.watches_store, to_wire(reply.undisturbed));
     return finish(builder, schema::Body::FactReply, body.Union());
 }
 
@@ -93,7 +74,11 @@
     if (body == nullptr) {
         return std::nullopt;
     }
-    fact_reply reply{body->revision(), body->complete(), {}, from_wire(body->store_view())};
+    fact_reply reply{body->revision(),
+                     body->complete(),
+                     {},
+                     body->watches_store(),
+                     std::chrono::milliseconds{body->undisturbed_ms()}};
     if (const auto* const facts = body->facts()) {
         for (const auto* const item : *facts) {
             reply.facts.push_back(read_fact(*item));
--- a/carawayway/fleet/relay_codec.hpp
+++ b/carawayway/fleet/relay_codec.hpp
@@ -20,18 +20,13 @@
     bool operator==(const fact_request&) const = default;
 };
 
-// What the answering gateway knows of the store's state.
-enum class store_view : std::uint8_t {
-    indirect,  // it does not follow the store itself, or not now
-    disturbed, // it does, and had trouble a short time ago: entries may be missing whose owners live
-    settled,
-};
-
 struct fact_reply {
     std::int64_t revision = 0;
     bool complete = false; // the facts are a whole listing, not only the changes
     std::vector<fact> facts;
-    store_view view = store_view::indirect;
+    bool watches_store = false; // the sender follows the store itself, and is in contact with it
+    std::chrono::milliseconds undisturbed{
+        0}; // since the sender's last trouble with the store; 0: it has trouble
 
     bool operator==(const fact_reply&) const = default;
 };
--- a/carawayway/fleet/store_condition.hpp
+++ b/carawayway/fleet/store_condition.hpp
@@ -3,6 +3,8 @@
 
 #include "carawayway/base/time.hpp"
 
+#include <algorithm>
+
 namespace carawayway::fleet {
 
 // Entries expire while the store is down, although their owners live, and return once it is back. A
@@ -17,8 +19,15 @@
         m_in_contact = false;
     }
 
-    // A gateway that is followed had trouble a short time ago; contact is kept.
-    void disturbed(base::time_point now) { m_last_trouble = now; }
+    // A gateway that is followed had its last trouble this long ago; contact is kept.
+    void followed(base::duration undisturbed, base::time_point now) {
+        m_last_trouble = std::max(m_last_trouble, now - undisturbed);
+    }
+
+    // Time since the last trouble; zero while it lasts.
+    base::duration undisturbed(base::time_point now) const {
+        return m_in_contact ? now - m_last_trouble : base::duration::zero();
+    }
 
     // Returns true when contact was lost before.
     bool contact() {
--- a/carawayway/gateway/fact_applier.hpp
+++ b/carawayway/gateway/fact_applier.hpp
@@ -5,6 +5,7 @@
 #include "carawayway/base/log.hpp"
 #include "carawayway/fleet/store_condition.hpp"
 #include "carawayway/gateway/relay_state.hpp"
+#include "carawayway/gateway/removal_trust.hpp"
 
 #include <functional>
 #include <set>
@@ -19,13 +20,12 @@
     fact_applier(relay_state& state, std::function<void()> own_entry_lost)
         : m_state(state), m_own_entry_lost(std::move(own_entry_lost)) {}
 
-    void apply(const std::vector<fleet::fact>& facts, const fleet::store_condition& store,
-               base::time_point now) {
+    void apply(const std::vector<fleet::fact>& facts, removal_trust trust, base::time_point now) {
         for (const auto& item : facts) {
             const auto subject = Platform::subject_of(item.key);
             switch (subject.kind) {
             case fleet::fact_kind::server:
-                apply_server(subject.name, item, store, now);
+                apply_server(subject.name, item, trust, now);
                 break;
             case fleet::fact_kind::configuration:
                 apply_configuration(item);
@@ -34,7 +34,7 @@
                 apply_evacuation(subject.name, item, now);
                 break;
             case fleet::fact_kind::gateway:
-                apply_gateway(subject.name, item, store, now);
+                apply_gateway(subject.name, item, trust);
                 break;
             case fleet::fact_kind::other:
                 break;
@@ -62,10 +62,10 @@
     }
 
 private:
-    void apply_server(const std::string& id, const fleet::fact& item, const fleet::store_condition& store,
+    void apply_server(const std::string& id, const fleet::fact& item, removal_trust trust,
                       base::time_point now) {
         if (item.erased) {
-            if (store.is_settled(now)) {
+            if (trust == removal_trust::certain) {
                 remove_server(id, "entry removed", item.revision);
             } else {
                 m_state.servers.mark_missing(id);
@@ -116,13 +116,12 @@
                   {{"domain", domain}, {"revision", item.revision}});
     }
 
-    void apply_gateway(const std::string& name, const fleet::fact& item, const fleet::store_condition& store,
-                       base::time_point now) {
+    void apply_gateway(const std::string& name, const fleet::fact& item, removal_trust trust) {
         const bool own = name == m_state.servers.own().gateway;
         if (item.erased) {
             if (own) {
                 m_own_entry_lost();
-            } else if (store.is_settled(now)) {
+            } else if (trust == removal_trust::certain) {
                 m_state.servers.gateways().erase(name);
                 base::log(base::log_level::info, "gateway-gone",
                           {{"gateway", name}, {"reason", "entry removed"}, {"revision", item.revision}});
--- a/carawayway/gateway/fact_relay.cpp
+++ b/carawayway/gateway/fact_relay.cpp
@@ -117,13 +117,15 @@
         co_return;
     }
     const bool has_news = m_facts.revision() > request->revision;
-    if (request->wait.count() > 0 && !has_news && m_view() != fleet::store_view::indirect) {
+    if (request->wait.count() > 0 && !has_news && m_view().watches_store) {
         co_await hold(*request);
     }
     stream.expires_after(whole_milliseconds(serve_timeout));
     const auto changes = m_facts.changes_after(request->revision);
+    const auto view = m_view();
     const fleet::fact_reply reply{m_facts.revision(), !changes.has_value(),
-                                  changes ? *changes : m_facts.all(), m_view()};
+                                  changes ? *changes : m_facts.all(), view.watches_store,
+                                  whole_milliseconds(view.undisturbed)};
     co_await write_frame(stream, fleet::encode(reply));
 }
 
--- a/carawayway/gateway/fact_relay.hpp
+++ b/carawayway/gateway/fact_relay.hpp
@@ -22,7 +22,14 @@
     // Longest time that a question is held, whatever it allows.
     static constexpr base::duration longest_wait = std::chrono::seconds{2};
 
-    using view_function = std::function<fleet::store_view()>;
+    // What the sender of a reply says of itself besides the facts.
+    struct store_view {
+        bool watches_store = false;
+        base::duration undisturbed{};
+
+        bool operator==(const store_view&) const = default;
+    };
+    using view_function = std::function<store_view()>;
 
     // Throws boost::system::system_error when the address cannot be bound.
     fact_relay_server(const boost::asio::any_io_executor& executor,
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -42,8 +42,8 @@
               m_context.get_executor(), endpoint_of(m_settings.store_address), own_facts(),
               std::max<base::duration>(store_session<Platform>::lease_lifetime, m_settings.shortest_lease),
               m_facts,
-              [this](const std::vector<fleet::fact>& facts) {
-                  m_applier.apply(facts, m_store.condition(), base::monotonic_now());
+              [this](const std::vector<fleet::fact>& facts, removal_trust trust) {
+                  m_applier.apply(facts, trust, base::monotonic_now());
                   m_relay->notify();
               },
               [this] { return peer_addresses(); }, [this] { return leader_address(); }),
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -5,6 +5,7 @@
 #include "carawayway/fleet/fact_log.hpp"
 #include "carawayway/fleet/store_condition.hpp"
 #include "carawayway/gateway/fact_relay.hpp"
+#include "carawayway/gateway/removal_trust.hpp"
 #include "carawayway/gateway/store_channel.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/steering/retry_budget.hpp"
@@ -52,7 +53,7 @@
     // A gateway that cannot follow watches the store itself for this long before it tries again.
     static constexpr base::duration follow_pause = std::chrono::seconds{3};
 
-    using facts_handler = std::function<void(const std::vector<fleet::fact>&)>;
+    using facts_handler = std::function<void(const std::vector<fleet::fact>&, removal_trust)>;
     using peers_function = std::function<std::vector<boost::asio::ip::tcp::endpoint>()>;
     // The gateway to follow; nothing when this one is to watch the store.
     using leader_function = std::function<std::optional<boost::asio::ip::tcp::endpoint>()>;
@@ -88,12 +89,8 @@
     const fleet::store_condition& condition() const { return m_condition; }
 
     // What gateways that follow this one may rely on.
-    fleet::store_view view() const {
-        if (!m_watches || !m_condition.in_contact()) {
-            return fleet::store_view::indirect;
-        }
-        return m_condition.is_settled(base::monotonic_now()) ? fleet::store_view::settled
-                                                             : fleet::store_view::disturbed;
+    fact_relay_server::store_view view() const {
+        return {m_watches && m_condition.in_contact(), m_condition.undisturbed(base::monotonic_now())};
     }
 
 private:
@@ -153,7 +150,7 @@
             last_key = more ? page.items.back().key : std::string{};
             std::move(page.items.begin(), page.items.end(), std::back_inserter(items));
         }
-        m_on_facts(m_facts.replace_all(items, revision));
+        m_on_facts(m_facts.replace_all(items, revision), own_trust());
         base::log(base::log_level::info, "store-listed", {{"items", items.size()}, {"revision", revision}});
         co_return fleet::store_status::done;
     }
@@ -178,7 +175,7 @@
         }
         m_facts.advance(page.revision);
         if (!changes.empty()) {
-            m_on_facts(changes);
+            m_on_facts(changes, own_trust());
             co_await pause(m_watch_timer, watch_pause);
         }
         co_return fleet::store_status::done;
@@ -197,17 +194,14 @@
         const fleet::fact_request request{m_facts.revision(),
                                           std::chrono::duration_cast<std::chrono::milliseconds>(follow_wait)};
         const auto reply = co_await ask_for_facts(m_executor, leader, request, follow_wait + follow_margin);
-        const bool reliable = reply && reply->view != fleet::store_view::indirect;
-        if (!reliable) {
+        if (!reply || !reply->watches_store) {
             m_watches = true;
             m_follow_from = base::monotonic_now() + follow_pause;
             base::log(base::log_level::info, "leader-not-followed",
                       {{"leader", leader.address().to_string()}, {"answered", reply.has_value()}});
             co_return false;
         }
-        if (reply->view == fleet::store_view::disturbed) {
-            m_condition.disturbed(base::monotonic_now());
-        }
+        m_condition.followed(reply->undisturbed, base::monotonic_now());
         take(*reply, leader);
         co_return true;
     }
@@ -247,10 +241,18 @@
                       {{"peer", from.address().to_string()},
                        {"changes", changes.size()},
                        {"revision", reply.revision}});
-            m_on_facts(changes);
+            // A peer that sees the store well knows which removals are real, also while this gateway does
+            // not.
+            const bool is_settled = reply.undisturbed >= fleet::store_condition::settling_time;
+            m_on_facts(changes, is_settled ? removal_trust::certain : removal_trust::uncertain);
         }
     }
 
+    removal_trust own_trust() const {
+        return m_condition.is_settled(base::monotonic_now()) ? removal_trust::certain
+                                                             : removal_trust::uncertain;
+    }
+
     boost::asio::awaitable<void> keep_entry() {
         while (!m_withdrawn) {
             bool kept = false;
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -29,39 +29,6 @@
 struct Message;
 struct MessageBuilder;
 
-enum class StoreView : uint8_t {
-  Indirect = 0,
-  Disturbed = 1,
-  Settled = 2,
-  MIN = Indirect,
-  MAX = Settled
-};
-
-inline const StoreView (&EnumValuesStoreView())[3] {
-  static const StoreView values[] = {
-    StoreView::Indirect,
-    StoreView::Disturbed,
-    StoreView::Settled
-  };
-  return values;
-}
-
-inline const char * const *EnumNamesStoreView() {
-  static const char * const names[4] = {
-    "Indirect",
-    "Disturbed",
-    "Settled",
-    nullptr
-  };
-  return names;
-}
-
-inline const char *EnumNameStoreView(StoreView e) {
-  if (flatbuffers::IsOutRange(e, StoreView::Indirect, StoreView::Settled)) return "";
-  const size_t index = static_cast<size_t>(e);
-  return EnumNamesStoreView()[index];
-}
-
 enum class Body : uint8_t {
   NONE = 0,
   FactRequest = 1,
@@ -270,7 +237,8 @@
     VT_REVISION = 4,
     VT_COMPLETE = 6,
     VT_FACTS = 8,
-    VT_STORE_VIEW = 10
+    VT_WATCHES_STORE = 10,
+    VT_UNDISTURBED_MS = 12
   };
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
@@ -281,8 +249,11 @@
   const flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *facts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *>(VT_FACTS);
   }
-  carawayway::wire::relay::StoreView store_view() const {
-    return static_cast<carawayway::wire::relay::StoreView>(GetField<uint8_t>(VT_STORE_VIEW, 0));
+  bool watches_store() const {
+    return GetField<uint8_t>(VT_WATCHES_STORE, 0) != 0;
+  }
+  uint32_t undisturbed_ms() const {
+    return GetField<uint32_t>(VT_UNDISTURBED_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -291,7 +262,8 @@
            VerifyOffset(verifier, VT_FACTS) &&
            verifier.VerifyVector(facts()) &&
            verifier.VerifyVectorOfTables(facts()) &&
-           VerifyField<uint8_t>(verifier, VT_STORE_VIEW, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WATCHES_STORE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_UNDISTURBED_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -309,8 +281,11 @@
   void add_facts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>>> facts) {
     fbb_.AddOffset(FactReply::VT_FACTS, facts);
   }
-  void add_store_view(carawayway::wire::relay::StoreView store_view) {
-    fbb_.AddElement<uint8_t>(FactReply::VT_STORE_VIEW, static_cast<uint8_t>(store_view), 0);
+  void add_watches_store(bool watches_store) {
+    fbb_.AddElement<uint8_t>(FactReply::VT_WATCHES_STORE, static_cast<uint8_t>(watches_store), 0);
+  }
+  void add_undisturbed_ms(uint32_t undisturbed_ms) {
+    fbb_.AddElement<uint32_t>(FactReply::VT_UNDISTURBED_MS, undisturbed_ms, 0);
   }
   explicit FactReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -328,11 +303,13 @@
     int64_t revision = 0,
     bool complete = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>>> facts = 0,
-    carawayway::wire::relay::StoreView store_view = carawayway::wire::relay::StoreView::Indirect) {
+    bool watches_store = false,
+    uint32_t undisturbed_ms = 0) {
   FactReplyBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_undisturbed_ms(undisturbed_ms);
   builder_.add_facts(facts);
-  builder_.add_store_view(store_view);
+  builder_.add_watches_store(watches_store);
   builder_.add_complete(complete);
   return builder_.Finish();
 }
@@ -347,14 +324,16 @@
     int64_t revision = 0,
     bool complete = false,
     const std::vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *facts = nullptr,
-    carawayway::wire::relay::StoreView store_view = carawayway::wire::relay::StoreView::Indirect) {
+    bool watches_store = false,
+    uint32_t undisturbed_ms = 0) {
   auto facts__ = facts ? _fbb.CreateVector<flatbuffers::Offset<carawayway::wire::relay::Fact>>(*facts) : 0;
   return carawayway::wire::relay::CreateFactReply(
       _fbb,
       revision,
       complete,
       facts__,
-      store_view);
+      watches_store,
+      undisturbed_ms);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
