Tests/soak: Add a seeded soak of the gateway as separate processes

Four gateway processes in two failure domains, a store and six servers as stand-ins on loopback, twelve callers with open connections. Faults in series that overlap: SIGKILL, SIGSTOP, SIGTERM, SIGHUP, configurations, drains, five faults of the store, seven of servers. Checks from what callers and servers see: at most one run, true refusals, answers of the own request, no request cut by planned work, times (by hand), the newest configuration and no work for leaving servers after the faults.

--- /dev/null
+++ b/Tests/soak/http_stand_in.cpp
@@ -0,0 +1,73 @@
+// Connections of the stand-ins.
+#include "Tests/soak/http_stand_in.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace carawayway::soak {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+http_stand_in::http_stand_in(boost::asio::io_context& context, const std::string& host, http_handler handler)
+    : m_acceptor(context, {boost::asio::ip::make_address(host), 0}), m_handler(std::move(handler)) {
+    boost::asio::co_spawn(context, accept(), boost::asio::detached);
+}
+
+std::string http_stand_in::address() const {
+    const auto endpoint = m_acceptor.local_endpoint();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+boost::asio::awaitable<void> http_stand_in::accept() {
+    for (;;) {
+        boost::system::error_code error;
+        auto socket = co_await m_acceptor.async_accept(redirect_error(use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> http_stand_in::serve(boost::asio::ip::tcp::socket socket) {
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    while (!error) {
+        http_request request;
+        co_await http::async_read(socket, buffer, request, redirect_error(use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        auto answer = co_await m_handler(std::move(request));
+        if (!answer) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+            socket.close(error);
+            co_return;
+        }
+        co_await http::async_write(socket, *answer, redirect_error(use_awaitable, error));
+    }
+}
+
+http_response make_response(unsigned status, std::string body) {
+    http_response response{static_cast<http::status>(status), 11};
+    response.body() = std::move(body);
+    response.prepare_payload();
+    return response;
+}
+
+boost::asio::awaitable<void> sleep_for(std::chrono::milliseconds length) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(length);
+    boost::system::error_code ended_early;
+    co_await timer.async_wait(redirect_error(use_awaitable, ended_early));
+}
+
+} // namespace carawayway::soak
--- /dev/null
+++ b/Tests/soak/http_stand_in.hpp
@@ -0,0 +1,43 @@
+// An HTTP/1.1 listener for the stand-ins of a soak, on the loop of the test.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace carawayway::soak {
+
+namespace http = boost::beast::http;
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+
+// Nothing resets the connection without an answer.
+using http_handler = std::function<boost::asio::awaitable<std::optional<http_response>>(http_request)>;
+
+class http_stand_in {
+public:
+    http_stand_in(boost::asio::io_context& context, const std::string& host, http_handler handler);
+
+    // HOST:PORT
+    std::string address() const;
+
+private:
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    http_handler m_handler;
+};
+
+http_response make_response(unsigned status, std::string body = {});
+
+// Ends early when the loop stops.
+boost::asio::awaitable<void> sleep_for(std::chrono::milliseconds length);
+
+} // namespace carawayway::soak
--- /dev/null
+++ b/Tests/soak/server_stand_in.cpp
@@ -0,0 +1,87 @@
+// Runs of a backend server.
+#include "Tests/soak/server_stand_in.hpp"
+
+namespace carawayway::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int slots = 6;
+constexpr int queue_places = 6;
+constexpr milliseconds silence{60'000}; // longer than any time-out of a gateway
+constexpr int shortest_run_ms = 5;
+constexpr int longest_run_ms = 60;
+constexpr int slow_factor = 8;
+
+} // namespace
+
+server_stand_in::server_stand_in(boost::asio::io_context& context, std::string id, std::string domain,
+                                 run_record& record, std::uint32_t seed)
+    : m_id(std::move(id)), m_domain(std::move(domain)), m_record(record), m_random(seed),
+      m_listener(context, "127.1.2.1", [this](http_request request) { return handle(std::move(request)); }) {}
+
+boost::json::object server_stand_in::entry() const {
+    return {
+        {"address", m_listener.address()},
+        {"info",
+         boost::json::object{{"service", "orders"}, {"version", "1"}, {"zone", m_domain}, {"slots", slots}}},
+        {"status",
+         boost::json::object{{"state", m_leaving ? "draining" : "ready"}, {"seq", 1}, {"coldLeftMs", 0}}}};
+}
+
+http_response server_stand_in::answer_to(const http_request& request, unsigned status,
+                                         std::string body) const {
+    auto answer = make_response(status, std::move(body));
+    answer.set("Request-Id", request["Request-Id"]);
+    answer.set("Server-Load", std::to_string(m_running) + ",0," + std::to_string(slots));
+    return answer;
+}
+
+boost::asio::awaitable<std::optional<http_response>> server_stand_in::handle(http_request request) {
+    if (request.target() == "/health") {
+        auto answer = make_response(m_leaving ? 503 : 200);
+        answer.set("Instance-Id", m_id);
+        co_return answer;
+    }
+    const std::string id(request["Request-Id"]);
+    const auto refused = [&](unsigned status) {
+        auto answer = answer_to(request, status, {});
+        answer.set("Not-Executed", "1");
+        return answer;
+    };
+    if (request["Target-Instance"] != m_id) {
+        co_return refused(421);
+    }
+    const auto fault = m_fault;
+    if (fault == server_fault::silent_before_run) {
+        co_await sleep_for(silence);
+        co_return std::nullopt;
+    }
+    if (fault == server_fault::reset_before_run) {
+        co_return std::nullopt;
+    }
+    if (fault == server_fault::sheds || m_running >= slots + queue_places) {
+        co_return refused(503);
+    }
+    m_record.runs[id].push_back({m_id, clock::now()});
+    ++m_running;
+    const int run_ms = std::uniform_int_distribution<int>{shortest_run_ms, longest_run_ms}(m_random);
+    co_await sleep_for(milliseconds{run_ms * (fault == server_fault::slow ? slow_factor : 1)});
+    --m_running;
+    if (fault == server_fault::silent_after_run) {
+        co_await sleep_for(silence);
+        co_return std::nullopt;
+    }
+    if (fault == server_fault::reset_after_run) {
+        co_return std::nullopt;
+    }
+    auto answer = answer_to(request, 200, id);
+    answer.set("Response-Stamp", "s");
+    if (fault == server_fault::extra_answers) {
+        answer.set("Request-Id", "0000000000000000");
+    }
+    co_return answer;
+}
+
+} // namespace carawayway::soak
--- /dev/null
+++ b/Tests/soak/store_stand_in.cpp
@@ -0,0 +1,234 @@
+// Calls of the store.
+#include "Tests/soak/store_stand_in.hpp"
+
+#include "carawayway/json/base64.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace carawayway::soak {
+
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr std::size_t page_items = 20;  // small, so that listings have several pages
+constexpr milliseconds silence{60'000}; // longer than any time-out of a gateway
+constexpr milliseconds lease_check_interval{50};
+constexpr unsigned status_gone = 410;
+
+std::map<std::string, std::string> query_of(const std::string& target) {
+    std::map<std::string, std::string> values;
+    auto begin = target.find('?');
+    while (begin != std::string::npos) {
+        const auto end = target.find('&', begin + 1);
+        const auto pair = target.substr(begin + 1, end == std::string::npos ? end : end - begin - 1);
+        const auto equals = pair.find('=');
+        values[pair.substr(0, equals)] = equals == std::string::npos ? "" : pair.substr(equals + 1);
+        begin = end;
+    }
+    return values;
+}
+
+std::string unescaped(const std::string& text) {
+    std::string plain;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] == '%' && index + 2 < text.size()) {
+            plain += static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, 16));
+            index += 2;
+        } else {
+            plain += text[index];
+        }
+    }
+    return plain;
+}
+
+} // namespace
+
+store_stand_in::store_stand_in(boost::asio::io_context& context)
+    : m_listener(context, "127.1.1.1", [this](http_request request) { return handle(std::move(request)); }) {
+    boost::asio::co_spawn(context, expire(), boost::asio::detached);
+}
+
+void store_stand_in::set_fault(store_fault fault) {
+    m_fault = fault;
+    if (fault == store_fault::history_dropped) {
+        m_dropped_to = m_revision;
+        m_changes.clear();
+    }
+    announce();
+}
+
+void store_stand_in::put(const std::string& key, const json::object& value) {
+    write(key, carawayway::json::base64_encode(json::serialize(value)), 0);
+}
+
+void store_stand_in::write(const std::string& key, const std::string& value, std::int64_t lease) {
+    m_items[key] = {value, ++m_revision, lease};
+    m_changes.push_back({key, m_revision, false});
+    announce();
+}
+
+void store_stand_in::announce() {
+    for (auto* const timer : m_watches) {
+        timer->cancel();
+    }
+}
+
+void store_stand_in::end_lease(std::int64_t id) {
+    m_leases.erase(id);
+    for (auto found = m_items.begin(); found != m_items.end();) {
+        if (found->second.lease != id) {
+            ++found;
+            continue;
+        }
+        m_changes.push_back({found->first, ++m_revision, true});
+        found = m_items.erase(found);
+    }
+    announce();
+}
+
+boost::asio::awaitable<void> store_stand_in::expire() {
+    for (;;) {
+        co_await sleep_for(lease_check_interval);
+        std::vector<std::int64_t> ended;
+        for (const auto& [id, held] : m_leases) {
+            if (held.ends < std::chrono::steady_clock::now()) {
+                ended.push_back(id);
+            }
+        }
+        for (const auto id : ended) {
+            end_lease(id);
+        }
+    }
+}
+
+boost::asio::awaitable<std::optional<http_response>> store_stand_in::handle(http_request request) {
+    if (m_fault == store_fault::silent) {
+        co_await sleep_for(silence);
+        co_return std::nullopt;
+    }
+    if (m_fault == store_fault::resets) {
+        co_return std::nullopt;
+    }
+    if (m_fault == store_fault::busy) {
+        co_return make_response(503);
+    }
+    const std::string target(request.target());
+    const auto path = target.substr(0, target.find('?'));
+    if (path == "/kv-watch") {
+        auto answer = co_await watch(query_of(target));
+        co_return answer;
+    }
+    auto answer = perform(request, path, query_of(target));
+    if (m_fault == store_fault::answers_lost) {
+        co_return std::nullopt;
+    }
+    co_return answer;
+}
+
+http_response store_stand_in::perform(const http_request& request, const std::string& path,
+                                      const std::map<std::string, std::string>& query) {
+    const auto number_behind = [&path](std::string_view prefix) {
+        return std::stoll(path.substr(prefix.size()));
+    };
+    if (path == "/kv-range") {
+        const auto after = query.find("after");
+        return list(after == query.end() ? std::string{} : unescaped(after->second));
+    }
+    if (path == "/kv-lease") {
+        const milliseconds lifetime{json::parse(request.body()).as_object().at("ttlMs").to_number<int>()};
+        m_leases[++m_last_lease] = {std::chrono::steady_clock::now() + lifetime, lifetime};
+        return make_response(
+            200, json::serialize(json::object{{"lease", m_last_lease}, {"ttlMs", lifetime.count()}}));
+    }
+    if (path.starts_with("/kv-keep/")) {
+        const auto held = m_leases.find(number_behind("/kv-keep/"));
+        if (held == m_leases.end()) {
+            return make_response(404);
+        }
+        held->second.ends = std::chrono::steady_clock::now() + held->second.lifetime;
+        return make_response(200, json::serialize(json::object{{"ttlMs", held->second.lifetime.count()}}));
+    }
+    if (path.starts_with("/kv-lease-end/")) {
+        end_lease(number_behind("/kv-lease-end/"));
+        return make_response(200, "{}");
+    }
+    return path == "/kv-txn" ? transact(request.body()) : make_response(404);
+}
+
+http_response store_stand_in::list(const std::string& after) const {
+    json::array items;
+    auto next = m_items.upper_bound(after);
+    for (; next != m_items.end() && items.size() < page_items; ++next) {
+        items.push_back(json::object{{"key", next->first},
+                                     {"value", next->second.value},
+                                     {"rev", next->second.revision},
+                                     {"createdRev", next->second.revision},
+                                     {"lease", next->second.lease}});
+    }
+    return make_response(200, json::serialize(json::object{{"items", items},
+                                                           {"hasMore", next != m_items.end()},
+                                                           {"currentRev", m_revision}}));
+}
+
+http_response store_stand_in::transact(const std::string& body) {
+    const auto call = json::parse(body).as_object();
+    for (const auto& row : call.at("writes").as_array()) {
+        const auto lease = row.at("lease").to_number<std::int64_t>();
+        if (lease != 0 && !m_leases.contains(lease)) {
+            return make_response(404);
+        }
+        write(std::string(row.at("key").as_string()), std::string(row.at("value").as_string()), lease);
+    }
+    return make_response(200, json::serialize(json::object{{"rev", m_revision}}));
+}
+
+boost::asio::awaitable<std::optional<http_response>>
+store_stand_in::watch(std::map<std::string, std::string> query) {
+    const std::int64_t after = std::stoll(query["after"]);
+    if (after < m_dropped_to) {
+        co_return make_response(status_gone);
+    }
+    if (m_changes.empty() || m_changes.back().revision <= after) {
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+        timer.expires_after(milliseconds{std::stoll(query["waitMs"])});
+        m_watches.insert(&timer);
+        boost::system::error_code ended_early;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ended_early));
+        m_watches.erase(&timer);
+    }
+    if (m_fault == store_fault::silent) {
+        co_await sleep_for(silence);
+    }
+    if (m_fault != store_fault::none && m_fault != store_fault::history_dropped) {
+        co_return std::nullopt;
+    }
+    if (after < m_dropped_to) {
+        co_return make_response(status_gone);
+    }
+    json::array events;
+    for (const auto& item : m_changes) {
+        if (item.revision <= after) {
+            continue;
+        }
+        if (item.deleted) {
+            events.push_back(json::object{{"key", item.key}, {"rev", item.revision}, {"deleted", true}});
+        } else if (const auto found = m_items.find(item.key); found != m_items.end()) {
+            events.push_back(json::object{{"key", item.key},
+                                          {"value", found->second.value},
+                                          {"rev", item.revision},
+                                          {"createdRev", item.revision},
+                                          {"lease", found->second.lease}});
+        }
+    }
+    co_return make_response(200,
+                            json::serialize(json::object{{"events", events}, {"currentRev", m_revision}}));
+}
+
+} // namespace carawayway::soak
