Tests: Guard two mechanisms of placement that no test failed without

Cause: on reading the change again, moves of a region without servers had no test, and the made-up trip only the model.

--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -131,6 +131,24 @@
         return m_trust;
     }
 
+    // The first watch of the store; the session runs until it makes one.
+    std::string first_watch() {
+        std::string watch;
+        run(
+            [&](const std::string& target) -> scripted_answer {
+                if (target.starts_with("/kv-range")) {
+                    return empty_listing();
+                }
+                if (is_watch(target)) {
+                    watch = target;
+                    stop();
+                }
+                return silence();
+            },
+            [](const std::string&) {});
+        return watch;
+    }
+
     void add_news() {
         m_leader_facts.apply({"op/config", "new", 2, false});
         m_leader_facts.advance(2);
@@ -170,40 +188,14 @@
 // Guards against a gateway that learns nothing because the one it follows has lost the store.
 TEST_F(store_session_follow_test, watches_the_store_when_the_leader_does_not) {
     m_view.watches_store = false;
-    std::string watch;
-    run(
-        [&](const std::string& target) -> scripted_answer {
-            if (target.starts_with("/kv-range")) {
-                return empty_listing();
-            }
-            if (is_watch(target)) {
-                watch = target;
-                stop();
-            }
-            return silence();
-        },
-        [](const std::string&) {});
-    EXPECT_TRUE(is_long_watch(watch));
+    EXPECT_TRUE(is_long_watch(first_watch()));
 }
 
 // Guards against a gateway that learns nothing because the one it follows stands still.
 TEST_F(store_session_follow_test, watches_the_store_when_the_leader_is_silent) {
     boost::asio::ip::tcp::acceptor silent(m_context, {boost::asio::ip::address_v4::loopback(), 0});
     m_leader = silent.local_endpoint();
-    std::string watch;
-    run(
-        [&](const std::string& target) -> scripted_answer {
-            if (target.starts_with("/kv-range")) {
-                return empty_listing();
-            }
-            if (is_watch(target)) {
-                watch = target;
-                stop();
-            }
-            return silence();
-        },
-        [](const std::string&) {});
-    EXPECT_TRUE(is_long_watch(watch));
+    EXPECT_TRUE(is_long_watch(first_watch()));
 }
 
 // Guards against servers that are taken for dead because the leader saw their entries expire in an outage
--- a/Tests/placement/server_choice_test.cpp
+++ b/Tests/placement/server_choice_test.cpp
@@ -103,5 +103,34 @@
     EXPECT_NE(choose(7).server, first.server);
 }
 
+// Guards against the cap on moves when there is no choice: a region that lost all its servers would refuse
+// most of its callers.
+TEST_F(server_choice_test, a_region_without_servers_moves_everything_at_once) {
+    m_servers.set_evacuated("a1", true, start);
+    m_servers.set_evacuated("a2", true, start);
+    m_servers.reported(*m_servers.find("b1-0"), {2, 100, 2}, start);
+    for (std::uint64_t object = 1; object <= 50; ++object) {
+        EXPECT_NE(choose(object).server, nullptr) << object;
+    }
+}
+
+// Pattern: all objects are new, and no run time is known yet. Guards against objects that are to move, go
+// home because of the trip, and leave together once run times are known.
+TEST_F(server_choice_test, objects_that_move_stay_away_before_run_times_are_known) {
+    service_times unknown;
+    server_choice first_choice{m_servers, unknown, m_affinity, m_trips, m_shifts, m_spill};
+    m_spill.begin(m_service, {0.5, 0.05}, start);
+    std::size_t moved = 0;
+    for (std::uint64_t object = 1; object <= 50; ++object) {
+        const auto placed = first_choice.choose({m_route, m_service, object, 2s, 250ms, {}, true}, start);
+        ASSERT_NE(placed.server, nullptr);
+        if (m_spill.moves(m_service, object, start)) {
+            ++moved;
+            EXPECT_EQ(placed.server->region, "b") << object;
+        }
+    }
+    EXPECT_GT(moved, 25U);
+}
+
 } // namespace
 } // namespace carawayway::placement
