gateway: Log each lost send with a hash of its content

A resend has a new request ID, and nothing said that two requests had the same content. Change: a line attempt-lost for each send that ended without a whole answer, with request ID, content, server and the number of attempts of this request. The hash is computed only for these.

--- /dev/null
+++ b/carawayway/gateway/content_fingerprint.hpp
@@ -0,0 +1,19 @@
+// Identifies requests that have the same content, whoever receives them and whatever their request IDs are.
+#pragma once
+
+#include "carawayway/gateway/wire_types.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace carawayway::gateway {
+
+// Hash of method, host, target, object and body. Equal on all gateways. The object tells callers apart that
+// send the same path and body.
+std::uint64_t content_fingerprint(const http_request& request, std::string_view object);
+
+// 16 hexadecimal digits, as in log lines and store keys.
+std::string to_text(std::uint64_t fingerprint);
+
+} // namespace carawayway::gateway
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -5,6 +5,7 @@
 #include "carawayway/base/error_kind.hpp"
 #include "carawayway/base/hash.hpp"
 #include "carawayway/gateway/caller_session.hpp"
+#include "carawayway/gateway/content_fingerprint.hpp"
 #include "carawayway/gateway/error_response.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
 #include "carawayway/gateway/server_exchange.hpp"
@@ -252,6 +253,7 @@
         if (result.outcome != exchange_outcome::not_connected) {
             ++m_attempt_count;
             m_may_have_executed = true;
+            log_lost_attempt(*sent, now);
         }
         if (!m_running_attempts.empty()) {
             return; // the other server may still respond
@@ -273,6 +275,25 @@
                              now);
     }
 
+    // Lines with the same content and different request IDs show a request that is sent again and loses a
+    // server each time.
+    void log_lost_attempt(const attempt& sent, base::time_point now) {
+        m_state.log.write(base::log_level::info, "attempt-lost",
+                          {{"request_id", m_metadata.request_id},
+                           {"content", to_text(fingerprint())},
+                           {"server", sent.server->registration.id},
+                           {"attempts", m_attempt_count},
+                           {"after_ms", base::to_milliseconds(now - sent.chosen_at)}},
+                          now);
+    }
+
+    std::uint64_t fingerprint() {
+        if (!m_fingerprint) {
+            m_fingerprint = content_fingerprint(m_request, m_metadata.object);
+        }
+        return *m_fingerprint;
+    }
+
     void handle_response(const attempt& sent, exchange_result result, base::time_point now) {
         ++m_attempt_count;
         auto& server = *sent.server;
@@ -480,6 +501,7 @@
     const routing::route* m_route = nullptr;
     std::string m_service;
     std::uint64_t m_object_hash = 0;
+    std::optional<std::uint64_t> m_fingerprint; // of the content; computed when it is needed
     base::time_point m_deadline{};
     base::duration m_time_spent_in_earlier_attempts{}; // by the caller
     std::vector<attempt_handle> m_running_attempts;    // at most two
