--- /dev/null
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -0,0 +1,55 @@
+// Requests whose content crashes servers, sent to gateway processes again and again.
+#include "Tests/gateway_processes/gateway_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace carawayway::gateway_processes {
+namespace {
+
+using std::chrono::milliseconds;
+
+// After this many servers have ended, the content is known to be the cause.
+constexpr std::size_t servers_until_known = 3;
+// Time that the gateways have to learn of it from each other.
+constexpr milliseconds time_to_learn{4000};
+constexpr std::size_t permitted_retries = 3;
+
+constexpr std::size_t resends = 16;
+constexpr milliseconds resend_interval{200};
+
+// Sends the content to one gateway after the other. Stops early when `enough` servers have ended.
+void resend(gateway_fleet& fleet, const std::string& method, const std::string& path,
+            std::size_t enough = SIZE_MAX) {
+    for (std::size_t index = 0; index < resends && fleet.ended_servers() < enough; ++index) {
+        fleet.send(index % gateway_fleet::gateway_count, method, path);
+        std::this_thread::sleep_for(resend_interval);
+    }
+}
+
+void expect_few_servers_are_lost(const std::string& method, const std::string& prefix) {
+    gateway_fleet fleet(prefix);
+    const std::string path = prefix + "7";
+    resend(fleet, method, path, servers_until_known);
+    std::this_thread::sleep_for(time_to_learn);
+    const auto ended_before = fleet.ended_servers();
+    resend(fleet, method, path);
+    EXPECT_LE(fleet.ended_servers() - ended_before, permitted_retries);
+    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+        EXPECT_EQ(fleet.send(gateway, method, path), (answer{503, true})) << "gateway " << gateway;
+        EXPECT_EQ(fleet.send(gateway, "GET", "/read/other").status, 200U) << "gateway " << gateway;
+    }
+}
+
+// Guards against a request that takes down one server after the other, because gateways do not remember which
+// content crashed servers and take each resend for a new request.
+TEST(crash_content_test, a_resent_lookup_that_crashes_servers_is_soon_kept_from_them) {
+    expect_few_servers_are_lost("GET", gateway_fleet::crashing_lookup);
+}
+
+// The same for a request that the gateways themselves never send twice.
+TEST(crash_content_test, a_resent_booking_that_crashes_servers_is_soon_kept_from_them) {
+    expect_few_servers_are_lost("POST", gateway_fleet::crashing_booking);
+}
+
+} // namespace
+} // namespace carawayway::gateway_processes
--- /dev/null
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -0,0 +1,194 @@
+// Starts the processes, replaces ended servers and sends requests.
+#include "Tests/gateway_processes/gateway_fleet.hpp"
+
+#include "stand_ins/support/address.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <future>
+
+namespace carawayway::gateway_processes {
+
+namespace {
+
+namespace json = boost::json;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr std::size_t servers_per_domain = 4;
+// From the end of a server until its entry is replaced by that of the next incarnation.
+constexpr milliseconds restart_delay{1500};
+constexpr int route_timeout_ms = 3000;
+
+} // namespace
+
+gateway_fleet::gateway_fleet(std::string crashing_prefix)
+    : m_store(m_context), m_crashing_prefix(std::move(crashing_prefix)), m_loop_thread([this] {
+          const auto work = boost::asio::make_work_guard(m_context);
+          m_context.run();
+      }) {
+    run_on_loop([this] {
+        for (std::size_t index = 0; index < servers_per_domain; ++index) {
+            add_server("a1");
+            add_server("b1");
+        }
+        publish_configuration();
+    });
+    for (std::size_t index = 0; index < gateway_count; ++index) {
+        auto made = std::make_unique<gateway>();
+        const std::string domain = index % 2 == 0 ? "a1" : "b1";
+        made->name = fmt::format("{}-{}", domain, index);
+        m_folder.write(made->name + ".ini",
+                       soak::gateway_settings(made->name, domain, made->ports, m_store.address()));
+        made->settings = m_folder.path() + "/" + made->name + ".ini";
+        m_gateways.push_back(std::move(made));
+    }
+    start_gateways();
+}
+
+gateway_fleet::~gateway_fleet() {
+    m_gateways.clear(); // kills the processes
+    m_context.stop();
+    m_loop_thread.join();
+}
+
+void gateway_fleet::run_on_loop(const std::function<void()>& action) {
+    std::promise<void> done;
+    boost::asio::post(m_context, [&] {
+        action();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void gateway_fleet::publish_configuration() {
+    const auto route = [](const char* prefix, const char* kind) {
+        return json::object{
+            {"prefix", prefix},       {"kind", kind},  {"service", "orders"}, {"timeoutMs", route_timeout_ms},
+            {"targetLatencyMs", 250}, {"priority", 0}, {"maxAttempts", 2},    {"sticky", true}};
+    };
+    m_store.put(
+        "op/config",
+        json::object{
+            {"version", "1"},
+            {"services",
+             json::array{json::object{{"name", "orders"}, {"healthPath", "/health"}, {"maxConns", 0}}}},
+            {"hosts", json::array{json::object{
+                          {"host", "fleet.example"},
+                          {"paths", json::array{route("/read/", "safe"), route("/book/", "unsafe")}}}}}});
+}
+
+void gateway_fleet::add_server(const std::string& domain) {
+    auto made =
+        std::make_unique<soak::server_stand_in>(m_context, fmt::format("i-{}", m_servers.size()), domain,
+                                                m_record, static_cast<std::uint32_t>(m_servers.size()) + 1);
+    auto& server = *made;
+    server.end_on(m_crashing_prefix, [this, &server, domain] {
+        ++m_ended_servers;
+        replace_ended_server(server, domain);
+    });
+    m_store.put("servers/" + server.id(), server.registration());
+    m_servers.push_back(std::move(made));
+}
+
+void gateway_fleet::replace_ended_server(const soak::server_stand_in& server, const std::string& domain) {
+    boost::asio::co_spawn(
+        m_context,
+        [](gateway_fleet& fleet, std::string ended_id,
+           std::string own_domain) -> boost::asio::awaitable<void> {
+            co_await soak::sleep_for(restart_delay);
+            fleet.m_store.erase("servers/" + ended_id);
+            fleet.add_server(own_domain);
+        }(*this, server.id(), domain),
+        boost::asio::detached);
+}
+
+void gateway_fleet::start_gateways() {
+    for (const auto& item : m_gateways) {
+        item->process = std::make_unique<test_support::child_process>(
+            std::vector<std::string>{CARAWAYWAY_PROGRAM, "gateway", "--settings", item->settings},
+            fmt::format("{}/{}-{}.log", m_folder.path(), item->name, ++item->start_count));
+    }
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            return send(index, "GET", "/read/warm-up").status == 200;
+        })) << m_gateways[index]->name
+            << " does not serve";
+    }
+    // Each gateway must know the others before it can tell them anything.
+    for (const auto& item : m_gateways) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            return store_keys("carawayway/gateways/") == gateway_count;
+        })) << item->name;
+    }
+}
+
+void gateway_fleet::restart_all_gateways() {
+    for (const auto& item : m_gateways) {
+        item->process->send_signal(SIGKILL);
+    }
+    for (const auto& item : m_gateways) {
+        item->process->wait();
+    }
+    start_gateways();
+}
+
+void gateway_fleet::set_store_fault(soak::store_fault fault) {
+    run_on_loop([&] { m_store.set_fault(fault); });
+}
+
+void gateway_fleet::set_server_fault(soak::server_fault fault) {
+    run_on_loop([&] {
+        for (const auto& server : m_servers) {
+            server->set_fault(fault);
+        }
+    });
+}
+
+std::size_t gateway_fleet::ended_servers() {
+    std::size_t count = 0;
+    run_on_loop([&] { count = m_ended_servers; });
+    return count;
+}
+
+std::size_t gateway_fleet::store_keys(const std::string& prefix) {
+    std::size_t count = 0;
+    run_on_loop([&] { count = m_store.count(prefix); });
+    return count;
+}
+
+answer gateway_fleet::send(std::size_t index, const std::string& method, const std::string& path) {
+    boost::asio::io_context context;
+    boost::beast::tcp_stream stream(context);
+    boost::system::error_code error;
+    stream.connect(stand_ins::parse_address(m_gateways.at(index)->ports.callers()).value(), error);
+    http::request<http::string_body> request{http::string_to_verb(method), path, 11};
+    request.set(http::field::host, "fleet.example");
+    request.set(http::field::connection, "close");
+    request.set(http::field::cookie, "Affinity-Key=17");
+    request.set("Request-Id", fmt::format("{:016x}", ++m_sent_requests));
+    request.set("Deadline-Ms", std::to_string(route_timeout_ms));
+    request.prepare_payload();
+    if (!error) {
+        http::write(stream, request, error);
+    }
+    http::response<http::string_body> response;
+    boost::beast::flat_buffer buffer;
+    if (!error) {
+        http::read(stream, buffer, response, error);
+    }
+    return error ? answer{} : answer{response.result_int(), response.count(http::field::retry_after) > 0};
+}
+
+} // namespace carawayway::gateway_processes
--- /dev/null
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -0,0 +1,84 @@
+// Gateway processes with a store and backend servers of the test process. A server ends when it executes a
+// request under a crashing path, and another incarnation takes its place some seconds later.
+#pragma once
+
+#include "Tests/soak/gateway_settings.hpp"
+#include "Tests/soak/http_server.hpp"
+#include "Tests/soak/run_record.hpp"
+#include "Tests/soak/server_stand_in.hpp"
+#include "Tests/soak/store_stand_in.hpp"
+#include "Tests/support/process_harness.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace carawayway::gateway_processes {
+
+struct answer {
+    unsigned status = 0; // 0: the connection failed or ended without a response
+    bool has_retry_after = false;
+
+    bool operator==(const answer&) const = default;
+};
+
+class gateway_fleet {
+public:
+    static constexpr std::size_t gateway_count = 4;
+    // A server that executes a request under one of these ends.
+    static constexpr const char* crashing_lookup = "/read/crash/";
+    static constexpr const char* crashing_booking = "/book/crash/";
+
+    // Starts everything, and returns when the gateways are ready.
+    explicit gateway_fleet(std::string crashing_prefix);
+    gateway_fleet(const gateway_fleet&) = delete;
+    gateway_fleet(gateway_fleet&&) = delete;
+    gateway_fleet& operator=(const gateway_fleet&) = delete;
+    gateway_fleet& operator=(gateway_fleet&&) = delete;
+    ~gateway_fleet();
+
+    // Sends a request with a new request ID to a gateway over a new connection, and waits for the response.
+    answer send(std::size_t index, const std::string& method, const std::string& path);
+
+    // Kills all gateways at the same moment, starts them again and waits until they are ready.
+    void restart_all_gateways();
+
+    void set_store_fault(soak::store_fault fault);
+    void set_server_fault(soak::server_fault fault);
+
+    std::size_t ended_servers();
+    // Number of keys in the store with this prefix.
+    std::size_t store_keys(const std::string& prefix);
+
+private:
+    struct gateway {
+        std::string name;
+        soak::gateway_ports ports;
+        std::string settings;
+        std::unique_ptr<test_support::child_process> process;
+        int start_count = 0;
+    };
+
+    void run_on_loop(const std::function<void()>& action);
+    void publish_configuration();
+    void add_server(const std::string& domain);
+    void replace_ended_server(const soak::server_stand_in& server, const std::string& domain);
+    void start_gateways();
+
+    boost::asio::io_context m_context;
+    soak::run_record m_record;
+    soak::store_stand_in m_store;
+    test_support::temporary_folder m_folder;
+    std::string m_crashing_prefix;
+    std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
+    std::size_t m_ended_servers = 0;
+    std::size_t m_sent_requests = 0;
+    std::vector<std::unique_ptr<gateway>> m_gateways;
+    std::thread m_loop_thread;
+};
+
+} // namespace carawayway::gateway_processes
--- /dev/null
+++ b/Tests/soak/gateway_settings.hpp
@@ -0,0 +1,31 @@
+// Settings of gateway processes that tests start on loopback.
+#pragma once
+
+#include "Tests/support/process_harness.hpp"
+
+#include <array>
+#include <memory>
+#include <string>
+
+namespace carawayway::soak {
+
+// The ports of one gateway, reserved for as long as this object exists.
+class gateway_ports {
+public:
+    std::string callers() const { return address(0); }
+    std::string readiness() const { return address(1); }
+    std::string lookups() const { return address(2); }
+    std::string peers() const { return address(3); }
+    std::string metrics() const { return address(4); }
+
+private:
+    std::string address(std::size_t index) const { return m_ports.at(index).on("127.1.3.1"); }
+
+    std::array<test_support::reserved_port, 5> m_ports;
+};
+
+// The settings of a gateway in a deployment with the failure domains a1 of region a and b1 of region b.
+std::string gateway_settings(const std::string& name, const std::string& domain, const gateway_ports& ports,
+                             const std::string& store_address);
+
+} // namespace carawayway::soak
--- a/Tests/soak/http_server.cpp
+++ b/Tests/soak/http_server.cpp
@@ -16,6 +16,16 @@
 using boost::asio::redirect_error;
 using boost::asio::use_awaitable;
 
+namespace {
+
+void reset(boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored_error; // it is closed in any case
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored_error);
+    socket.close(ignored_error);
+}
+
+} // namespace
+
 http_server::http_server(boost::asio::io_context& context, const std::string& host, http_handler handler)
     : m_acceptor(context, {boost::asio::ip::make_address(host), 0}), m_handler(std::move(handler)) {
     boost::asio::co_spawn(context, accept_connections(), boost::asio::detached);
@@ -33,27 +43,38 @@
         if (error) {
             co_return;
         }
-        boost::asio::co_spawn(m_acceptor.get_executor(), serve_connection(std::move(socket)),
-                              boost::asio::detached);
+        boost::asio::co_spawn(
+            m_acceptor.get_executor(),
+            serve_connection(std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket))),
+            boost::asio::detached);
     }
 }
 
-boost::asio::awaitable<void> http_server::serve_connection(boost::asio::ip::tcp::socket socket) {
+boost::asio::awaitable<void> http_server::serve_connection(shared_socket socket) {
+    m_connections.insert(socket);
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
     while (!error) {
         http_request request;
-        co_await http::async_read(socket, buffer, request, redirect_error(use_awaitable, error));
+        co_await http::async_read(*socket, buffer, request, redirect_error(use_awaitable, error));
         if (error) {
-            co_return;
+            break;
         }
         auto answer = co_await m_handler(std::move(request));
         if (!answer) {
-            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
-            socket.close(error);
-            co_return;
+            reset(*socket);
+            break;
         }
-        co_await http::async_write(socket, *answer, redirect_error(use_awaitable, error));
+        co_await http::async_write(*socket, *answer, redirect_error(use_awaitable, error));
+    }
+    m_connections.erase(socket);
+}
+
+void http_server::end() {
+    boost::system::error_code ignored_error; // it is closed in any case
+    m_acceptor.close(ignored_error);
+    for (const auto& socket : m_connections) {
+        reset(*socket);
     }
 }
 
--- a/Tests/soak/http_server.hpp
+++ b/Tests/soak/http_server.hpp
@@ -8,7 +8,9 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace carawayway::soak {
@@ -24,15 +26,21 @@
 public:
     http_server(boost::asio::io_context& context, const std::string& host, http_handler handler);
 
-    // HOST:PORT
+    // HOST:PORT. Call it only while connections are accepted.
     std::string address() const;
 
+    // Resets all connections and refuses new ones, as the end of the process does.
+    void end();
+
 private:
+    using shared_socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
     boost::asio::awaitable<void> accept_connections();
-    boost::asio::awaitable<void> serve_connection(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve_connection(shared_socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     http_handler m_handler;
+    std::set<shared_socket> m_connections; // open ones
 };
 
 http_response make_response(unsigned status, std::string body = {});
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -65,6 +65,11 @@
         co_return refused(503);
     }
     m_record.executions[id].push_back({m_id, clock::now()});
+    if (!m_crashing_prefix.empty() && request.target().starts_with(m_crashing_prefix)) {
+        m_listener.end();
+        m_on_end();
+        co_return std::nullopt;
+    }
     ++m_running;
     const int execution_ms =
         std::uniform_int_distribution<int>{minimum_execution_ms, maximum_execution_ms}(m_random);
--- a/Tests/soak/server_stand_in.hpp
+++ b/Tests/soak/server_stand_in.hpp
@@ -6,7 +6,9 @@
 
 #include <boost/json/object.hpp>
 
+#include <functional>
 #include <random>
+#include <string>
 
 namespace carawayway::soak {
 
@@ -30,6 +32,12 @@
     void set_fault(server_fault fault) { m_fault = fault; }
     void start_draining() { m_draining = true; }
 
+    // The server ends when it begins to execute a request whose path has this prefix; `on_end` runs then.
+    void end_on(std::string prefix, std::function<void()> on_end) {
+        m_crashing_prefix = std::move(prefix);
+        m_on_end = std::move(on_end);
+    }
+
     // The value that the server registers under its key in the store.
     boost::json::object registration() const;
 
@@ -43,7 +51,9 @@
     std::minstd_rand m_random;
     server_fault m_fault = server_fault::none;
     bool m_draining = false;
-    int m_running = 0; // executions in progress
+    int m_running = 0;             // executions in progress
+    std::string m_crashing_prefix; // empty: no request ends the server
+    std::function<void()> m_on_end;
     http_server m_listener;
 };
 
--- a/Tests/soak/soak_run.cpp
+++ b/Tests/soak/soak_run.cpp
@@ -75,29 +75,14 @@
     m_violations.push_back(std::move(violation));
 }
 
-void soak_run::add_gateway(const std::string& name, const std::string& domain, const std::string& region) {
+void soak_run::add_gateway(const std::string& name, const std::string& domain) {
     auto made = std::make_unique<gateway>();
     made->name = name;
     made->domain = domain;
-    made->region = region;
-    std::vector<std::string> addresses;
-    for (int kind = 0; kind < 5; ++kind) {
-        m_ports.push_back(std::make_unique<test_support::reserved_port>());
-        addresses.push_back(m_ports.back()->on("127.1.3.1"));
-    }
-    made->caller_address = addresses[0];
-    made->readiness_address = addresses[1];
-    m_folder.write(
-        name + ".ini",
-        fmt::format("[gateway]\nname = {}\nfailure_domain = {}\nregion = {}\n"
-                    "caller_address = {}\nreadiness_address = {}\nlookup_address = {}\n"
-                    "peer_address = {}\nmetrics_address = {}\n"
-                    "bounds = budgetRatio=0.2,budgetSlack=60,coldOver=1.5,coldSlack=5,shiftMost=0.15,"
-                    "ttl_max_s=5,graceS=6\nlog_level = info\n"
-                    "[store]\naddress = {}\nshortest_lease_ms = 1000\n"
-                    "[domain a1]\nregion = a\n[domain b1]\nregion = b\n",
-                    name, domain, region, addresses[0], addresses[1], addresses[2], addresses[3],
-                    addresses[4], m_store.address()));
+    m_ports.push_back(std::make_unique<gateway_ports>());
+    made->caller_address = m_ports.back()->callers();
+    made->readiness_address = m_ports.back()->readiness();
+    m_folder.write(name + ".ini", gateway_settings(name, domain, *m_ports.back(), m_store.address()));
     made->settings = m_folder.path() + "/" + name + ".ini";
     m_gateways.push_back(std::move(made));
 }
@@ -385,13 +370,12 @@
 std::vector<std::string> soak_run::execute() {
     std::vector<boost::asio::ip::tcp::endpoint> addresses;
     for (const auto* const domain : {"a1", "b1"}) {
-        const std::string region(1, domain[0]);
         for (std::size_t index = 0; index < servers_per_domain; ++index) {
             m_servers.push_back(std::make_unique<server_stand_in>(
                 m_context, fmt::format("i-{}-{}", domain, index), domain, m_record, m_random()));
         }
-        add_gateway(fmt::format("{}-1", domain), domain, region);
-        add_gateway(fmt::format("{}-2", domain), domain, region);
+        add_gateway(fmt::format("{}-1", domain), domain);
+        add_gateway(fmt::format("{}-2", domain), domain);
     }
     run_on_loop([this] {
         for (const auto& server : m_servers) {
--- a/Tests/soak/soak_run.hpp
+++ b/Tests/soak/soak_run.hpp
@@ -2,6 +2,7 @@
 // injects overlapping faults and checks the guarantees given to callers and backend servers.
 #pragma once
 
+#include "Tests/soak/gateway_settings.hpp"
 #include "Tests/soak/run_record.hpp"
 #include "Tests/soak/server_stand_in.hpp"
 #include "Tests/soak/soak_caller.hpp"
@@ -48,7 +49,6 @@
     struct gateway {
         std::string name;
         std::string domain;
-        std::string region;
         std::string caller_address;
         std::string readiness_address;
         std::string settings;
@@ -64,7 +64,7 @@
         bool operator<(const scheduled_action& other) const { return when > other.when; }
     };
 
-    void add_gateway(const std::string& name, const std::string& domain, const std::string& region);
+    void add_gateway(const std::string& name, const std::string& domain);
     void start_process(gateway& target);
     void wait_for_exit(gateway& target, int signal);
     // Returns nullptr if fewer than two gateways are running, so that one is always left.
@@ -95,7 +95,7 @@
     soak_options m_options;
     std::mt19937 m_random;
     test_support::temporary_folder m_folder;
-    std::vector<std::unique_ptr<test_support::reserved_port>> m_ports;
+    std::vector<std::unique_ptr<gateway_ports>> m_ports;
     run_record m_record;
     boost::asio::io_context m_context{1};
     store_stand_in m_store;
--- a/Tests/soak/store_stand_in.cpp
+++ b/Tests/soak/store_stand_in.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace carawayway::soak {
 
 namespace {
@@ -68,6 +70,19 @@
     write(key, carawayway::json::base64_encode(json::serialize(value)), 0);
 }
 
+void store_stand_in::erase(const std::string& key) {
+    if (m_items.erase(key) > 0) {
+        m_changes.push_back({key, ++m_revision, true});
+        notify_watches();
+    }
+}
+
+std::size_t store_stand_in::count(const std::string& prefix) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_items.begin(), m_items.end(),
+                      [&prefix](const auto& item) { return item.first.starts_with(prefix); }));
+}
+
 void store_stand_in::write(const std::string& key, const std::string& value, std::int64_t lease) {
     m_items[key] = {value, ++m_revision, lease};
     m_changes.push_back({key, m_revision, false});
--- a/Tests/soak/store_stand_in.hpp
+++ b/Tests/soak/store_stand_in.hpp
@@ -32,6 +32,10 @@
 
     // Writes a value on behalf of operators or servers. The value is stored in base64.
     void put(const std::string& key, const boost::json::object& value);
+    void erase(const std::string& key);
+
+    // Number of keys with this prefix.
+    std::size_t count(const std::string& prefix) const;
 
 private:
     struct stored_item {
