--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -51,5 +51,57 @@
     expect_few_servers_are_lost("POST", gateway_fleet::crashing_booking);
 }
 
+// Sends the content until all gateways refuse it.
+void wait_until_refused_everywhere(gateway_fleet& fleet, const std::string& path) {
+    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            return fleet.send(gateway, "POST", path) == answer{503, true};
+        })) << "gateway "
+            << gateway;
+    }
+}
+
+// Guards against gateways that have to lose servers again after all of them were restarted.
+TEST(crash_content_test, gateways_that_start_later_know_content_that_crashes_servers) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    wait_until_refused_everywhere(fleet, path);
+    EXPECT_TRUE(test_support::wait_until([&] { return fleet.store_keys("carawayway/quarantine/") == 1; }));
+    const auto ended_before = fleet.ended_servers();
+    fleet.restart_all_gateways();
+    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+        EXPECT_EQ(fleet.send(gateway, "POST", path), (answer{503, true})) << "gateway " << gateway;
+    }
+    EXPECT_EQ(fleet.ended_servers(), ended_before);
+}
+
+// Guards against gateways that learn of crashes only through the store.
+TEST(crash_content_test, gateways_learn_of_crashes_from_each_other_while_the_store_is_down) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    fleet.set_store_fault(soak::store_fault::unavailable);
+    for (int loss = 0; loss < 2; ++loss) {
+        EXPECT_EQ(fleet.send(0, "POST", path).status, 502U);
+    }
+    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+        EXPECT_TRUE(test_support::wait_until([&] { return fleet.has_quarantined(gateway); })) << gateway;
+        EXPECT_EQ(fleet.send(gateway, "POST", path), (answer{503, true})) << "gateway " << gateway;
+    }
+    EXPECT_EQ(fleet.ended_servers(), 2U);
+}
+
+// Guards against harmless content that is quarantined because servers lose answers or connections.
+TEST(crash_content_test, lost_answers_of_living_servers_quarantine_nothing) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    fleet.set_server_fault(soak::server_fault::reset_after_execution);
+    for (std::size_t request = 0; request < resends; ++request) {
+        EXPECT_EQ(fleet.send(request % gateway_fleet::gateway_count, "POST", "/book/9").status, 502U);
+    }
+    fleet.set_server_fault(soak::server_fault::none);
+    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+        EXPECT_EQ(fleet.send(gateway, "POST", "/book/9").status, 200U) << "gateway " << gateway;
+    }
+}
+
 } // namespace
 } // namespace carawayway::gateway_processes
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -128,9 +128,13 @@
     }
     // Each gateway must know the others before it can tell them anything.
     for (const auto& item : m_gateways) {
-        EXPECT_TRUE(test_support::wait_until([&] {
-            return store_keys("carawayway/gateways/") == gateway_count;
-        })) << item->name;
+        for (const auto& other : m_gateways) {
+            EXPECT_TRUE(test_support::wait_until([&] {
+                return !item->process->lines_with("event=gateway-registered gateway=" + other->name + " ")
+                            .empty();
+            })) << item->name
+                << " does not know " << other->name;
+        }
     }
 }
 
@@ -156,6 +160,10 @@
     });
 }
 
+bool gateway_fleet::has_quarantined(std::size_t index) const {
+    return !m_gateways.at(index)->process->lines_with("event=content-quarantined").empty();
+}
+
 std::size_t gateway_fleet::ended_servers() {
     std::size_t count = 0;
     run_on_loop([&] { count = m_ended_servers; });
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -50,6 +50,9 @@
     void set_store_fault(soak::store_fault fault);
     void set_server_fault(soak::server_fault fault);
 
+    // Whether the log of this gateway says that some content is quarantined.
+    bool has_quarantined(std::size_t index) const;
+
     std::size_t ended_servers();
     // Number of keys in the store with this prefix.
     std::size_t store_keys(const std::string& prefix);
--- a/Tests/placement/cold_servers_test.cpp
+++ b/Tests/placement/cold_servers_test.cpp
@@ -31,7 +31,7 @@
         tables.back()->set_cold_start_profiles({{"s", {tolerated_rate, 3s}}});
         for (std::size_t other = 0; other < count; ++other) {
             tables.back()->gateways().put(
-                {"g" + std::to_string(other), "a", "r", "10.0.0.2:80", "10.0.0.2:81"});
+                {"g" + std::to_string(other), "a", "r", "10.0.0.2:80", "10.0.0.2:81", {}});
         }
     }
     return tables;
--- a/Tests/placement/gateway_map_test.cpp
+++ b/Tests/placement/gateway_map_test.cpp
@@ -13,9 +13,9 @@
 gateway_map map_of(const std::string& own) {
     gateway_map map({own, "a1", "a", {{"a1", "a"}, {"a2", "a"}}});
     for (const auto& name : names) {
-        map.put({name, "a1", "a", {}, {}});
+        map.put({name, "a1", "a", {}, {}, {}});
     }
-    map.put({"a2-1", "a2", "a", {}, {}});
+    map.put({"a2-1", "a2", "a", {}, {}, {}});
     return map;
 }
 
--- a/Tests/placement/gateway_selection_test.cpp
+++ b/Tests/placement/gateway_selection_test.cpp
@@ -13,10 +13,10 @@
 
 gateway_map example() {
     gateway_map result({"g1", "a1", "a", {}});
-    result.put({"g1", "a1", "a", "g1:80", "g1:81"});
-    result.put({"g2", "a1", "a", "g2:80", "g2:81"});
-    result.put({"g3", "a2", "a", "g3:80", "g3:81"});
-    result.put({"g4", "b1", "b", "g4:80", "g4:81"});
+    result.put({"g1", "a1", "a", "g1:80", "g1:81", {}});
+    result.put({"g2", "a1", "a", "g2:80", "g2:81", {}});
+    result.put({"g3", "a2", "a", "g3:80", "g3:81", {}});
+    result.put({"g4", "b1", "b", "g4:80", "g4:81", {}});
     return result;
 }
 
@@ -29,7 +29,7 @@
     gateway_map gateways({"g0", "a1", "a", {}});
     for (int index = 0; index < 12; ++index) {
         const std::string name = "g" + std::to_string(index);
-        gateways.put({name, "a1", "a", name + ":80", name + ":81"});
+        gateways.put({name, "a1", "a", name + ":80", name + ":81", {}});
     }
     const auto returned = choose_gateways(gateways, {"a1", "a", {}});
     EXPECT_EQ(returned.size(), 4U);
--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -111,14 +111,30 @@
     EXPECT_EQ(protocol::subject_of("other/key").kind, store_key_kind::other);
 }
 
+TEST(quarantine_record, its_key_is_read_back) {
+    const auto call = protocol::quarantine_call("0123456789abcdef", "g", 42);
+    EXPECT_EQ(call.target, "/kv-txn");
+    EXPECT_EQ(call.verb, fleet::store_call::method::write);
+    EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
+    EXPECT_THAT(call.body, testing::HasSubstr(R"("key":"carawayway/quarantine/0123456789abcdef")"));
+    EXPECT_EQ(protocol::subject_of("carawayway/quarantine/0123456789abcdef"),
+              (fleet::store_key_subject{store_key_kind::quarantine, "0123456789abcdef"}));
+}
+
 TEST(gateway_record, is_written_and_read_back) {
-    const fleet::gateway_registration own{"g", "z", "r", "10.0.0.1:80", "10.0.0.1:81"};
+    const fleet::gateway_registration own{"g", "z", "r", "10.0.0.1:80", "10.0.0.1:81", "10.0.0.1:82"};
     const auto call = protocol::register_call(own, 42);
     EXPECT_EQ(call.target, "/kv-txn");
     EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
-    EXPECT_EQ(protocol::read_gateway(
-                  "g", R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81"})"),
-              own);
+    EXPECT_EQ(
+        protocol::read_gateway(
+            "g",
+            R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81","notices":"10.0.0.1:82"})"),
+        own);
+    const auto without_notices = protocol::read_gateway(
+        "g", R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81"})");
+    ASSERT_TRUE(without_notices.has_value());
+    EXPECT_EQ(without_notices->notice_address, "") << "a gateway of an older version";
     EXPECT_FALSE(protocol::read_gateway("g", R"({"domain":"z"})").has_value());
 }
 
--- /dev/null
+++ b/Tests/steering_decisions/crash_history_test.cpp
@@ -0,0 +1,132 @@
+// Guards against content that crashes servers without end, and against harmless content that is quarantined
+// because servers failed for another reason while they ran it.
+#include "carawayway/steering/crash_history.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <random>
+
+namespace carawayway::steering {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const base::time_point start{seconds{1000}};
+
+class crash_history_test : public testing::Test {
+protected:
+    crash_history m_history{{}};
+};
+
+TEST_F(crash_history_test, the_second_loss_in_sequence_quarantines_for_the_expiry) {
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::none);
+    m_history.record_loss(1, 0, start);
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::suspected);
+    EXPECT_EQ(m_history.quarantine_left(1, start), base::duration::zero());
+    m_history.record_loss(1, 1, start);
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::quarantined);
+    EXPECT_EQ(m_history.quarantine_left(1, start + minutes{4}), minutes{6});
+    EXPECT_EQ(m_history.suspicion(1, start + minutes{10}), crash_suspicion::none);
+    EXPECT_EQ(m_history.suspicion(2, start), crash_suspicion::none);
+}
+
+// A failure domain that loses power takes all its servers at once.
+TEST_F(crash_history_test, losses_of_requests_that_were_sent_together_count_once) {
+    for (int server = 0; server < 5; ++server) {
+        m_history.record_loss(1, 0, start);
+    }
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::suspected);
+}
+
+TEST_F(crash_history_test, an_answer_clears_suspected_but_not_quarantined_content) {
+    m_history.record_loss(1, 0, start);
+    EXPECT_TRUE(m_history.record_answer(1));
+    EXPECT_EQ(m_history.losses(1, start), 0U);
+    EXPECT_FALSE(m_history.record_answer(1)) << "nothing is left to clear";
+    m_history.record_loss(1, 1, start);
+    EXPECT_EQ(m_history.losses(1, start), 1U) << "the loss before the answer no longer counts";
+    m_history.record_loss(1, 1, start);
+    EXPECT_FALSE(m_history.record_answer(1));
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::quarantined);
+}
+
+TEST_F(crash_history_test, counts_of_other_gateways_only_raise_or_clear) {
+    EXPECT_FALSE(m_history.merge({1, 1}, start));
+    EXPECT_TRUE(m_history.merge({1, 2}, start));
+    EXPECT_FALSE(m_history.merge({1, 2}, start + seconds{1})) << "only newly quarantined content is reported";
+    EXPECT_FALSE(m_history.merge({1, 1}, start));
+    EXPECT_FALSE(m_history.merge({1, 0}, start));
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::quarantined);
+    m_history.merge({2, 1}, start);
+    m_history.merge({2, 0}, start);
+    EXPECT_EQ(m_history.suspicion(2, start), crash_suspicion::none);
+}
+
+TEST_F(crash_history_test, a_full_table_keeps_quarantined_content) {
+    crash_history small({2, minutes{10}});
+    small.merge({1, 2}, start);
+    small.merge({2, 1}, start);
+    small.merge({3, 1}, start + seconds{1});
+    EXPECT_EQ(small.size(), 2U);
+    EXPECT_EQ(small.suspicion(1, start), crash_suspicion::quarantined);
+    EXPECT_EQ(small.suspicion(2, start), crash_suspicion::none);
+    EXPECT_EQ(small.suspicion(3, start), crash_suspicion::suspected);
+}
+
+// Several gateways run random content; counts reach the others late, in any order and more than once.
+RC_GTEST_PROP(crash_history_property, crashing_content_is_soon_kept_out_by_all_gateways, ()) {
+    constexpr std::uint64_t crashing_content = 0;
+    constexpr std::uint64_t contents = 6;
+    constexpr int maximum_delay = 8; // requests
+    struct message {
+        std::size_t to = 0;
+        crash_count count;
+        int due = 0;
+    };
+    std::mt19937_64 random{*rc::gen::arbitrary<std::uint64_t>()};
+    std::array<crash_history, 4> gateways{crash_history{{}}, crash_history{{}}, crash_history{{}},
+                                          crash_history{{}}};
+    std::vector<message> messages;
+    int last_crash = 0;
+    int crashes = 0;
+    for (int step = 0; step < 400; ++step) {
+        for (const auto& item : messages) {
+            if (item.due == step) {
+                gateways.at(item.to).merge(item.count, start);
+            }
+        }
+        const std::size_t receiver = random() % gateways.size();
+        auto& gateway = gateways.at(receiver);
+        const std::uint64_t content = random() % contents;
+        if (gateway.suspicion(content, start) == crash_suspicion::quarantined) {
+            RC_ASSERT(content == crashing_content);
+            continue;
+        }
+        crash_count change{content, 0};
+        if (content == crashing_content) {
+            ++crashes;
+            last_crash = step;
+            gateway.record_loss(content, gateway.losses(content, start), start);
+            change.losses = gateway.losses(content, start);
+        } else if (!gateway.record_answer(content)) {
+            continue;
+        }
+        for (std::size_t other = 0; other < gateways.size(); ++other) {
+            for (int copy = 0; copy < 2 && other != receiver; ++copy) {
+                messages.push_back({other, change, step + 1 + static_cast<int>(random() % maximum_delay)});
+            }
+        }
+    }
+    for (const auto& gateway : gateways) {
+        RC_ASSERT(gateway.suspicion(crashing_content, start) == crash_suspicion::quarantined);
+    }
+    // Each gateway may run it twice before it hears of the others; none of them runs it afterwards.
+    RC_ASSERT(crashes <= 2 * static_cast<int>(gateways.size()));
+    RC_ASSERT(last_crash < 400 - maximum_delay);
+}
+
+} // namespace
+} // namespace carawayway::steering
--- a/bench/placement/fleet_model.cpp
+++ b/bench/placement/fleet_model.cpp
@@ -109,7 +109,8 @@
     for (const auto& receiving_gateway : m_gateways) {
         for (const auto& other : m_gateways) {
             const auto& own = other->servers.own_locality();
-            receiving_gateway->servers.gateways().put({own.gateway, own.failure_domain, own.region, {}, {}});
+            receiving_gateway->servers.gateways().put(
+                {own.gateway, own.failure_domain, own.region, {}, {}, {}});
         }
         for (const auto& known : m_servers) {
             carawayway::fleet::server_registration facts;
--- a/carawayway/config/gateway_settings.hpp
+++ b/carawayway/config/gateway_settings.hpp
@@ -19,8 +19,10 @@
     socket_address lookup_address;
     socket_address peer_address;                   // other gateways connect here
     std::optional<socket_address> metrics_address; // absent: metrics are not served
-    std::vector<socket_address> seeds;             // peer addresses to query during a store outage
-    std::string bounds;                            // limits in the platform's own text format
+    // UDP; other gateways send notices of crashes here. Absent: this gateway neither sends nor gets any.
+    std::optional<socket_address> notice_address;
+    std::vector<socket_address> seeds; // peer addresses to query during a store outage
+    std::string bounds;                // limits in the platform's own text format
     base::log_level log_level = base::log_level::info;
 
     socket_address store_address;
--- a/carawayway/config/gateway_settings_fields.hpp
+++ b/carawayway/config/gateway_settings_fields.hpp
@@ -16,6 +16,7 @@
     visit("lookup_address", settings.lookup_address);
     visit("peer_address", settings.peer_address);
     visit("metrics_address", settings.metrics_address);
+    visit("notice_address", settings.notice_address);
     visit("seeds", settings.seeds);
     visit("bounds", settings.bounds);
     visit("log_level", settings.log_level);
--- a/carawayway/config/key_table.cpp
+++ b/carawayway/config/key_table.cpp
@@ -195,6 +195,9 @@
                     "Address that other gateways ask for facts while the store does not answer them."},
     key_description{gateway, "gateway", "metrics_address", value_kind::listen_address, "", optional, "", 0, 0,
                     "Address of the metrics; without it they are not served."},
+    key_description{gateway, "gateway", "notice_address", value_kind::listen_address, "", optional, "", 0, 0,
+                    "UDP address that other gateways tell which requests crash servers; without it this "
+                    "gateway tells and learns only through the store."},
     key_description{gateway, "gateway", "seeds", value_kind::remote_address_list, "", optional, "", 0, 0,
                     "Peer addresses of gateways to ask before any other is known."},
     key_description{gateway, "gateway", "bounds", value_kind::text, "", optional, "", 0, 0,
--- a/carawayway/fleet/registrations.hpp
+++ b/carawayway/fleet/registrations.hpp
@@ -32,6 +32,7 @@
     std::string region;
     std::string caller_address; // IP:port
     std::string peer_address;   // IP:port
+    std::string notice_address; // IP:port for datagrams; empty if it takes none
 
     bool operator==(const gateway_registration&) const = default;
 };
--- a/carawayway/fleet/store_messages.hpp
+++ b/carawayway/fleet/store_messages.hpp
@@ -48,12 +48,12 @@
 };
 
 // The type of data that a key holds.
-enum class store_key_kind : std::uint8_t { other, server, configuration, evacuation, gateway };
+enum class store_key_kind : std::uint8_t { other, server, configuration, evacuation, gateway, quarantine };
 
 // What a key is about.
 struct store_key_subject {
     store_key_kind kind = store_key_kind::other;
-    std::string name; // of the server, failure domain or gateway; otherwise empty
+    std::string name; // of the server, failure domain or gateway, or the fingerprint of quarantined content
 
     bool operator==(const store_key_subject&) const = default;
 };
--- a/carawayway/gateway/content_fingerprint.cpp
+++ b/carawayway/gateway/content_fingerprint.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <charconv>
+
 namespace carawayway::gateway {
 
 std::uint64_t content_fingerprint(const http_request& request, std::string_view object) {
@@ -22,4 +24,13 @@
     return fmt::format("{:016x}", fingerprint);
 }
 
+std::optional<std::uint64_t> fingerprint_from_text(std::string_view text) {
+    constexpr int hexadecimal = 16;
+    std::uint64_t fingerprint = 0;
+    const auto* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, fingerprint, hexadecimal);
+    const bool valid = parsed.ec == std::errc{} && parsed.ptr == end && to_text(fingerprint) == text;
+    return valid ? std::optional(fingerprint) : std::nullopt;
+}
+
 } // namespace carawayway::gateway
--- a/carawayway/gateway/content_fingerprint.hpp
+++ b/carawayway/gateway/content_fingerprint.hpp
@@ -4,6 +4,7 @@
 #include "carawayway/gateway/wire_types.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,5 +16,7 @@
 
 // 16 hexadecimal digits, as in log lines and store keys.
 std::string to_text(std::uint64_t fingerprint);
+// Empty when the text is not one that to_text() returns.
+std::optional<std::uint64_t> fingerprint_from_text(std::string_view text);
 
 } // namespace carawayway::gateway
--- /dev/null
+++ b/carawayway/gateway/crash_notice_codec.cpp
@@ -0,0 +1,42 @@
+// FlatBuffers encoding of crash notices.
+#include "carawayway/gateway/crash_notice_codec.hpp"
+
+#include "carawayway/wire/relay_generated.h"
+
+#include <algorithm>
+
+namespace carawayway::gateway {
+
+namespace schema = carawayway::wire::relay;
+
+std::string encode_crash_notice(std::span<const steering::crash_count> counts) {
+    std::vector<schema::CrashCount> items;
+    items.reserve(counts.size());
+    std::transform(counts.begin(), counts.end(), std::back_inserter(items),
+                   [](const steering::crash_count& count) {
+                       return schema::CrashCount(count.fingerprint, count.losses);
+                   });
+    flatbuffers::FlatBufferBuilder builder;
+    const auto notice = schema::CreateCrashNoticeDirect(builder, &items);
+    builder.Finish(schema::CreateMessage(builder, schema::Body::CrashNotice, notice.Union()));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::optional<std::vector<steering::crash_count>> decode_crash_notice(std::span<const std::byte> payload) {
+    const auto* const bytes = reinterpret_cast<const std::uint8_t*>(payload.data());
+    flatbuffers::Verifier verifier(bytes, payload.size());
+    if (!schema::VerifyMessageBuffer(verifier)) {
+        return std::nullopt;
+    }
+    const auto* const notice = schema::GetMessage(bytes)->body_as_CrashNotice();
+    if (notice == nullptr) {
+        return std::nullopt;
+    }
+    std::vector<steering::crash_count> counts;
+    for (const auto* const item : *notice->counts()) {
+        counts.push_back({item->fingerprint(), item->losses()});
+    }
+    return counts;
+}
+
+} // namespace carawayway::gateway
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -9,9 +9,12 @@
 #include "carawayway/gateway/error_response.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
 #include "carawayway/gateway/server_exchange.hpp"
+#include "carawayway/gateway/server_liveness.hpp"
 #include "carawayway/net/endpoint.hpp"
 #include "carawayway/placement/overdue_time.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -85,7 +88,8 @@
         m_caller_disconnected = true;
         m_hedge_timer.cancel();
         if (is_idempotent() || !any_attempt_sent()) {
-            abort_attempts();
+            share_losses(base::monotonic_now());
+            abandon_attempts();
             m_deadline_timer.cancel();
         }
     }
@@ -115,15 +119,12 @@
 
     void send_to_next_server() {
         const auto now = base::monotonic_now();
-        const placement::placement_request request{*m_route,
-                                                   m_service,
-                                                   m_object_hash,
-                                                   m_deadline - now,
-                                                   m_arrived + m_route->target_latency -
-                                                       m_time_spent_in_earlier_attempts - now,
-                                                   m_tried_servers,
-                                                   !m_metadata.object.empty()};
-        const auto placed = m_state.selector.choose(request, now);
+        if (known_losses(now) >= steering::crash_history::quarantine_losses) {
+            m_retry_after = m_state.guard.quarantine_left(fingerprint(), now);
+            respond_with_failure(base::error_kind::request_quarantined, now);
+            return;
+        }
+        const auto placed = m_state.selector.choose(next_placement_request(now), now);
         if (!placed.server) {
             fail_unplaced(placed, now);
             return;
@@ -144,6 +145,8 @@
     // One send of the request to one server.
     struct attempt {
         placement::server_handle server;
+        boost::asio::ip::tcp::endpoint address; // of the server
+        std::uint32_t losses_when_sent = 0;     // of the content, as known at that time
         placement::object_cache_state cache_state = placement::object_cache_state::not_cached;
         base::duration expected_latency{}; // time until the response, as estimated when the server was chosen
         base::time_point chosen_at{};
@@ -161,18 +164,15 @@
         }
         auto sent = std::make_shared<attempt>();
         sent->server = placed.server;
+        sent->address = *address;
+        sent->losses_when_sent = known_losses(now);
         sent->cache_state = placed.cache_state;
         sent->expected_latency = placed.expected_latency;
         sent->chosen_at = now;
         const auto& server = *sent->server;
         m_state.servers.record_request_start(*sent->server);
-        const exchange_limits limits{
-            std::min<base::duration>(
-                m_deadline - now,
-                std::max<base::duration>(minimum_connect_timeout,
-                                         round_trip_to(server) * connect_timeout_round_trips)),
-            is_idempotent() ? maximum_idle_time_idempotent : maximum_idle_time_non_idempotent,
-            gateway_state::maximum_response_bytes};
+        const exchange_limits limits{std::min<base::duration>(m_deadline - now, connect_timeout(server)),
+                                     maximum_idle_time(*sent), gateway_state::maximum_response_bytes};
         auto request = std::make_shared<http_request>(m_request);
         Platform::write_call(*request, server.registration.id, m_deadline - now);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
@@ -187,6 +187,20 @@
         }
     }
 
+    base::duration connect_timeout(const placement::server_state& server) const {
+        return std::max<base::duration>(minimum_connect_timeout,
+                                        round_trip_to(server) * connect_timeout_round_trips);
+    }
+
+    // A new connection for suspected content shows that the server is alive when the request is sent, so that
+    // a loss is not that of a connection to a server that had ended before.
+    base::duration maximum_idle_time(const attempt& sent) const {
+        if (sent.losses_when_sent > 0) {
+            return base::duration::zero();
+        }
+        return is_idempotent() ? maximum_idle_time_idempotent : maximum_idle_time_non_idempotent;
+    }
+
     base::duration round_trip_to(const placement::server_state& server) const {
         return m_state.round_trips.expected(server.registration.failure_domain,
                                             server.region == m_state.servers.own_locality().region);
@@ -205,6 +219,17 @@
         m_running_attempts.clear();
     }
 
+    // Aborts attempts whose outcome nobody waits for any longer. A server may still be lost to suspected
+    // content after that.
+    void abandon_attempts() {
+        for (const auto& item : m_running_attempts) {
+            if (item->losses_when_sent > 0 && item->exchange->was_sent()) {
+                check_server_end(item, nullptr);
+            }
+        }
+        abort_attempts();
+    }
+
     // Hedging: an idempotent request is also sent to a second server once its response is overdue. The first
     // server may be slow, or the request or the response may be lost. The first good response is used.
     void start_hedge_timer(const attempt_handle& first) {
@@ -219,7 +244,9 @@
 
     void hedge(const attempt_handle& first) {
         const auto now = base::monotonic_now();
-        if (m_running_attempts.size() != 1 || m_attempt_count + 1 >= m_route->maximum_attempts) {
+        const bool is_suspected = known_losses(now) > 0; // it may crash the second server as well
+        if (is_suspected || m_running_attempts.size() != 1 ||
+            m_attempt_count + 1 >= m_route->maximum_attempts) {
             return;
         }
         // While requests queue at the server, a late response is expected, and a hedge would only add load.
@@ -254,11 +281,23 @@
             ++m_attempt_count;
             m_may_have_executed = true;
             log_lost_attempt(*sent, now);
+            if (sent->losses_when_sent > 0) {
+                check_server_end(sent, [self = this->shared_from_this(), outcome = result.outcome] {
+                    self->continue_after(outcome, base::monotonic_now());
+                });
+                return;
+            }
+            m_state.guard.record_loss(fingerprint(), 0, now);
         }
-        if (!m_running_attempts.empty()) {
-            return; // the other server may still respond
+        continue_after(result.outcome, now);
+    }
+
+    // Retries or ends the request after an attempt without a whole response.
+    void continue_after(exchange_outcome outcome, base::time_point now) {
+        if (!m_running_attempts.empty() || m_is_completed) {
+            return; // the other server may still respond, or the deadline has passed
         }
-        if (result.outcome == exchange_outcome::not_connected) {
+        if (outcome == exchange_outcome::not_connected) {
             if (++m_connect_failures <= maximum_connect_failures) {
                 send_to_next_server();
                 return;
@@ -270,11 +309,43 @@
             send_to_next_server();
             return;
         }
-        respond_with_failure(result.outcome == exchange_outcome::broken ? base::error_kind::answer_truncated
-                                                                        : base::error_kind::server_lost,
+        respond_with_failure(outcome == exchange_outcome::broken ? base::error_kind::answer_truncated
+                                                                 : base::error_kind::server_lost,
                              now);
     }
 
+    // The second loss in sequence quarantines the content, so it counts only if the server has ended: answers
+    // and connections are also lost while servers live. `then` runs afterwards.
+    void check_server_end(const attempt_handle& sent, std::function<void()> then) {
+        boost::asio::co_spawn(m_state.executor,
+                              record_if_ended(this->shared_from_this(), sent, std::move(then)),
+                              boost::asio::detached);
+    }
+
+    static boost::asio::awaitable<void> record_if_ended(std::shared_ptr<forwarded_request> self,
+                                                        attempt_handle sent, std::function<void()> then) {
+        const auto timeout = self->connect_timeout(*sent->server);
+        const bool has_ended = co_await has_server_ended(self->m_state.executor, sent->address, timeout);
+        if (has_ended) {
+            self->m_state.guard.record_loss(self->fingerprint(), sent->losses_when_sent,
+                                            base::monotonic_now());
+        }
+        if (then) {
+            then();
+        }
+    }
+
+    // Zero while no content at all is suspected, so that the fingerprint is not computed for every request.
+    std::uint32_t known_losses(base::time_point now) {
+        return m_state.guard.is_idle() ? 0 : m_state.guard.losses(fingerprint(), now);
+    }
+
+    void share_losses(base::time_point now) {
+        if (m_fingerprint) {
+            m_state.guard.share_loss(*m_fingerprint, now);
+        }
+    }
+
     // Lines with the same content and different request IDs show a request that is sent again and loses a
     // server each time.
     void log_lost_attempt(const attempt& sent, base::time_point now) {
@@ -311,6 +382,9 @@
         const bool full = result.metadata.not_executed && result.metadata.load &&
                           result.metadata.load->utilization() > full_server_load;
         m_state.servers.record_answer(server, good || full, now);
+        if (!result.metadata.not_executed && !m_state.guard.is_idle()) {
+            m_state.guard.record_answer(fingerprint());
+        }
         count_attempt(result.metadata.not_executed ? "refused" : good ? "good" : "failed");
         if (result.metadata.other_server) {
             m_state.servers.mark_address_reassigned(server);
@@ -415,7 +489,7 @@
                 m_state.servers.record_no_answer(*item->server, now);
             }
         }
-        abort_attempts();
+        abandon_attempts();
         respond_with_error(may_have_executed ? base::error_kind::deadline_exceeded
                                              : base::error_kind::deadline_exceeded_before_dispatch,
                            m_retry_after, now);
@@ -430,6 +504,7 @@
     void respond_with_error(base::error_kind kind, base::duration retry_after, base::time_point now) {
         m_deadline_timer.cancel();
         m_hedge_timer.cancel();
+        share_losses(now);
         if (!m_respond) {
             return;
         }
@@ -470,6 +545,7 @@
     }
 
     void complete_request(http_response response, base::time_point now) {
+        m_is_completed = true;
         const std::string priority = m_route == nullptr ? "none" : std::to_string(m_route->priority);
         m_state.metrics.add("carawayway_gateway_requests_total",
                             {{"priority", priority},
@@ -512,6 +588,7 @@
     std::uint32_t m_connect_failures = 0;
     bool m_may_have_executed = false;
     bool m_caller_disconnected = false;
+    bool m_is_completed = false; // a response was given to the caller
 };
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -3,7 +3,9 @@
 
 #include "carawayway/config/gateway_settings.hpp"
 #include "carawayway/config/value_text.hpp"
+#include "carawayway/gateway/crash_notices.hpp"
 #include "carawayway/gateway/forwarded_request.hpp"
+#include "carawayway/gateway/quarantine_publisher.hpp"
 #include "carawayway/gateway/record_applier.hpp"
 #include "carawayway/gateway/session_listener.hpp"
 #include "carawayway/gateway/store_session.hpp"
@@ -36,7 +38,15 @@
           m_state(
               m_context.get_executor(),
               {m_settings.name, m_settings.failure_domain, m_settings.region, m_settings.region_of_domain},
-              bounds),
+              bounds,
+              [this](const steering::crash_count& count) {
+                  if (m_crash_notices) {
+                      m_crash_notices->share(count);
+                  }
+              },
+              [this](std::uint64_t fingerprint) { m_quarantine_publisher.publish(fingerprint); }),
+          m_quarantine_publisher(m_context.get_executor(), endpoint_of(m_settings.store_address),
+                                 m_settings.name),
           m_applier(m_state, [this] { m_store_session.handle_registration_loss(); }),
           m_store_session(
               m_context.get_executor(), endpoint_of(m_settings.store_address), own_registration(),
@@ -70,9 +80,12 @@
     }
 
     fleet::gateway_registration own_registration() const {
-        return {m_settings.name, m_settings.failure_domain, m_settings.region,
+        return {m_settings.name,
+                m_settings.failure_domain,
+                m_settings.region,
                 config::format_value(m_settings.caller_address),
-                config::format_value(m_settings.peer_address)};
+                config::format_value(m_settings.peer_address),
+                m_settings.notice_address ? config::format_value(*m_settings.notice_address) : std::string{}};
     }
 
     session_limits caller_limits() const {
@@ -103,6 +116,35 @@
         m_replication_server =
             std::make_unique<replication_server>(executor, endpoint_of(m_settings.peer_address), m_replica,
                                                  [this] { return m_store_session.watch_status(); });
+        if (m_settings.notice_address) {
+            open_crash_notices(*m_settings.notice_address);
+        }
+    }
+
+    void open_crash_notices(const config::socket_address& address) {
+        m_crash_notices = std::make_unique<crash_notices>(
+            m_context.get_executor(), udp_endpoint(endpoint_of(address)),
+            [this] { return notice_recipients(); },
+            [this](const std::vector<steering::crash_count>& counts) {
+                for (const auto& count : counts) {
+                    m_state.guard.merge(count, quarantine_source::peer, base::monotonic_now());
+                }
+            });
+    }
+
+    static boost::asio::ip::udp::endpoint udp_endpoint(const boost::asio::ip::tcp::endpoint& address) {
+        return {address.address(), address.port()};
+    }
+
+    std::vector<boost::asio::ip::udp::endpoint> notice_recipients() const {
+        std::vector<boost::asio::ip::udp::endpoint> recipients;
+        for (const auto& [name, registration] : m_state.servers.gateways().all()) {
+            const auto address = net::parse_endpoint(registration.notice_address);
+            if (address && name != m_settings.name) {
+                recipients.push_back(udp_endpoint(*address));
+            }
+        }
+        return recipients;
     }
 
     // Serves responses built from memory. Each is sent in the next iteration of the event loop, since a
@@ -309,12 +351,14 @@
     reload_function m_reload;
     boost::asio::io_context m_context{1}; // one thread runs it
     gateway_state m_state;
+    quarantine_publisher<Platform> m_quarantine_publisher;
     fleet::store_replica m_replica;
     record_applier<Platform> m_applier;
     store_session<Platform> m_store_session;
     std::unique_ptr<session_listener> m_caller_listener;
     std::vector<std::unique_ptr<session_listener>> m_auxiliary_listeners;
     std::unique_ptr<replication_server> m_replication_server;
+    std::unique_ptr<crash_notices> m_crash_notices; // null without an address for notices
     boost::asio::steady_timer m_tick_timer;
     boost::asio::steady_timer m_stop_timer;
     boost::asio::signal_set m_signals;
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -20,12 +20,13 @@
 } // namespace
 
 gateway_state::gateway_state(boost::asio::any_io_executor io_executor, const placement::locality& own,
-                             platform_bounds limits)
+                             platform_bounds limits, content_guard::share_function share,
+                             content_guard::publish_function publish)
     : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold),
       affinity(maximum_remembered_objects), region_shifts(own.region, limits.region_shift_share),
       region_spillover(own.region),
       selector(servers, run_times, affinity, round_trips, region_shifts, region_spillover),
-      metrics(metric_series_limit) {
+      metrics(metric_series_limit), guard(metrics, std::move(share), std::move(publish)) {
     metrics.declare("carawayway_gateway_requests_total", metrics::metric_type::counter,
                     "Requests of callers by service, priority and status.");
     metrics.declare("carawayway_gateway_request_duration_seconds", metrics::metric_type::histogram,
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/gateway/backend_pool.hpp"
+#include "carawayway/gateway/content_guard.hpp"
 #include "carawayway/gateway/rate_limited_log.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
@@ -22,8 +23,10 @@
 // Used only by the gateway's single thread.
 class gateway_state {
 public:
+    // `share` and `publish` are those of the content guard.
     gateway_state(boost::asio::any_io_executor executor, const placement::locality& own,
-                  platform_bounds bounds);
+                  platform_bounds bounds, content_guard::share_function share,
+                  content_guard::publish_function publish);
 
     gateway_state(const gateway_state&) = delete;
     gateway_state(gateway_state&&) = delete;
@@ -57,6 +60,7 @@
     routing::traffic_splitter splitter;
     backend_pool connections;
     metrics::metric_registry metrics;
+    content_guard guard;
     rate_limited_log log;
 
 private:
--- /dev/null
+++ b/carawayway/gateway/quarantine_publisher.hpp
@@ -0,0 +1,95 @@
+// Writes quarantined content to the store, so that gateways that start later know it.
+#pragma once
+
+#include "carawayway/base/log.hpp"
+#include "carawayway/gateway/content_fingerprint.hpp"
+#include "carawayway/gateway/store_channel.hpp"
+#include "carawayway/gateway/wire_types.hpp"
+#include "carawayway/steering/crash_history.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace carawayway::gateway {
+
+// Each key has a lease that is not renewed, so that the store removes it when the quarantine is over. A write
+// whose outcome is unknown is repeated, which changes nothing if it was done.
+template <platform_protocol Platform>
+class quarantine_publisher {
+public:
+    static constexpr base::duration key_lifetime = steering::crash_history_limits{}.expiry;
+    static constexpr base::duration call_timeout = std::chrono::milliseconds{900};
+    static constexpr base::duration retry_delay = std::chrono::seconds{1};
+    // Content is rarely quarantined; more than this waits only when the store is down for long.
+    static constexpr std::size_t maximum_pending = 64;
+
+    // `gateway` is the name of this gateway, which the keys give as their author.
+    quarantine_publisher(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& store,
+                         std::string gateway)
+        : m_executor(std::move(executor)), m_gateway(std::move(gateway)), m_channel(m_executor, store),
+          m_retry_timer(m_executor) {}
+
+    void publish(std::uint64_t fingerprint) {
+        if (m_pending.size() >= maximum_pending) {
+            base::log(base::log_level::warning, "quarantine-not-published",
+                      {{"content", to_text(fingerprint)}, {"pending", m_pending.size()}});
+            return;
+        }
+        m_pending.push_back({fingerprint, base::monotonic_now()});
+        if (m_pending.size() == 1) {
+            boost::asio::co_spawn(m_executor, write_pending(), boost::asio::detached);
+        }
+    }
+
+private:
+    struct pending_quarantine {
+        std::uint64_t fingerprint = 0;
+        base::time_point since;
+    };
+
+    boost::asio::awaitable<void> write_pending() {
+        while (!m_pending.empty()) {
+            const auto item = m_pending.front();
+            const bool written = co_await write(item.fingerprint);
+            const bool is_over = base::monotonic_now() - item.since >= key_lifetime;
+            if (written || is_over) {
+                base::log(base::log_level::info,
+                          written ? "quarantine-published" : "quarantine-not-published",
+                          {{"content", to_text(item.fingerprint)}});
+                m_pending.pop_front();
+                continue;
+            }
+            boost::system::error_code ended_early;
+            m_retry_timer.expires_after(retry_delay);
+            co_await m_retry_timer.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ended_early));
+        }
+    }
+
+    boost::asio::awaitable<bool> write(std::uint64_t fingerprint) {
+        const auto granted = co_await m_channel.call(Platform::grant_call(key_lifetime), call_timeout);
+        const auto lease =
+            granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
+        if (lease.status != fleet::store_status::done) {
+            co_return false;
+        }
+        const auto written = co_await m_channel.call(
+            Platform::quarantine_call(to_text(fingerprint), m_gateway, lease.id), call_timeout);
+        co_return written&& Platform::read_status(written->status) == fleet::store_status::done;
+    }
+
+    boost::asio::any_io_executor m_executor;
+    std::string m_gateway;
+    store_channel m_channel;
+    boost::asio::steady_timer m_retry_timer;
+    std::deque<pending_quarantine> m_pending; // the first one is being written
+};
+
+} // namespace carawayway::gateway
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/base/log.hpp"
 #include "carawayway/fleet/store_health.hpp"
+#include "carawayway/gateway/content_fingerprint.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
 #include "carawayway/gateway/removal_certainty.hpp"
 
@@ -36,6 +37,9 @@
             case fleet::store_key_kind::gateway:
                 apply_gateway(subject.name, record, certainty);
                 break;
+            case fleet::store_key_kind::quarantine:
+                apply_quarantine(subject.name, record, now);
+                break;
             case fleet::store_key_kind::other:
                 break;
             }
@@ -136,11 +140,31 @@
             return;
         }
         m_missing_gateways.erase(name);
-        if (const auto registration = Platform::read_gateway(name, record.value)) {
-            m_state.servers.gateways().put(*registration);
-        } else {
+        const auto registration = Platform::read_gateway(name, record.value);
+        if (!registration) {
             base::log(base::log_level::warning, "gateway-registration-invalid", {{"gateway", name}});
+            return;
+        }
+        m_state.servers.gateways().put(*registration);
+        base::log(
+            base::log_level::info, "gateway-registered",
+            {{"gateway", name}, {"domain", registration->failure_domain}, {"revision", record.revision}});
+    }
+
+    // A key that disappears ends nothing: the store may have dropped its lease during an outage. Each gateway
+    // ends the quarantine by its own clock.
+    void apply_quarantine(const std::string& name, const fleet::store_record& record, base::time_point now) {
+        if (record.erased) {
+            return;
+        }
+        const auto fingerprint = fingerprint_from_text(name);
+        if (!fingerprint) {
+            base::log(base::log_level::warning, "quarantine-invalid",
+                      {{"content", name}, {"revision", record.revision}});
+            return;
         }
+        m_state.guard.merge({*fingerprint, steering::crash_history::quarantine_losses},
+                            quarantine_source::store, now);
     }
 
     gateway_state& m_state;
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -95,6 +95,8 @@
     { Platform::renew_call(number) } -> std::same_as<fleet::store_call>;
     { Platform::revoke_call(number) } -> std::same_as<fleet::store_call>;
     { Platform::register_call(own, number) } -> std::same_as<fleet::store_call>; // lease
+    // Fingerprint of the content, name of this gateway, lease.
+    { Platform::quarantine_call(text, text, number) } -> std::same_as<fleet::store_call>;
     { Platform::read_page(status, body) } -> std::same_as<fleet::store_page>;
     { Platform::read_events(status, body) } -> std::same_as<fleet::store_page>;
     { Platform::read_lease(status, body) } -> std::same_as<fleet::store_lease>;
--- /dev/null
+++ b/carawayway/steering/crash_history.cpp
@@ -0,0 +1,84 @@
+// Counts of lost servers for each request content.
+#include "carawayway/steering/crash_history.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace carawayway::steering {
+
+std::uint32_t crash_history::losses(std::uint64_t fingerprint, base::time_point now) const {
+    const auto* const known = find_unexpired(fingerprint, now);
+    return known == nullptr ? 0 : known->losses;
+}
+
+crash_suspicion crash_history::suspicion(std::uint64_t fingerprint, base::time_point now) const {
+    const auto known_losses = losses(fingerprint, now);
+    if (known_losses == 0) {
+        return crash_suspicion::none;
+    }
+    return known_losses < quarantine_losses ? crash_suspicion::suspected : crash_suspicion::quarantined;
+}
+
+base::duration crash_history::quarantine_left(std::uint64_t fingerprint, base::time_point now) const {
+    const auto* const known = find_unexpired(fingerprint, now);
+    return known == nullptr || known->losses < quarantine_losses ? base::duration::zero()
+                                                                 : known->expires - now;
+}
+
+void crash_history::record_loss(std::uint64_t fingerprint, std::uint32_t losses_when_sent,
+                                base::time_point now) {
+    const auto known_losses = losses(fingerprint, now);
+    const bool is_next = known_losses <= losses_when_sent;
+    raise(fingerprint, is_next ? known_losses + 1 : known_losses, now);
+}
+
+bool crash_history::record_answer(std::uint64_t fingerprint) {
+    const auto found = m_records.find(fingerprint);
+    if (found == m_records.end() || found->second.losses >= quarantine_losses) {
+        return false;
+    }
+    m_records.erase(found);
+    return true;
+}
+
+bool crash_history::merge(const crash_count& received, base::time_point now) {
+    if (received.losses == 0) {
+        record_answer(received.fingerprint);
+        return false;
+    }
+    const auto known_losses = losses(received.fingerprint, now);
+    if (received.losses <= known_losses) {
+        return false;
+    }
+    raise(received.fingerprint, received.losses, now);
+    return received.losses >= quarantine_losses;
+}
+
+const crash_history::record* crash_history::find_unexpired(std::uint64_t fingerprint,
+                                                           base::time_point now) const {
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() || found->second.expires <= now ? nullptr : &found->second;
+}
+
+void crash_history::raise(std::uint64_t fingerprint, std::uint32_t losses, base::time_point now) {
+    if (!m_records.contains(fingerprint) && m_records.size() >= m_limits.capacity) {
+        make_room(now);
+    }
+    m_records[fingerprint] = {std::min(losses, quarantine_losses), now + m_limits.expiry};
+}
+
+// Removes expired records, or else the one with the fewest losses that expires next.
+void crash_history::make_room(base::time_point now) {
+    std::erase_if(m_records, [now](const auto& item) { return item.second.expires <= now; });
+    if (m_records.size() < m_limits.capacity) {
+        return;
+    }
+    const auto evicted =
+        std::min_element(m_records.begin(), m_records.end(), [](const auto& left, const auto& right) {
+            return std::tie(left.second.losses, left.second.expires) <
+                   std::tie(right.second.losses, right.second.expires);
+        });
+    m_records.erase(evicted);
+}
+
+} // namespace carawayway::steering
--- /dev/null
+++ b/carawayway/steering/crash_history.hpp
@@ -0,0 +1,79 @@
+// Remembers which request contents were running when servers ended, on gateways that share all servers.
+#pragma once
+
+#include "carawayway/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace carawayway::steering {
+
+// How often content was lost in sequence. A count of zero in a message says that a server has answered it.
+struct crash_count {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t losses = 0;
+
+    bool operator==(const crash_count&) const = default;
+};
+
+enum class crash_suspicion : std::uint8_t {
+    none,
+    suspected,   // lost once; may run, but only so that another loss is conclusive
+    quarantined, // must not be sent to a server
+};
+
+struct crash_history_limits {
+    std::size_t capacity = 4096;                      // contents
+    base::duration expiry = std::chrono::minutes{10}; // since the last loss
+
+    bool operator==(const crash_history_limits&) const = default;
+};
+
+// A loss counts only if the request was sent when all earlier losses of its content were known, so that one
+// failure of many servers raises the count of each content by one at most. An answer of any server clears
+// suspected content. The crash_guard of an entry instance also isolates suspected content, which requires
+// that the instance owns the server.
+class crash_history {
+public:
+    static constexpr std::uint32_t quarantine_losses = 2;
+
+    explicit crash_history(crash_history_limits limits) : m_limits(limits) {}
+
+    bool empty() const { return m_records.empty(); }
+    std::size_t size() const { return m_records.size(); }
+
+    // Losses of this content that are known; zero when the record has expired.
+    std::uint32_t losses(std::uint64_t fingerprint, base::time_point now) const;
+    crash_suspicion suspicion(std::uint64_t fingerprint, base::time_point now) const;
+    // Time until the content may be sent again; zero unless it is quarantined.
+    base::duration quarantine_left(std::uint64_t fingerprint, base::time_point now) const;
+
+    // Records that a server was lost while it ran this content. `losses_when_sent` is the value of losses()
+    // when the request was sent.
+    void record_loss(std::uint64_t fingerprint, std::uint32_t losses_when_sent, base::time_point now);
+
+    // Records that a server has answered this content. Returns whether suspected content was cleared.
+    // Quarantine is not lifted.
+    bool record_answer(std::uint64_t fingerprint);
+
+    // Applies what another gateway knows. Returns whether the content is newly quarantined.
+    bool merge(const crash_count& received, base::time_point now);
+
+private:
+    struct record {
+        std::uint32_t losses = 0; // at least 1, at most quarantine_losses
+        base::time_point expires;
+    };
+
+    const record* find_unexpired(std::uint64_t fingerprint, base::time_point now) const;
+    void raise(std::uint64_t fingerprint, std::uint32_t losses, base::time_point now);
+    void make_room(base::time_point now);
+
+    crash_history_limits m_limits;
+    std::unordered_map<std::uint64_t, record> m_records; // at most m_limits.capacity
+};
+
+} // namespace carawayway::steering
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -26,6 +26,11 @@
 struct FactReply;
 struct FactReplyBuilder;
 
+struct CrashCount;
+
+struct CrashNotice;
+struct CrashNoticeBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -33,31 +38,34 @@
   NONE = 0,
   FactRequest = 1,
   FactReply = 2,
+  CrashNotice = 3,
   MIN = NONE,
-  MAX = FactReply
+  MAX = CrashNotice
 };
 
-inline const Body (&EnumValuesBody())[3] {
+inline const Body (&EnumValuesBody())[4] {
   static const Body values[] = {
     Body::NONE,
     Body::FactRequest,
-    Body::FactReply
+    Body::FactReply,
+    Body::CrashNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "NONE",
     "FactRequest",
     "FactReply",
+    "CrashNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::FactReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CrashNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -74,9 +82,46 @@
   static const Body enum_value = Body::FactReply;
 };
 
+template<> struct BodyTraits<carawayway::wire::relay::CrashNotice> {
+  static const Body enum_value = Body::CrashNotice;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t fingerprint_;
+  uint32_t losses_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  CrashCount()
+      : fingerprint_(0),
+        losses_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  CrashCount(uint64_t _fingerprint, uint32_t _losses)
+      : fingerprint_(flatbuffers::EndianScalar(_fingerprint)),
+        losses_(flatbuffers::EndianScalar(_losses)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t fingerprint() const {
+    return flatbuffers::EndianScalar(fingerprint_);
+  }
+  uint32_t losses() const {
+    return flatbuffers::EndianScalar(losses_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashCount, 16);
+
+struct CrashCount::Traits {
+  using type = CrashCount;
+};
+
 struct Fact FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FactBuilder Builder;
   struct Traits;
@@ -336,6 +381,64 @@
       undisturbed_ms);
 }
 
+struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COUNTS = 4
+  };
+  const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *counts() const {
+    return GetPointer<const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashNoticeBuilder {
+  typedef CrashNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts) {
+    fbb_.AddOffset(CrashNotice::VT_COUNTS, counts);
+  }
+  explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashNotice>(end);
+    fbb_.Required(o, CrashNotice::VT_COUNTS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashNotice> CreateCrashNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts = 0) {
+  CrashNoticeBuilder builder_(_fbb);
+  builder_.add_counts(counts);
+  return builder_.Finish();
+}
+
+struct CrashNotice::Traits {
+  using type = CrashNotice;
+  static auto constexpr Create = CreateCrashNotice;
+};
+
+inline flatbuffers::Offset<CrashNotice> CreateCrashNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<carawayway::wire::relay::CrashCount> *counts = nullptr) {
+  auto counts__ = counts ? _fbb.CreateVectorOfStructs<carawayway::wire::relay::CrashCount>(*counts) : 0;
+  return carawayway::wire::relay::CreateCrashNotice(
+      _fbb,
+      counts__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   struct Traits;
@@ -356,6 +459,9 @@
   const carawayway::wire::relay::FactReply *body_as_FactReply() const {
     return body_type() == carawayway::wire::relay::Body::FactReply ? static_cast<const carawayway::wire::relay::FactReply *>(body()) : nullptr;
   }
+  const carawayway::wire::relay::CrashNotice *body_as_CrashNotice() const {
+    return body_type() == carawayway::wire::relay::Body::CrashNotice ? static_cast<const carawayway::wire::relay::CrashNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -373,6 +479,10 @@
   return body_as_FactReply();
 }
 
+template<> inline const carawayway::wire::relay::CrashNotice *Message::body_as<carawayway::wire::relay::CrashNotice>() const {
+  return body_as_CrashNotice();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -422,6 +532,10 @@
       auto ptr = reinterpret_cast<const carawayway::wire::relay::FactReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::CrashNotice: {
+      auto ptr = reinterpret_cast<const carawayway::wire::relay::CrashNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
