gateway: Let a new process earn its retries

Cause: the share of the retry budget of a gateway was fixed at the first request, from the gateways that it knew at that moment (at least four), and each process started with a full share. So the sum over all gateways exceeded the budget when processes were restarted several times within a window, or learned of each other late. Change: a process begins without retries and earns them by first attempts; its share follows the number of gateways that it knows now.

--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t metric_series_limit = 256;
 
 // The gateways use only these fractions of the deployment's retry budget: their windows are not aligned with
-// those of the limit, and a gateway that has just started does not know all others yet.
+// those of the limit, and they learn of each other at different times.
 constexpr double retry_share_safety_factor = 0.8;
 constexpr double retry_slack_safety_factor = 0.7;
 // Lower limit for the assumed number of gateways; applies until the store has listed them.
@@ -54,15 +54,16 @@
 }
 
 steering::retry_budget& gateway_state::retry_budget_of(const std::string& service, base::time_point now) {
+    const auto gateways = static_cast<double>(std::max(minimum_gateway_count, servers.gateways().count()));
+    const double burst = std::max(1.0, bounds.retry_slack * retry_slack_safety_factor / gateways);
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end()) {
+        found->second.set_burst(burst);
         return found->second;
     }
-    const auto gateways = static_cast<double>(std::max(minimum_gateway_count, servers.gateways().count()));
-    const steering::retry_limits limits{
-        bounds.retry_share * retry_share_safety_factor, 0.0,
-        std::max(1.0, bounds.retry_slack * retry_slack_safety_factor / gateways)};
-    return m_budgets.emplace(service, steering::retry_budget(limits, now)).first->second;
+    const steering::retry_limits limits{bounds.retry_share * retry_share_safety_factor, 0.0, burst};
+    const steering::retry_budget budget(limits, now, steering::initial_retries::none);
+    return m_budgets.emplace(service, budget).first->second;
 }
 
 } // namespace carawayway::gateway
