placement: Send nothing to cold servers just after a start

Cause: a gateway that starts does not know what the process before it sent to a cold server within the last second, nor which gateways share the allowance with it. If all gateways restart, a cold server gets its allowance twice.

--- a/Tests/placement/cold_servers_test.cpp
+++ b/Tests/placement/cold_servers_test.cpp
@@ -23,11 +23,13 @@
     return registration;
 }
 
-std::vector<std::unique_ptr<server_table>> gateways(std::size_t count, double tolerated_rate) {
+std::vector<std::unique_ptr<server_table>> gateways(std::size_t count, double tolerated_rate,
+                                                    base::time_point started_at = start - 1min) {
     std::vector<std::unique_ptr<server_table>> tables;
     for (std::size_t index = 0; index < count; ++index) {
         const std::string name = "g" + std::to_string(index);
-        tables.push_back(std::make_unique<server_table>(locality{name, "a", "r", {{"a", "r"}}}, limits));
+        tables.push_back(
+            std::make_unique<server_table>(locality{name, "a", "r", {{"a", "r"}}}, limits, started_at));
         tables.back()->set_cold_start_profiles({{"s", {tolerated_rate, 3s}}});
         for (std::size_t other = 0; other < count; ++other) {
             tables.back()->gateways().put(
@@ -67,6 +69,26 @@
     }
 }
 
+// Guards against a cold server that gets its allowance twice within a second, because new processes do not
+// know what those before them have sent.
+TEST(cold_servers, the_limit_holds_when_all_gateways_are_restarted) {
+    constexpr std::size_t count = 10;
+    constexpr double tolerated_rate = 14.0;
+    std::size_t sent = 0;
+    for (const auto started_at : {start - 1min, start}) {
+        for (const auto& table : gateways(count, tolerated_rate, started_at)) {
+            table->put(cold_server(3s), start);
+            const auto server = table->find("i-1");
+            while (table->try_acquire_cold_send(*server, start)) {
+                ++sent;
+            }
+        }
+    }
+    EXPECT_GE(sent, 1U);
+    EXPECT_LE(static_cast<double>(sent),
+              tolerated_rate * limits.rate_factor + limits.extra_requests_per_second);
+}
+
 // Guards against limiting a server that is no longer cold.
 TEST(cold_servers, stop_being_cold_after_their_cold_time) {
     auto all = gateways(1, 14.0);
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -22,7 +22,7 @@
 gateway_state::gateway_state(boost::asio::any_io_executor io_executor, const placement::locality& own,
                              platform_bounds limits, content_guard::share_function share,
                              content_guard::publish_function publish)
-    : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold),
+    : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold, base::monotonic_now()),
       affinity(maximum_remembered_objects), region_shifts(own.region, limits.region_shift_share),
       region_spillover(own.region),
       selector(servers, run_times, affinity, round_trips, region_shifts, region_spillover),
--- a/carawayway/placement/server_table.cpp
+++ b/carawayway/placement/server_table.cpp
@@ -118,6 +118,9 @@
 }
 
 std::size_t server_table::cold_allowance(server_state& server, base::time_point now) {
+    if (now < m_started_at + cold_hold_after_start) {
+        return 0;
+    }
     while (!server.recent_cold_sends.empty() && server.recent_cold_sends.front() + cold_limit_window <= now) {
         server.recent_cold_sends.pop_front();
     }
