gateway: Begin with a short watch when the leader has lost the store

Cause: when the store drops its history it cuts the watch of the leader first. The leader treats this as an outage and answers its followers that it does not watch the store. A follower then begins a watch of 4 s at once; if that is before the history is dropped, it is neither cut nor answered 410, and the follower learns of nothing until it ends. Change: the first watch after the leader's answer waits 100 ms, as during an outage; the next one is long. The test of that case expected a long first watch; it now expects a short one and then a long one, and failed before.

--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -131,22 +131,25 @@
         return m_certainty;
     }
 
-    // Runs the session until it watches the store; returns the target of the watch.
-    std::string first_watch() {
-        std::string watch;
+    // Runs the session until it has watched the store twice; returns the targets of the watches.
+    std::vector<std::string> first_two_watches() {
+        std::vector<std::string> watches;
         run(
             [&](const std::string& target) -> scripted_answer {
                 if (target.starts_with("/kv-range")) {
                     return empty_listing();
                 }
-                if (is_watch(target)) {
-                    watch = target;
+                if (!is_watch(target)) {
+                    return silence();
+                }
+                watches.push_back(target);
+                if (watches.size() == 2) {
                     stop();
                 }
-                return silence();
+                return no_events();
             },
             [](const std::string&) {});
-        return watch;
+        return watches;
     }
 
     void add_change() {
@@ -185,17 +188,21 @@
     EXPECT_EQ(watches, 0);
 }
 
-// Guards against a gateway that gets no changes because its leader has lost contact with the store.
-TEST_F(store_session_follow_test, watches_the_store_when_the_leader_does_not) {
+// Guards against a gateway that gets no changes because its leader has lost contact with the store, and
+// against a long watch that begins while the store drops its history: it is neither answered nor cut, and an
+// evacuation or a configuration that the store has accepted is applied after the full wait.
+TEST_F(store_session_follow_test, watches_the_store_when_the_leader_does_not_with_a_short_watch_first) {
     m_watch_status.watches_store = false;
-    EXPECT_TRUE(is_long_watch(first_watch()));
+    const auto watches = first_two_watches();
+    EXPECT_FALSE(is_long_watch(watches.at(0)));
+    EXPECT_TRUE(is_long_watch(watches.at(1)));
 }
 
 // Guards against a gateway that gets no changes because its leader hangs.
 TEST_F(store_session_follow_test, watches_the_store_when_the_leader_hangs) {
     boost::asio::ip::tcp::acceptor silent(m_context, {boost::asio::ip::address_v4::loopback(), 0});
     m_leader = silent.local_endpoint();
-    EXPECT_TRUE(is_long_watch(first_watch()));
+    EXPECT_TRUE(is_long_watch(first_two_watches().at(0)));
 }
 
 // Guards against removing live servers: during a store outage that only the leader noticed, their
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <random>
+#include <utility>
 
 namespace carawayway::gateway {
 
@@ -32,8 +33,9 @@
     // Long-poll wait of a watch. Limits how long a dead connection goes unnoticed; each watch costs one call.
     static constexpr base::duration watch_wait = std::chrono::seconds{4};
     static constexpr base::duration watch_timeout_margin = std::chrono::seconds{1};
-    // Long-poll wait during a store outage. A long watch that starts during an outage stays unanswered after
-    // the outage has ended, and changes made in between would be applied too late.
+    // Long-poll wait during a store outage, and of the first watch after the leader has lost contact with the
+    // store. A long watch that starts during an outage, or while the store drops its history, stays
+    // unanswered afterwards, and changes made in between would be applied too late.
     static constexpr base::duration probing_watch_wait = std::chrono::milliseconds{100};
     // Delay after a change, so that a series of changes needs few calls. A slow store takes up to 0.5 s of
     // the 2.5 s within which changes must be applied.
@@ -161,9 +163,9 @@
     }
 
     boost::asio::awaitable<fleet::store_status> watch_once() {
-        const bool was_reachable = m_health.is_reachable();
-        const auto wait = was_reachable ? watch_wait : probing_watch_wait;
-        const auto timeout = was_reachable ? watch_wait + watch_timeout_margin : call_timeout;
+        const bool is_probe = std::exchange(m_leader_lost_store, false) || !m_health.is_reachable();
+        const auto wait = is_probe ? probing_watch_wait : watch_wait;
+        const auto timeout = is_probe ? call_timeout : watch_wait + watch_timeout_margin;
         const auto response =
             co_await m_watch_channel.call(Platform::watch_call(m_replica.revision(), wait), timeout);
         if (!response) {
@@ -203,6 +205,7 @@
                                                     leader_request_wait + leader_request_margin);
         if (!reply || !reply->watches_store) {
             m_watches_store = true;
+            m_leader_lost_store = reply.has_value();
             m_follow_not_before = base::monotonic_now() + follow_retry_delay;
             base::log(base::log_level::info, "leader-not-followed",
                       {{"leader", leader.address().to_string()}, {"answered", reply.has_value()}});
@@ -345,6 +348,7 @@
     std::minstd_rand m_random;
     fleet::store_health m_health;
     bool m_watches_store = true;            // false while a leader is followed
+    bool m_leader_lost_store = false;       // as the leader has answered, and the store was not watched since
     base::time_point m_follow_not_before{}; // earliest time to follow a leader again
     std::int64_t m_lease_id = 0;            // 0: none
     bool m_deregistered = false;
