gateway: Split the content and the limits of a send from forwarded_request

Change: request_content (when a fingerprint is needed), server_attempt (one send and the limits of its connection). No change of behaviour.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -8,7 +8,8 @@
 #include "carawayway/gateway/content_fingerprint.hpp"
 #include "carawayway/gateway/error_response.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
-#include "carawayway/gateway/server_exchange.hpp"
+#include "carawayway/gateway/request_content.hpp"
+#include "carawayway/gateway/server_attempt.hpp"
 #include "carawayway/gateway/server_liveness.hpp"
 #include "carawayway/net/endpoint.hpp"
 #include "carawayway/placement/overdue_time.hpp"
@@ -31,13 +32,6 @@
 public:
     // Failed connects that are retried on another server, in addition to the attempts that the route allows.
     static constexpr std::uint32_t maximum_connect_failures = 3;
-    static constexpr base::duration minimum_connect_timeout = std::chrono::milliseconds{150};
-    // Connect timeout in round trips; leaves time for one retransmitted packet.
-    static constexpr int connect_timeout_round_trips = 4;
-    // A server may have dropped an idle connection without notice. A request that must not be retried uses
-    // only recently used connections.
-    static constexpr base::duration maximum_idle_time_non_idempotent = std::chrono::seconds{3};
-    static constexpr base::duration maximum_idle_time_idempotent = std::chrono::seconds{60};
     // Load relative to the slots above which a refusal is attributed to overload and not to a failing server.
     static constexpr double full_server_load = 1.5;
     // Sent to callers while this gateway has no configuration.
@@ -88,7 +82,7 @@
         m_caller_disconnected = true;
         m_hedge_timer.cancel();
         if (is_idempotent() || !any_attempt_sent()) {
-            share_losses(base::monotonic_now());
+            m_content.share_losses(base::monotonic_now());
             abandon_attempts();
             m_deadline_timer.cancel();
         }
@@ -119,8 +113,8 @@
 
     void send_to_next_server() {
         const auto now = base::monotonic_now();
-        if (known_losses(now) >= steering::crash_history::quarantine_losses) {
-            m_retry_after = m_state.guard.quarantine_left(fingerprint(), now);
+        if (m_content.is_quarantined(now)) {
+            m_retry_after = m_content.quarantine_left(now);
             respond_with_failure(base::error_kind::request_quarantined, now);
             return;
         }
@@ -142,16 +136,7 @@
                 !m_metadata.object.empty()};
     }
 
-    // One send of the request to one server.
-    struct attempt {
-        placement::server_handle server;
-        boost::asio::ip::tcp::endpoint address; // of the server
-        std::uint32_t losses_when_sent = 0;     // of the content, as known at that time
-        placement::object_cache_state cache_state = placement::object_cache_state::not_cached;
-        base::duration expected_latency{}; // time until the response, as estimated when the server was chosen
-        base::time_point chosen_at{};
-        std::shared_ptr<server_exchange<Platform>> exchange;
-    };
+    using attempt = server_attempt<Platform>;
     using attempt_handle = std::shared_ptr<attempt>;
 
     void send_to(const placement::placement_result& placed, base::time_point now) {
@@ -165,14 +150,16 @@
         auto sent = std::make_shared<attempt>();
         sent->server = placed.server;
         sent->address = *address;
-        sent->losses_when_sent = known_losses(now);
+        sent->losses_when_sent = m_content.known_losses(now);
         sent->cache_state = placed.cache_state;
         sent->expected_latency = placed.expected_latency;
         sent->chosen_at = now;
         const auto& server = *sent->server;
         m_state.servers.record_request_start(*sent->server);
-        const exchange_limits limits{std::min<base::duration>(m_deadline - now, connect_timeout(server)),
-                                     maximum_idle_time(*sent), gateway_state::maximum_response_bytes};
+        const exchange_limits limits{
+            std::min<base::duration>(m_deadline - now, connect_timeout(round_trip_to(server))),
+            maximum_idle_time(m_route->semantics, sent->losses_when_sent),
+            gateway_state::maximum_response_bytes};
         auto request = std::make_shared<http_request>(m_request);
         Platform::write_call(*request, server.registration.id, m_deadline - now);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
@@ -187,20 +174,6 @@
         }
     }
 
-    base::duration connect_timeout(const placement::server_state& server) const {
-        return std::max<base::duration>(minimum_connect_timeout,
-                                        round_trip_to(server) * connect_timeout_round_trips);
-    }
-
-    // A new connection for suspected content shows that the server is alive when the request is sent, so that
-    // a loss is not that of a connection to a server that had ended before.
-    base::duration maximum_idle_time(const attempt& sent) const {
-        if (sent.losses_when_sent > 0) {
-            return base::duration::zero();
-        }
-        return is_idempotent() ? maximum_idle_time_idempotent : maximum_idle_time_non_idempotent;
-    }
-
     base::duration round_trip_to(const placement::server_state& server) const {
         return m_state.round_trips.expected(server.registration.failure_domain,
                                             server.region == m_state.servers.own_locality().region);
@@ -244,7 +217,7 @@
 
     void hedge(const attempt_handle& first) {
         const auto now = base::monotonic_now();
-        const bool is_suspected = known_losses(now) > 0; // it may crash the second server as well
+        const bool is_suspected = m_content.known_losses(now) > 0; // it may crash the second server as well
         if (is_suspected || m_running_attempts.size() != 1 ||
             m_attempt_count + 1 >= m_route->maximum_attempts) {
             return;
@@ -287,7 +260,7 @@
                 });
                 return;
             }
-            m_state.guard.record_loss(fingerprint(), 0, now);
+            m_content.record_loss(0, now);
         }
         continue_after(result.outcome, now);
     }
@@ -324,47 +297,28 @@
 
     static boost::asio::awaitable<void> record_if_ended(std::shared_ptr<forwarded_request> self,
                                                         attempt_handle sent, std::function<void()> then) {
-        const auto timeout = self->connect_timeout(*sent->server);
+        const auto timeout = connect_timeout(self->round_trip_to(*sent->server));
         const bool has_ended = co_await has_server_ended(self->m_state.executor, sent->address, timeout);
         if (has_ended) {
-            self->m_state.guard.record_loss(self->fingerprint(), sent->losses_when_sent,
-                                            base::monotonic_now());
+            self->m_content.record_loss(sent->losses_when_sent, base::monotonic_now());
         }
         if (then) {
             then();
         }
     }
 
-    // Zero while no content at all is suspected, so that the fingerprint is not computed for every request.
-    std::uint32_t known_losses(base::time_point now) {
-        return m_state.guard.is_idle() ? 0 : m_state.guard.losses(fingerprint(), now);
-    }
-
-    void share_losses(base::time_point now) {
-        if (m_fingerprint) {
-            m_state.guard.share_loss(*m_fingerprint, now);
-        }
-    }
-
     // Lines with the same content and different request IDs show a request that is sent again and loses a
     // server each time.
     void log_lost_attempt(const attempt& sent, base::time_point now) {
         m_state.log.write(base::log_level::info, "attempt-lost",
                           {{"request_id", m_metadata.request_id},
-                           {"content", to_text(fingerprint())},
+                           {"content", to_text(m_content.fingerprint())},
                            {"server", sent.server->registration.id},
                            {"attempts", m_attempt_count},
                            {"after_ms", base::to_milliseconds(now - sent.chosen_at)}},
                           now);
     }
 
-    std::uint64_t fingerprint() {
-        if (!m_fingerprint) {
-            m_fingerprint = content_fingerprint(m_request, m_metadata.object);
-        }
-        return *m_fingerprint;
-    }
-
     void handle_response(const attempt& sent, exchange_result result, base::time_point now) {
         ++m_attempt_count;
         auto& server = *sent.server;
@@ -382,8 +336,8 @@
         const bool full = result.metadata.not_executed && result.metadata.load &&
                           result.metadata.load->utilization() > full_server_load;
         m_state.servers.record_answer(server, good || full, now);
-        if (!result.metadata.not_executed && !m_state.guard.is_idle()) {
-            m_state.guard.record_answer(fingerprint());
+        if (!result.metadata.not_executed) {
+            m_content.record_answer();
         }
         count_attempt(result.metadata.not_executed ? "refused" : good ? "good" : "failed");
         if (result.metadata.other_server) {
@@ -504,7 +458,7 @@
     void respond_with_error(base::error_kind kind, base::duration retry_after, base::time_point now) {
         m_deadline_timer.cancel();
         m_hedge_timer.cancel();
-        share_losses(now);
+        m_content.share_losses(now);
         if (!m_respond) {
             return;
         }
@@ -573,11 +527,11 @@
     boost::asio::steady_timer m_deadline_timer;
     boost::asio::steady_timer m_hedge_timer;
     request_metadata m_metadata;
+    request_content m_content{m_state.guard, m_request, m_metadata.object};
     std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
     const routing::route* m_route = nullptr;
     std::string m_service;
     std::uint64_t m_object_hash = 0;
-    std::optional<std::uint64_t> m_fingerprint; // of the content; computed when it is needed
     base::time_point m_deadline{};
     base::duration m_time_spent_in_earlier_attempts{}; // by the caller
     std::vector<attempt_handle> m_running_attempts;    // at most two
--- /dev/null
+++ b/carawayway/gateway/request_content.hpp
@@ -0,0 +1,40 @@
+// The content of one request, as the content guard knows it.
+#pragma once
+
+#include "carawayway/gateway/content_guard.hpp"
+#include "carawayway/gateway/wire_types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace carawayway::gateway {
+
+// Computes the fingerprint only when it is needed: while no content at all is suspected, it is not.
+class request_content {
+public:
+    // The guard, the request and its object must outlive this object. The parts of the request that the
+    // fingerprint covers must not change.
+    request_content(content_guard& guard, const http_request& request, const std::string& object)
+        : m_guard(guard), m_request(request), m_object(object) {}
+
+    std::uint64_t fingerprint();
+
+    // Losses in sequence that are known now.
+    std::uint32_t known_losses(base::time_point now);
+    bool is_quarantined(base::time_point now);
+    base::duration quarantine_left(base::time_point now);
+
+    void record_loss(std::uint32_t losses_when_sent, base::time_point now);
+    void record_answer();
+    // Tells the other gateways of losses that this request has recorded.
+    void share_losses(base::time_point now);
+
+private:
+    content_guard& m_guard;
+    const http_request& m_request;
+    const std::string& m_object;
+    std::optional<std::uint64_t> m_fingerprint;
+};
+
+} // namespace carawayway::gateway
