steering: Quarantine a content after three losses instead of two

Cause: harmless contents were quarantined. Change: the third loss in sequence quarantines; the second and the third count only with the end of their servers.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -287,8 +287,8 @@
                              now);
     }
 
-    // The second loss in sequence quarantines the content, so it counts only if the server has ended: answers
-    // and connections are also lost while servers live. `then` runs afterwards.
+    // Further losses of suspected content count only if the server has ended: answers and connections are
+    // also lost while servers live. `then` runs afterwards.
     void check_server_end(const attempt_handle& sent, std::function<void()> then) {
         boost::asio::co_spawn(m_state.executor,
                               record_if_ended(this->shared_from_this(), sent, std::move(then)),
