gateway: Count servers that fall silent under a request as lost

Cause: a server that loses power under a request leaves its connections open. Change: when a deadline passes and the server has answered nothing since the request was sent, the gateway checks whether it still takes connections, one server at a time. Losses that are found after the request has ended are shared then. The fingerprint covers the first 64 KiB and the size of a body.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -86,6 +86,10 @@
     auto changed = sample_request();
     changed.body() = "counter 5";
     EXPECT_NE(content_fingerprint(changed, "17"), original);
+    changed.body() += std::string(maximum_hashed_body_bytes, ' ');
+    const auto large = content_fingerprint(changed, "17");
+    changed.body() += "5";
+    EXPECT_NE(content_fingerprint(changed, "17"), large) << "only the size differs in what counts";
     changed = sample_request();
     changed.target("/book/8");
     EXPECT_NE(content_fingerprint(changed, "17"), original);
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -40,6 +40,16 @@
     }
 }
 
+// Sends the content until all gateways refuse it.
+void wait_until_refused_everywhere(gateway_fleet& fleet, const std::string& path) {
+    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            return fleet.send(gateway, "POST", path) == answer{503, true};
+        })) << "gateway "
+            << gateway;
+    }
+}
+
 // Guards against a request that takes down one server after the other, because gateways do not remember which
 // content crashed servers and take each resend for a new request.
 TEST(crash_content_test, a_resent_lookup_that_crashes_servers_is_soon_kept_from_them) {
@@ -51,14 +61,12 @@
     expect_few_servers_are_lost("POST", gateway_fleet::crashing_booking);
 }
 
-// Sends the content until all gateways refuse it.
-void wait_until_refused_everywhere(gateway_fleet& fleet, const std::string& path) {
-    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
-        EXPECT_TRUE(test_support::wait_until([&] {
-            return fleet.send(gateway, "POST", path) == answer{503, true};
-        })) << "gateway "
-            << gateway;
-    }
+// Guards against servers that lose power under a request: their connections stay open without a response.
+TEST(crash_content_test, a_resent_booking_that_silences_servers_is_soon_kept_from_them) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::silence);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    wait_until_refused_everywhere(fleet, path);
+    EXPECT_LE(fleet.ended_servers(), servers_until_known + permitted_retries);
 }
 
 // Guards against gateways that have to lose servers again after all of them were restarted.
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -33,8 +33,9 @@
 
 } // namespace
 
-gateway_fleet::gateway_fleet(std::string crashing_prefix)
-    : m_store(m_context), m_crashing_prefix(std::move(crashing_prefix)), m_loop_thread([this] {
+gateway_fleet::gateway_fleet(std::string crashing_prefix, soak::server_stand_in::end_kind end_kind)
+    : m_store(m_context), m_crashing_prefix(std::move(crashing_prefix)), m_end_kind(end_kind),
+      m_loop_thread([this] {
           const auto work = boost::asio::make_work_guard(m_context);
           m_context.run();
       }) {
@@ -94,7 +95,7 @@
         std::make_unique<soak::server_stand_in>(m_context, fmt::format("i-{}", m_servers.size()), domain,
                                                 m_record, static_cast<std::uint32_t>(m_servers.size()) + 1);
     auto& server = *made;
-    server.end_on(m_crashing_prefix, [this, &server, domain] {
+    server.end_on(m_crashing_prefix, m_end_kind, [this, &server, domain] {
         ++m_ended_servers;
         replace_ended_server(server, domain);
     });
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -34,7 +34,9 @@
     static constexpr const char* crashing_booking = "/book/crash/";
 
     // Starts everything, and returns when the gateways are ready.
-    explicit gateway_fleet(std::string crashing_prefix);
+    explicit gateway_fleet(
+        std::string crashing_prefix,
+        soak::server_stand_in::end_kind end_kind = soak::server_stand_in::end_kind::reset_connections);
     gateway_fleet(const gateway_fleet&) = delete;
     gateway_fleet(gateway_fleet&&) = delete;
     gateway_fleet& operator=(const gateway_fleet&) = delete;
@@ -77,6 +79,7 @@
     soak::store_stand_in m_store;
     test_support::temporary_folder m_folder;
     std::string m_crashing_prefix;
+    soak::server_stand_in::end_kind m_end_kind;
     std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
     std::size_t m_ended_servers = 0;
     std::size_t m_sent_requests = 0;
--- a/Tests/soak/http_server.cpp
+++ b/Tests/soak/http_server.cpp
@@ -70,9 +70,13 @@
     m_connections.erase(socket);
 }
 
-void http_server::end() {
+void http_server::fall_silent() {
     boost::system::error_code ignored_error; // it is closed in any case
     m_acceptor.close(ignored_error);
+}
+
+void http_server::end() {
+    fall_silent();
     for (const auto& socket : m_connections) {
         reset(*socket);
     }
--- a/Tests/soak/http_server.hpp
+++ b/Tests/soak/http_server.hpp
@@ -31,6 +31,8 @@
 
     // Resets all connections and refuses new ones, as the end of the process does.
     void end();
+    // Refuses new connections, and leaves open ones without a response.
+    void fall_silent();
 
 private:
     using shared_socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -66,8 +66,13 @@
     }
     m_record.executions[id].push_back({m_id, clock::now()});
     if (!m_crashing_prefix.empty() && request.target().starts_with(m_crashing_prefix)) {
-        m_listener.end();
         m_on_end();
+        if (m_end_kind == end_kind::silence) {
+            m_listener.fall_silent();
+            co_await sleep_for(hang_time);
+        } else {
+            m_listener.end();
+        }
         co_return std::nullopt;
     }
     ++m_running;
--- a/Tests/soak/server_stand_in.hpp
+++ b/Tests/soak/server_stand_in.hpp
@@ -32,9 +32,13 @@
     void set_fault(server_fault fault) { m_fault = fault; }
     void start_draining() { m_draining = true; }
 
+    // Whether the connections of a server that ends are closed.
+    enum class end_kind : std::uint8_t { reset_connections, silence };
+
     // The server ends when it begins to execute a request whose path has this prefix; `on_end` runs then.
-    void end_on(std::string prefix, std::function<void()> on_end) {
+    void end_on(std::string prefix, end_kind kind, std::function<void()> on_end) {
         m_crashing_prefix = std::move(prefix);
+        m_end_kind = kind;
         m_on_end = std::move(on_end);
     }
 
@@ -53,6 +57,7 @@
     bool m_draining = false;
     int m_running = 0;             // executions in progress
     std::string m_crashing_prefix; // empty: no request ends the server
+    end_kind m_end_kind = end_kind::reset_connections;
     std::function<void()> m_on_end;
     http_server m_listener;
 };
--- a/carawayway/gateway/content_fingerprint.cpp
+++ b/carawayway/gateway/content_fingerprint.cpp
@@ -10,11 +10,12 @@
 namespace carawayway::gateway {
 
 std::uint64_t content_fingerprint(const http_request& request, std::string_view object) {
-    std::uint64_t hash = base::hash_bytes(request.method_string());
+    const std::string_view body = request.body();
+    std::uint64_t hash = base::hash_bytes(request.method_string(), body.size());
     // Each part is hashed with the previous hash as its seed, so that parts cannot run into each other.
     for (const std::string_view part :
          {std::string_view(request[http::field::host]), std::string_view(request.target()), object,
-          std::string_view(request.body())}) {
+          body.substr(0, maximum_hashed_body_bytes)}) {
         hash = base::hash_bytes(part, hash);
     }
     return hash;
--- a/carawayway/gateway/content_fingerprint.hpp
+++ b/carawayway/gateway/content_fingerprint.hpp
@@ -10,8 +10,11 @@
 
 namespace carawayway::gateway {
 
-// Hash of method, host, target, object and body. Equal on all gateways. The object tells callers apart that
-// send the same path and body.
+// Bytes of the body that count; hashing the whole of a large body would delay other requests.
+inline constexpr std::size_t maximum_hashed_body_bytes = 64U << 10U;
+
+// Hash of method, host, target, object, the size of the body and its beginning. Equal on all gateways. The
+// object tells callers apart that send the same path and body.
 std::uint64_t content_fingerprint(const http_request& request, std::string_view object);
 
 // 16 hexadecimal digits, as in log lines and store keys.
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -295,6 +295,18 @@
                               boost::asio::detached);
     }
 
+    // A server that lost power under a request does not close its connection. Checked only for a server that
+    // has answered nothing since the request was sent, and for one server at a time, since slow servers are
+    // the usual cause of a deadline that passes.
+    void check_silent_server(const attempt_handle& sent) {
+        const bool is_silent = sent->server->last_answer_at < sent->chosen_at;
+        if (sent->losses_when_sent > 0 || !is_silent || m_state.checks_silent_server) {
+            return; // suspected content is checked in any case
+        }
+        m_state.checks_silent_server = true;
+        check_server_end(sent, [&state = m_state] { state.checks_silent_server = false; });
+    }
+
     static boost::asio::awaitable<void> record_if_ended(std::shared_ptr<forwarded_request> self,
                                                         attempt_handle sent, std::function<void()> then) {
         const auto timeout = connect_timeout(self->round_trip_to(*sent->server));
@@ -302,6 +314,9 @@
         if (has_ended) {
             self->m_content.record_loss(sent->losses_when_sent, base::monotonic_now());
         }
+        if (self->m_is_completed || self->m_caller_disconnected) {
+            self->m_content.share_losses(base::monotonic_now());
+        }
         if (then) {
             then();
         }
@@ -441,6 +456,7 @@
             const bool overdue = now - item->chosen_at > placement::overdue_after(item->expected_latency);
             if (overdue && item->exchange->was_sent()) {
                 m_state.servers.record_no_answer(*item->server, now);
+                check_silent_server(item);
             }
         }
         abandon_attempts();
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -62,6 +62,7 @@
     metrics::metric_registry metrics;
     content_guard guard;
     rate_limited_log log;
+    bool checks_silent_server = false; // whether a server that let a deadline pass is being checked
 
 private:
     std::shared_ptr<const routing::route_table> m_routes;
