gateway: Count retries by cause and log the state of the budget

Cause: no line and no metric said how many retries a gateway was granted or refused, or by how many gateways it divided the budget, so that the hypotheses of docs/incidents/retries-beyond-the-budget.md could not be told apart. Change: carawayway_gateway_retries_total with cause and permission; one line retry-budget for each service every 5 s, if retries were wanted. No decision changes. Conclusion: retries of all gateways can be added up from their logs, beside the gateways that each one knew.

--- a/Tests/gateway/shared_limits_test.cpp
+++ b/Tests/gateway/shared_limits_test.cpp
@@ -34,10 +34,10 @@
     // Sends first attempts through a gateway, then as many retries as it permits.
     void use(gateway_state& state) {
         for (int attempt = 0; attempt < first_attempts_of_each; ++attempt) {
-            state.retry_budget_of("s", start).record_first_attempt(start);
+            state.retries_of("s", start).record_first_attempt(start);
             ++m_first_attempts;
         }
-        while (state.retry_budget_of("s", start).try_spend(start)) {
+        while (state.retries_of("s", start).try_spend(retry_cause::refused, start)) {
             ++m_retries;
         }
     }
@@ -72,7 +72,7 @@
     constexpr std::size_t gateways = 86;
     for (std::size_t process = 0; process < gateways; ++process) {
         start_gateway(1);
-        m_gateways.back()->retry_budget_of("s", start).record_first_attempt(start);
+        m_gateways.back()->retries_of("s", start).record_first_attempt(start);
         ++m_first_attempts;
     }
     for (const auto& state : m_gateways) {
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -69,7 +69,7 @@
             base::hash_bytes(m_metadata.object.empty() ? m_metadata.request_id : m_metadata.object);
         m_service = m_route->targets[m_state.splitter.choose(*m_route, key)].service;
         m_object_hash = base::hash_bytes(m_service, key);
-        m_state.retry_budget_of(m_service, m_arrived).record_first_attempt(m_arrived);
+        m_state.retries_of(m_service, m_arrived).record_first_attempt(m_arrived);
         prepare_request();
         start_deadline_timer();
         send_to_next_server();
@@ -230,7 +230,7 @@
         const auto placed = m_state.selector.choose(next_placement_request(now), now);
         const bool can_start_at_once =
             placed.server && m_state.selector.expected_wait(*placed.server, now) <= base::duration::zero();
-        if (!can_start_at_once || !try_spend_retry_budget(now)) {
+        if (!can_start_at_once || !try_spend_retry_budget(retry_cause::overdue, now)) {
             return;
         }
         ++m_attempt_count; // counts the first attempt, which is still running
@@ -278,7 +278,7 @@
             respond_with_failure(base::error_kind::no_server_available, now);
             return;
         }
-        if (may_retry(now)) {
+        if (may_retry(retry_cause::lost, now)) {
             send_to_next_server();
             return;
         }
@@ -373,8 +373,9 @@
             return; // the other server may still respond
         }
         const bool retries = result.metadata.not_executed
-                                 ? m_attempt_count < m_route->maximum_attempts && try_spend_retry_budget(now)
-                                 : may_retry(now);
+                                 ? m_attempt_count < m_route->maximum_attempts &&
+                                       try_spend_retry_budget(retry_cause::refused, now)
+                                 : may_retry(retry_cause::failed, now);
         if (retries) {
             send_to_next_server();
             return;
@@ -411,12 +412,13 @@
     }
 
     // Whether a request that may have been executed can be sent to another server; spends retry budget if so.
-    bool may_retry(base::time_point now) {
-        return is_idempotent() && m_attempt_count < m_route->maximum_attempts && try_spend_retry_budget(now);
+    bool may_retry(retry_cause cause, base::time_point now) {
+        return is_idempotent() && m_attempt_count < m_route->maximum_attempts &&
+               try_spend_retry_budget(cause, now);
     }
 
-    bool try_spend_retry_budget(base::time_point now) {
-        return !m_caller_disconnected && m_state.retry_budget_of(m_service, now).try_spend(now);
+    bool try_spend_retry_budget(retry_cause cause, base::time_point now) {
+        return !m_caller_disconnected && m_state.retries_of(m_service, now).try_spend(cause, now);
     }
 
     void fail_unplaced(const placement::placement_result& placed, base::time_point now) {
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -233,6 +233,10 @@
         const auto now = base::monotonic_now();
         m_applier.remove_missing(m_store_session.health(), now);
         m_state.connections.close_stale(now);
+        if (now >= m_next_retry_log) {
+            m_next_retry_log = now + gateway_state::retry_log_interval;
+            m_state.log_retries(now);
+        }
         for (const auto& server : m_state.servers.begin_due_probes(now)) {
             probe(server);
         }
@@ -362,6 +366,7 @@
     boost::asio::steady_timer m_tick_timer;
     boost::asio::steady_timer m_stop_timer;
     boost::asio::signal_set m_signals;
+    base::time_point m_next_retry_log{};
     bool m_stopping = false;
     base::time_point m_stop_started_at{};
 };
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -35,6 +35,7 @@
                     "Requests sent to backend servers, by service and how they ended.");
     metrics.declare("carawayway_gateway_refusals_total", metrics::metric_type::counter,
                     "Requests that were given up, by service and kind.");
+    service_retries::declare_metrics(metrics);
 }
 
 void gateway_state::set_configuration(std::shared_ptr<const routing::configuration> configuration) {
@@ -53,17 +54,23 @@
     return longest - time_left;
 }
 
-steering::retry_budget& gateway_state::retry_budget_of(const std::string& service, base::time_point now) {
+service_retries& gateway_state::retries_of(const std::string& service, base::time_point now) {
     const auto gateways = static_cast<double>(std::max(minimum_gateway_count, servers.gateways().count()));
     const double burst = std::max(1.0, bounds.retry_slack * retry_slack_safety_factor / gateways);
-    const auto found = m_budgets.find(service);
-    if (found != m_budgets.end()) {
+    const auto found = m_retries.find(service);
+    if (found != m_retries.end()) {
         found->second.set_burst(burst);
         return found->second;
     }
     const steering::retry_limits limits{bounds.retry_share * retry_share_safety_factor, 0.0, burst};
     const steering::retry_budget budget(limits, now, steering::initial_retries::none);
-    return m_budgets.emplace(service, budget).first->second;
+    return m_retries.try_emplace(service, service, budget, metrics).first->second;
+}
+
+void gateway_state::log_retries(base::time_point now) {
+    for (auto& [service, retries] : m_retries) {
+        retries.log_counts(servers.gateways().count(), now);
+    }
 }
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -4,12 +4,12 @@
 #include "carawayway/gateway/backend_pool.hpp"
 #include "carawayway/gateway/content_guard.hpp"
 #include "carawayway/gateway/rate_limited_log.hpp"
+#include "carawayway/gateway/service_retries.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
 #include "carawayway/placement/server_selector.hpp"
 #include "carawayway/routing/route_table.hpp"
 #include "carawayway/routing/traffic_splitter.hpp"
-#include "carawayway/steering/retry_budget.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -45,8 +45,12 @@
     // longest time budget seen on the route and `time_left`.
     base::duration time_spent_in_earlier_attempts(const std::string& route, base::duration time_left);
 
+    // How often log_retries() is called.
+    static constexpr base::duration retry_log_interval = std::chrono::seconds{5};
+
     // This gateway's part of the retry budget that all gateways share.
-    steering::retry_budget& retry_budget_of(const std::string& service, base::time_point now);
+    service_retries& retries_of(const std::string& service, base::time_point now);
+    void log_retries(base::time_point now);
 
     const boost::asio::any_io_executor executor;
     const platform_bounds bounds;
@@ -66,7 +70,7 @@
 
 private:
     std::shared_ptr<const routing::route_table> m_routes;
-    std::map<std::string, steering::retry_budget> m_budgets;                // by service
+    std::map<std::string, service_retries> m_retries;                       // by service
     std::unordered_map<std::string, base::duration> m_longest_time_budgets; // by route
 };
 
