--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -21,7 +21,7 @@
 void resend(gateway_fleet& fleet, const std::string& method, const std::string& path,
             std::size_t enough = SIZE_MAX) {
     for (std::size_t index = 0; index < resends && fleet.ended_servers() < enough; ++index) {
-        fleet.send(index % gateway_fleet::gateway_count, method, path);
+        fleet.send(index % fleet.gateway_count(), method, path);
         std::this_thread::sleep_for(resend_interval);
     }
 }
@@ -34,7 +34,7 @@
     const auto ended_before = fleet.ended_servers();
     resend(fleet, method, path);
     EXPECT_LE(fleet.ended_servers() - ended_before, permitted_retries);
-    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
         EXPECT_EQ(fleet.send(gateway, method, path), (answer{503, true})) << "gateway " << gateway;
         EXPECT_EQ(fleet.send(gateway, "GET", "/read/other").status, 200U) << "gateway " << gateway;
     }
@@ -42,7 +42,7 @@
 
 // Sends the content until all gateways refuse it.
 void wait_until_refused_everywhere(gateway_fleet& fleet, const std::string& path) {
-    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
         EXPECT_TRUE(test_support::wait_until([&] {
             return fleet.send(gateway, "POST", path) == answer{503, true};
         })) << "gateway "
@@ -77,7 +77,7 @@
     EXPECT_TRUE(test_support::wait_until([&] { return fleet.store_keys("carawayway/quarantine/") == 1; }));
     const auto ended_before = fleet.ended_servers();
     fleet.restart_all_gateways();
-    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
         EXPECT_EQ(fleet.send(gateway, "POST", path), (answer{503, true})) << "gateway " << gateway;
     }
     EXPECT_EQ(fleet.ended_servers(), ended_before);
@@ -91,8 +91,10 @@
     for (std::size_t loss = 0; loss < servers_until_known; ++loss) {
         EXPECT_EQ(fleet.send(0, "POST", path).status, 502U);
     }
-    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
-        EXPECT_TRUE(test_support::wait_until([&] { return fleet.has_quarantined(gateway); })) << gateway;
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            return fleet.has_logged(gateway, "event=content-quarantined");
+        })) << gateway;
         EXPECT_EQ(fleet.send(gateway, "POST", path), (answer{503, true})) << "gateway " << gateway;
     }
     EXPECT_EQ(fleet.ended_servers(), servers_until_known);
@@ -103,10 +105,10 @@
     gateway_fleet fleet(gateway_fleet::crashing_booking);
     fleet.set_server_fault(soak::server_fault::reset_after_execution);
     for (std::size_t request = 0; request < resends; ++request) {
-        EXPECT_EQ(fleet.send(request % gateway_fleet::gateway_count, "POST", "/book/9").status, 502U);
+        EXPECT_EQ(fleet.send(request % fleet.gateway_count(), "POST", "/book/9").status, 502U);
     }
     fleet.set_server_fault(soak::server_fault::none);
-    for (std::size_t gateway = 0; gateway < gateway_fleet::gateway_count; ++gateway) {
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
         EXPECT_EQ(fleet.send(gateway, "POST", "/book/9").status, 200U) << "gateway " << gateway;
     }
 }
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -33,7 +33,8 @@
 
 } // namespace
 
-gateway_fleet::gateway_fleet(std::string crashing_prefix, soak::server_stand_in::end_kind end_kind)
+gateway_fleet::gateway_fleet(std::string crashing_prefix, soak::server_stand_in::end_kind end_kind,
+                             std::size_t gateways)
     : m_store(m_context), m_crashing_prefix(std::move(crashing_prefix)), m_end_kind(end_kind),
       m_loop_thread([this] {
           const auto work = boost::asio::make_work_guard(m_context);
@@ -46,7 +47,7 @@
         }
         publish_configuration();
     });
-    for (std::size_t index = 0; index < gateway_count; ++index) {
+    for (std::size_t index = 0; index < gateways; ++index) {
         auto made = std::make_unique<gateway>();
         const std::string domain = index % 2 == 0 ? "a1" : "b1";
         made->name = fmt::format("{}-{}", domain, index);
@@ -161,8 +162,8 @@
     });
 }
 
-bool gateway_fleet::has_quarantined(std::size_t index) const {
-    return !m_gateways.at(index)->process->lines_with("event=content-quarantined").empty();
+bool gateway_fleet::has_logged(std::size_t index, std::string_view text) const {
+    return !m_gateways.at(index)->process->lines_with(text).empty();
 }
 
 std::size_t gateway_fleet::ended_servers() {
@@ -171,6 +172,14 @@
     return count;
 }
 
+soak::retry_limit_input gateway_fleet::traffic() {
+    soak::retry_limit_input result;
+    run_on_loop([&] { result.arrivals = m_record.arrivals; });
+    const std::scoped_lock lock(m_sent_mutex);
+    result.sent = m_sent;
+    return result;
+}
+
 std::size_t gateway_fleet::store_keys(const std::string& prefix) {
     std::size_t count = 0;
     run_on_loop([&] { count = m_store.count(prefix); });
@@ -178,6 +187,12 @@
 }
 
 answer gateway_fleet::send(std::size_t index, const std::string& method, const std::string& path) {
+    std::size_t request_number = 0;
+    {
+        const std::scoped_lock lock(m_sent_mutex);
+        m_sent.push_back(soak::clock::now());
+        request_number = m_sent.size();
+    }
     boost::asio::io_context context;
     boost::beast::tcp_stream stream(context);
     boost::system::error_code error;
@@ -186,7 +201,7 @@
     request.set(http::field::host, "fleet.example");
     request.set(http::field::connection, "close");
     request.set(http::field::cookie, "Affinity-Key=17");
-    request.set("Request-Id", fmt::format("{:016x}", ++m_sent_requests));
+    request.set("Request-Id", fmt::format("{:016x}", request_number));
     request.set("Deadline-Ms", std::to_string(route_timeout_ms));
     request.prepare_payload();
     if (!error) {
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -4,6 +4,7 @@
 
 #include "Tests/soak/gateway_settings.hpp"
 #include "Tests/soak/http_server.hpp"
+#include "Tests/soak/retry_limit.hpp"
 #include "Tests/soak/run_record.hpp"
 #include "Tests/soak/server_stand_in.hpp"
 #include "Tests/soak/store_stand_in.hpp"
@@ -13,7 +14,9 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -28,7 +31,7 @@
 
 class gateway_fleet {
 public:
-    static constexpr std::size_t gateway_count = 4;
+    static constexpr std::size_t default_gateway_count = 4;
     // A server that executes a request under one of these ends.
     static constexpr const char* crashing_lookup = "/read/crash/";
     static constexpr const char* crashing_booking = "/book/crash/";
@@ -36,14 +39,18 @@
     // Starts everything, and returns when the gateways are ready.
     explicit gateway_fleet(
         std::string crashing_prefix,
-        soak::server_stand_in::end_kind end_kind = soak::server_stand_in::end_kind::reset_connections);
+        soak::server_stand_in::end_kind end_kind = soak::server_stand_in::end_kind::reset_connections,
+        std::size_t gateways = default_gateway_count);
     gateway_fleet(const gateway_fleet&) = delete;
     gateway_fleet(gateway_fleet&&) = delete;
     gateway_fleet& operator=(const gateway_fleet&) = delete;
     gateway_fleet& operator=(gateway_fleet&&) = delete;
     ~gateway_fleet();
 
+    std::size_t gateway_count() const { return m_gateways.size(); }
+
     // Sends a request with a new request ID to a gateway over a new connection, and waits for the response.
+    // May be called on several threads.
     answer send(std::size_t index, const std::string& method, const std::string& path);
 
     // Kills all gateways at the same moment, starts them again and waits until they are ready.
@@ -52,10 +59,13 @@
     void set_store_fault(soak::store_fault fault);
     void set_server_fault(soak::server_fault fault);
 
-    // Whether the log of this gateway says that some content is quarantined.
-    bool has_quarantined(std::size_t index) const;
+    // Whether the log of this gateway has a line with this text.
+    bool has_logged(std::size_t index, std::string_view text) const;
+    const std::string& name_of(std::size_t index) const { return m_gateways.at(index)->name; }
 
     std::size_t ended_servers();
+    // What the servers received and the callers sent so far.
+    soak::retry_limit_input traffic();
     // Number of keys in the store with this prefix.
     std::size_t store_keys(const std::string& prefix);
 
@@ -82,7 +92,8 @@
     soak::server_stand_in::end_kind m_end_kind;
     std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
     std::size_t m_ended_servers = 0;
-    std::size_t m_sent_requests = 0;
+    std::mutex m_sent_mutex;
+    std::vector<soak::clock::time_point> m_sent; // times of the requests of callers; under m_sent_mutex
     std::vector<std::unique_ptr<gateway>> m_gateways;
     std::thread m_loop_thread;
 };
--- a/Tests/soak/run_record.hpp
+++ b/Tests/soak/run_record.hpp
@@ -18,6 +18,12 @@
     clock::time_point started_at;
 };
 
+// A request that reached a server, whether the server executed or rejected it.
+struct arrival {
+    std::string request_id;
+    clock::time_point at;
+};
+
 struct caller_request {
     std::string request_id;
     request_semantics semantics = request_semantics::idempotent;
@@ -32,6 +38,7 @@
 // Accessed only on the thread of the event loop while callers are running.
 struct run_record {
     std::map<std::string, std::vector<execution>> executions; // by request ID
+    std::vector<arrival> arrivals;
     std::vector<caller_request> requests;
 };
 
--- a/Tests/soak/store_stand_in.cpp
+++ b/Tests/soak/store_stand_in.cpp
@@ -131,7 +131,8 @@
     if (m_fault == store_fault::reset) {
         co_return std::nullopt;
     }
-    if (m_fault == store_fault::unavailable) {
+    const bool is_read = request.method() == http::verb::get;
+    if (m_fault == store_fault::unavailable || (m_fault == store_fault::writes_rejected && !is_read)) {
         co_return make_response(503);
     }
     const std::string target(request.target());
@@ -221,7 +222,9 @@
     if (m_fault == store_fault::hang) {
         co_await sleep_for(hang_time);
     }
-    if (m_fault != store_fault::none && m_fault != store_fault::history_compacted) {
+    const bool answers_reads = m_fault == store_fault::none || m_fault == store_fault::history_compacted ||
+                               m_fault == store_fault::writes_rejected;
+    if (!answers_reads) {
         co_return std::nullopt;
     }
     if (after < m_compacted_revision) {
--- a/Tests/soak/store_stand_in.hpp
+++ b/Tests/soak/store_stand_in.hpp
@@ -18,6 +18,7 @@
     none,
     hang,              // requests have no effect and get no response
     unavailable,       // requests get status 503
+    writes_rejected,   // as for `unavailable`, but only requests that write or keep a lease
     reset,             // connections are reset before a request takes effect
     responses_lost,    // requests take effect, then the connection is reset
     history_compacted, // the history is compacted, so that watches get status 410
