--- a/carawayway/cli/gateway_command.cpp
+++ b/carawayway/cli/gateway_command.cpp
@@ -42,7 +42,9 @@
     }
     const auto bounds = platform::protocol::read_bounds(settings->bounds);
     if (!bounds) {
-        fmt::print(stderr, "carawayway gateway: {}: bounds: expected NAME=NUMBER separated by commas\n",
+        fmt::print(stderr,
+                   "carawayway gateway: {}: bounds: expected NAME=NUMBER separated by commas, or a JSON "
+                   "object of numbers\n",
                    FLAGS_settings);
         return to_int(exit_code::bad_input);
     }
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -70,11 +70,24 @@
                   {{"gateway", m_settings.name},
                    {"domain", m_settings.failure_domain},
                    {"region", m_settings.region}});
+        log_limits();
         m_context.run();
         base::log(base::log_level::info, "stopped", {{"gateway", m_settings.name}});
     }
 
 private:
+    void log_limits() const {
+        const auto& bounds = m_state.bounds;
+        base::log(base::log_level::info, "limits-in-force",
+                  {{"retry_share", bounds.retry_share},
+                   {"retry_slack", bounds.retry_slack},
+                   {"cold_rate_factor", bounds.cold.rate_factor},
+                   {"cold_extra_requests_per_second", bounds.cold.extra_requests_per_second},
+                   {"region_shift_share", bounds.region_shift_share},
+                   {"lookup_lifetime_ms", base::to_milliseconds(bounds.lookup_lifetime)},
+                   {"stop_grace_ms", base::to_milliseconds(bounds.stop_grace)}});
+    }
+
     static boost::asio::ip::tcp::endpoint endpoint_of(const config::socket_address& address) {
         return {boost::asio::ip::make_address(address.host), address.port};
     }
