gateway: Earn retries in proportion to own first attempts

Servers saw: more repeats than the deployment allows, while gateways did not know of each other. Cause: a limit that all gateways share was divided by the number of gateways that each one knew. Gateways whose registrations had lapsed were forgotten although they went on serving, so that each took up to a quarter of the slack; and retries were saved without end, so that all could be spent in a window with hardly any traffic. Change: a gateway earns 0.75 of the permitted share by each of its first attempts and can save 0.25 of the share of its first attempts of the last window, at least one. The sum over all gateways is then within the share, plus one retry for each gateway, which the slack covers (more than two for each machine on all sites).

--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -81,6 +81,7 @@
         base::log(base::log_level::info, "limits-in-force",
                   {{"retry_share", bounds.retry_share},
                    {"retry_slack", bounds.retry_slack},
+                   {"retry_window_ms", base::to_milliseconds(bounds.retry_window)},
                    {"cold_rate_factor", bounds.cold.rate_factor},
                    {"cold_extra_requests_per_second", bounds.cold.extra_requests_per_second},
                    {"region_shift_share", bounds.region_shift_share},
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -1,6 +1,8 @@
 // State shared by all requests of one gateway.
 #include "carawayway/gateway/gateway_state.hpp"
 
+#include <algorithm>
+
 namespace carawayway::gateway {
 
 namespace {
@@ -10,13 +12,6 @@
 
 constexpr std::size_t metric_series_limit = 256;
 
-// The gateways use only these fractions of the deployment's retry budget: their windows are not aligned with
-// those of the limit, and they learn of each other at different times.
-constexpr double retry_share_safety_factor = 0.8;
-constexpr double retry_slack_safety_factor = 0.7;
-// Lower limit for the assumed number of gateways; applies until the store has listed them.
-constexpr std::size_t minimum_gateway_count = 4;
-
 } // namespace
 
 gateway_state::gateway_state(boost::asio::any_io_executor io_executor, const placement::locality& own,
@@ -55,15 +50,14 @@
 }
 
 service_retries& gateway_state::retries_of(const std::string& service, base::time_point now) {
-    const auto gateways = static_cast<double>(std::max(minimum_gateway_count, servers.gateways().count()));
-    const double burst = std::max(1.0, bounds.retry_slack * retry_slack_safety_factor / gateways);
     const auto found = m_retries.find(service);
     if (found != m_retries.end()) {
-        found->second.set_burst(burst);
         return found->second;
     }
-    const steering::retry_limits limits{bounds.retry_share * retry_share_safety_factor, 0.0, burst};
-    const steering::retry_budget budget(limits, now, steering::initial_retries::none);
+    // The slack of the deployment covers the retry that each gateway may save with little traffic.
+    const steering::shared_retry_limits limits{bounds.retry_share, bounds.retry_window,
+                                               std::min(1.0, bounds.retry_slack)};
+    const steering::proportional_retry_budget budget(limits, now);
     return m_retries.try_emplace(service, service, budget, metrics).first->second;
 }
 
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -48,7 +48,7 @@
     // How often log_retries() is called.
     static constexpr base::duration retry_log_interval = std::chrono::seconds{5};
 
-    // This gateway's part of the retry budget that all gateways share.
+    // The retries of this gateway; all gateways together keep the limit of the deployment.
     service_retries& retries_of(const std::string& service, base::time_point now);
     void log_retries(base::time_point now);
 
--- a/carawayway/gateway/service_retries.hpp
+++ b/carawayway/gateway/service_retries.hpp
@@ -3,7 +3,7 @@
 
 #include "carawayway/gateway/retry_cause.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
-#include "carawayway/steering/retry_budget.hpp"
+#include "carawayway/steering/proportional_retry_budget.hpp"
 
 #include <cstdint>
 #include <string>
@@ -13,8 +13,9 @@
 class service_retries {
 public:
     // `metrics` must outlive this object.
-    service_retries(std::string service, steering::retry_budget budget, metrics::metric_registry& metrics)
-        : m_service(std::move(service)), m_budget(budget), m_metrics(metrics) {}
+    service_retries(std::string service, steering::proportional_retry_budget budget,
+                    metrics::metric_registry& metrics)
+        : m_service(std::move(service)), m_budget(std::move(budget)), m_metrics(metrics) {}
 
     static void declare_metrics(metrics::metric_registry& metrics);
 
@@ -22,9 +23,6 @@
     // Takes one retry from the budget; false when none is available.
     bool try_spend(retry_cause cause, base::time_point now);
 
-    // Changes the most retries that can accumulate.
-    void set_burst(double burst) { m_budget.set_burst(burst); }
-
     // Writes what happened since the last call, if any retry was wanted.
     void log_counts(std::size_t known_gateways, base::time_point now);
 
@@ -36,7 +34,7 @@
     };
 
     std::string m_service;
-    steering::retry_budget m_budget;
+    steering::proportional_retry_budget m_budget;
     metrics::metric_registry& m_metrics;
     counts m_counts; // since the last call of log_counts()
 };
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -62,6 +62,7 @@
 struct platform_bounds {
     double retry_share = 0.1;  // retries per request of a service, over all gateways
     double retry_slack = 10.0; // additional retries per window, over all gateways
+    base::duration retry_window = std::chrono::seconds{10};
     placement::cold_limits cold;
     double region_shift_share = 0.15; // maximum share of requests that may change region between windows
     base::duration lookup_lifetime = std::chrono::seconds{2}; // maximum
--- a/carawayway/steering/retry_budget.cpp
+++ b/carawayway/steering/retry_budget.cpp
@@ -3,9 +3,8 @@
 
 namespace carawayway::steering {
 
-retry_budget::retry_budget(retry_limits limits, base::time_point now, initial_retries initial)
-    : m_limits(limits), m_tokens(initial == initial_retries::full_burst ? limits.burst : 0.0),
-      m_accrued_at(now) {}
+retry_budget::retry_budget(retry_limits limits, base::time_point now)
+    : m_limits(limits), m_tokens(limits.burst), m_accrued_at(now) {}
 
 void retry_budget::record_first_attempt(base::time_point now) {
     accrue(now);
@@ -26,11 +25,6 @@
     return std::min(m_limits.burst, m_tokens + elapsed * m_limits.floor_per_second);
 }
 
-void retry_budget::set_burst(double burst) {
-    m_limits.burst = burst;
-    m_tokens = std::min(m_tokens, burst);
-}
-
 void retry_budget::accrue(base::time_point now) {
     m_tokens = available(now);
     m_accrued_at = std::max(m_accrued_at, now);
--- a/carawayway/steering/retry_budget.hpp
+++ b/carawayway/steering/retry_budget.hpp
@@ -16,24 +16,16 @@
     bool operator==(const retry_limits&) const = default;
 };
 
-// Whether retries are available before any first attempt. A process that shares a limit with others begins
-// with none, because the process before it may have used its part.
-enum class initial_retries : std::uint8_t { none, full_burst };
-
 // Over any period, at most share * first attempts + floor_per_second * seconds + burst retries are granted.
 class retry_budget {
 public:
-    retry_budget(retry_limits limits, base::time_point now,
-                 initial_retries initial = initial_retries::full_burst);
+    retry_budget(retry_limits limits, base::time_point now);
 
     void record_first_attempt(base::time_point now);
     // Takes one retry from the budget; false when none is available.
     bool try_spend(base::time_point now);
     double available(base::time_point now) const;
 
-    // Changes the most retries that can accumulate.
-    void set_burst(double burst);
-
 private:
     void accrue(base::time_point now);
 
