placement: Remember gateways whose registrations have lapsed

Servers would see: a cold server gets several times its limit (FAILBACK) while gateways do not know of each other. The allowance of a cold server was divided by the gateways that each one knew, and one that is forgotten goes on serving, and sending, while others take over its part. Change: a departed gateway counts as a possible sender for five more minutes; a gateway that has lost its own registration sends nothing to cold servers until it is registered again; the hold of two seconds counts from the first registration of a process, not from its start, since it may list the store later than that. Before (departed_memory set to zero, which is the old behaviour): 180 requests within a second from ten gateways, allowed 26 (cold_servers.the_limit_holds_when_gateways_lose_sight_of_each_other). After: within the limit. The tests of cold servers give the time of the registration where they gave the start of the process; they check as much as before. Conclusion: any two gateways agree on the senders as long as each remembers all that run.

--- a/Tests/gateway/shared_limits_test.cpp
+++ b/Tests/gateway/shared_limits_test.cpp
@@ -27,13 +27,13 @@
 
     static void learn_gateways(gateway_state& state, std::size_t count) {
         for (std::size_t index = 0; index < count; ++index) {
-            state.servers.gateways().put({"g" + std::to_string(index), "a", "r", {}, {}, {}});
+            state.servers.gateways().put({"g" + std::to_string(index), "a", "r", {}, {}, {}}, start);
         }
     }
 
     static void lose_gateways(gateway_state& state, std::size_t count) {
         for (std::size_t index = 0; index < count; ++index) {
-            state.servers.gateways().erase("g" + std::to_string(index));
+            state.servers.gateways().erase("g" + std::to_string(index), start);
         }
     }
 
--- a/Tests/placement/cold_servers_test.cpp
+++ b/Tests/placement/cold_servers_test.cpp
@@ -24,16 +24,15 @@
 }
 
 std::vector<std::unique_ptr<server_table>> gateways(std::size_t count, double tolerated_rate,
-                                                    base::time_point started_at = start - 1min) {
+                                                    base::time_point registered_at = start - 1min) {
     std::vector<std::unique_ptr<server_table>> tables;
     for (std::size_t index = 0; index < count; ++index) {
         const std::string name = "g" + std::to_string(index);
-        tables.push_back(
-            std::make_unique<server_table>(locality{name, "a", "r", {{"a", "r"}}}, limits, started_at));
+        tables.push_back(std::make_unique<server_table>(locality{name, "a", "r", {{"a", "r"}}}, limits));
         tables.back()->set_cold_start_profiles({{"s", {tolerated_rate, 3s}}});
         for (std::size_t other = 0; other < count; ++other) {
             tables.back()->gateways().put(
-                {"g" + std::to_string(other), "a", "r", "10.0.0.2:80", "10.0.0.2:81", {}});
+                {"g" + std::to_string(other), "a", "r", "10.0.0.2:80", "10.0.0.2:81", {}}, registered_at);
         }
     }
     return tables;
@@ -75,8 +74,8 @@
     constexpr std::size_t count = 10;
     constexpr double tolerated_rate = 14.0;
     std::size_t sent = 0;
-    for (const auto started_at : {start - 1min, start}) {
-        for (const auto& table : gateways(count, tolerated_rate, started_at)) {
+    for (const auto registered_at : {start - 1min, start}) {
+        for (const auto& table : gateways(count, tolerated_rate, registered_at)) {
             table->put(cold_server(3s), start);
             const auto server = table->find("i-1");
             while (table->try_acquire_cold_send(*server, start)) {
@@ -89,6 +88,35 @@
               tolerated_rate * limits.rate_factor + limits.extra_requests_per_second);
 }
 
+// Guards against gateways that each take the whole allowance, because the registrations of the others have
+// lapsed although they go on serving.
+TEST(cold_servers, the_limit_holds_when_gateways_lose_sight_of_each_other) {
+    constexpr std::size_t count = 10;
+    constexpr double tolerated_rate = 14.0;
+    auto all = gateways(count, tolerated_rate);
+    for (const auto& table : all) {
+        for (const auto& other : table->gateways().others_that_may_run(start)) {
+            table->gateways().erase(other.name, start);
+        }
+        table->put(cold_server(3s), start);
+    }
+    const auto sent = sent_in_a_second(all);
+    EXPECT_LE(static_cast<double>(sent),
+              tolerated_rate * limits.rate_factor + limits.extra_requests_per_second);
+    EXPECT_GE(sent, 1U);
+}
+
+// Guards against a cut-off gateway that goes on sending after the others have taken over its part.
+TEST(cold_servers, get_nothing_from_a_gateway_that_has_lost_its_registration) {
+    auto all = gateways(1, 14.0);
+    auto& table = *all.front();
+    table.put(cold_server(3s), start);
+    table.gateways().record_own_removal();
+    EXPECT_FALSE(table.try_acquire_cold_send(*table.find("i-1"), start));
+    table.gateways().put({"g0", "a", "r", {}, {}, {}}, start);
+    EXPECT_TRUE(table.try_acquire_cold_send(*table.find("i-1"), start));
+}
+
 // Guards against limiting a server that is no longer cold.
 TEST(cold_servers, stop_being_cold_after_their_cold_time) {
     auto all = gateways(1, 14.0);
--- a/Tests/placement/gateway_map_test.cpp
+++ b/Tests/placement/gateway_map_test.cpp
@@ -8,14 +8,15 @@
 namespace carawayway::placement {
 namespace {
 
+constexpr base::time_point start{std::chrono::hours{1}};
 const std::vector<std::string> names{"a1-1", "a1-2", "a1-3", "a1-4"};
 
 gateway_map map_of(const std::string& own) {
     gateway_map map({own, "a1", "a", {{"a1", "a"}, {"a2", "a"}}});
     for (const auto& name : names) {
-        map.put({name, "a1", "a", {}, {}, {}});
+        map.put({name, "a1", "a", {}, {}, {}}, start);
     }
-    map.put({"a2-1", "a2", "a", {}, {}, {}});
+    map.put({"a2-1", "a2", "a", {}, {}, {}}, start);
     return map;
 }
 
@@ -39,10 +40,24 @@
             return;
         }
         EXPECT_EQ(leader->failure_domain, "a1");
-        map.erase(leader->name);
+        map.erase(leader->name, start);
     }
     ADD_FAILURE() << "the last gateway of the domain still follows another one";
 }
 
+// Guards against gateways that are forgotten while they may go on serving, and against remembering for ever
+// those that are gone.
+TEST(gateway_map, departed_gateways_may_run_for_some_time) {
+    auto map = map_of("a1-1");
+    const auto others = map.others_that_may_run(start).size();
+    EXPECT_EQ(others, names.size());
+    map.erase("a1-2", start);
+    EXPECT_FALSE(map.all().contains("a1-2"));
+    EXPECT_EQ(map.others_that_may_run(start).size(), others);
+    EXPECT_EQ(map.others_that_may_run(start + gateway_map::departed_memory).size(), others - 1);
+    map.put({"a1-2", "a1", "a", {}, {}, {}}, start);
+    EXPECT_EQ(map.others_that_may_run(start).size(), others);
+}
+
 } // namespace
 } // namespace carawayway::placement
--- a/Tests/placement/server_selector_test.cpp
+++ b/Tests/placement/server_selector_test.cpp
@@ -36,7 +36,7 @@
 
     routing::route m_route;
     std::string m_service = "s";
-    server_table m_servers{{"g", "a1", "a", {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}}}, {1.5, 5.0}, {}};
+    server_table m_servers{{"g", "a1", "a", {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}}}, {1.5, 5.0}};
     run_time_estimator m_run_times;
     affinity_cache m_affinity{100};
     round_trip_estimator m_round_trips;
--- a/Tests/placement/server_table_test.cpp
+++ b/Tests/placement/server_table_test.cpp
@@ -24,7 +24,7 @@
 }
 
 server_table table_with(const std::string& id) {
-    server_table table({"g", "a", "r", {{"a", "r"}}}, {}, {});
+    server_table table({"g", "a", "r", {{"a", "r"}}}, {});
     table.put(registration_of(id), start);
     return table;
 }
--- a/bench/placement/fleet_model.cpp
+++ b/bench/placement/fleet_model.cpp
@@ -43,7 +43,7 @@
 struct fleet_model::gateway {
     gateway(const std::string& name, const std::string& region, std::map<std::string, std::string> domains,
             std::uint32_t seed)
-        : servers({name, region, region, std::move(domains)}, {1.5, 5.0}, {}), affinity(4096),
+        : servers({name, region, region, std::move(domains)}, {1.5, 5.0}), affinity(4096),
           shifts(region, shift_cap, seed), spillover(region),
           selector(servers, run_times, affinity, round_trips, shifts, spillover) {}
 
@@ -110,7 +110,7 @@
         for (const auto& other : m_gateways) {
             const auto& own = other->servers.own_locality();
             receiving_gateway->servers.gateways().put(
-                {own.gateway, own.failure_domain, own.region, {}, {}, {}});
+                {own.gateway, own.failure_domain, own.region, {}, {}, {}}, start_time);
         }
         for (const auto& known : m_servers) {
             carawayway::fleet::server_registration facts;
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -17,7 +17,7 @@
 gateway_state::gateway_state(boost::asio::any_io_executor io_executor, const placement::locality& own,
                              platform_bounds limits, content_guard::share_function share,
                              content_guard::publish_function publish)
-    : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold, base::monotonic_now()),
+    : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold),
       affinity(maximum_remembered_objects), region_shifts(own.region, limits.region_shift_share),
       region_spillover(own.region),
       selector(servers, run_times, affinity, round_trips, region_shifts, region_spillover),
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -35,7 +35,7 @@
                 apply_evacuation(subject.name, record, now);
                 break;
             case fleet::store_key_kind::gateway:
-                apply_gateway(subject.name, record, certainty);
+                apply_gateway(subject.name, record, certainty, now);
                 break;
             case fleet::store_key_kind::quarantine:
                 apply_quarantine(subject.name, record, now);
@@ -58,7 +58,7 @@
                       {{"server", id}, {"reason", "registration did not reappear"}});
         }
         for (const auto& name : m_missing_gateways) {
-            m_state.servers.gateways().erase(name);
+            m_state.servers.gateways().erase(name, now);
             base::log(base::log_level::info, "gateway-gone",
                       {{"gateway", name}, {"reason", "registration did not reappear"}});
         }
@@ -124,13 +124,14 @@
     }
 
     void apply_gateway(const std::string& name, const fleet::store_record& record,
-                       removal_certainty certainty) {
+                       removal_certainty certainty, base::time_point now) {
         const bool is_own = name == m_state.servers.own_locality().gateway;
         if (record.erased) {
             if (is_own) {
+                m_state.servers.gateways().record_own_removal();
                 m_on_registration_lost();
             } else if (certainty == removal_certainty::confirmed) {
-                m_state.servers.gateways().erase(name);
+                m_state.servers.gateways().erase(name, now);
                 base::log(
                     base::log_level::info, "gateway-gone",
                     {{"gateway", name}, {"reason", "registration removed"}, {"revision", record.revision}});
@@ -145,7 +146,7 @@
             base::log(base::log_level::warning, "gateway-registration-invalid", {{"gateway", name}});
             return;
         }
-        m_state.servers.gateways().put(*registration);
+        m_state.servers.gateways().put(*registration, now);
         base::log(
             base::log_level::info, "gateway-registered",
             {{"gateway", name}, {"domain", registration->failure_domain}, {"revision", record.revision}});
--- a/carawayway/placement/gateway_map.cpp
+++ b/carawayway/placement/gateway_map.cpp
@@ -12,12 +12,33 @@
     return found == region_of_domain.end() ? std::string{} : found->second;
 }
 
-void gateway_map::put(const fleet::gateway_registration& registration) {
+void gateway_map::put(const fleet::gateway_registration& registration, base::time_point now) {
     m_gateways[registration.name] = registration;
+    m_departed.erase(registration.name);
+    if (registration.name == m_own_locality.gateway) {
+        m_is_registered = true;
+        m_first_registered_at = m_first_registered_at.value_or(now);
+    }
+}
+
+void gateway_map::erase(const std::string& name, base::time_point now) {
+    std::erase_if(m_departed, [now](const auto& item) { return item.second.forgotten_at <= now; });
+    const auto found = m_gateways.find(name);
+    if (found == m_gateways.end()) {
+        return;
+    }
+    if (name == m_own_locality.gateway) {
+        record_own_removal();
+    } else {
+        m_departed[name] = {std::move(found->second), now + departed_memory};
+    }
+    m_gateways.erase(found);
 }
 
-void gateway_map::erase(const std::string& name) {
-    m_gateways.erase(name);
+std::vector<fleet::gateway_registration> gateway_map::others_that_may_run(base::time_point now) const {
+    std::vector<fleet::gateway_registration> others;
+    visit_others(now, [&others](const auto& other) { others.push_back(other); });
+    return others;
 }
 
 std::size_t gateway_map::count() const {
@@ -42,25 +63,30 @@
 }
 
 cold_sender_subset gateway_map::cold_senders_of(const std::string& server, const std::string& region,
-                                                std::size_t maximum_senders) const {
-    std::vector<std::string> names;
-    for (const auto& [name, registration] : m_gateways) {
-        if (registration.region == region) {
-            names.push_back(name);
-        }
-    }
-    if (names.empty()) {
-        for (const auto& [name, registration] : m_gateways) {
-            names.push_back(name);
-        }
-    }
-    const auto sender_count = std::max<std::size_t>(1, std::min(maximum_senders, names.size()));
+                                                std::size_t maximum_senders, base::time_point now) const {
+    struct candidates {
+        std::size_t others = 0;
+        std::size_t higher_ranked = 0; // than this gateway
+    };
     const auto own_rank = base::rendezvous_rank(server, m_own_locality.gateway);
-    const auto higher_ranked = std::count_if(names.begin(), names.end(), [&](const std::string& name) {
-        return name != m_own_locality.gateway && base::rendezvous_rank(server, name) > own_rank;
+    candidates in_region;
+    candidates anywhere;
+    visit_others(now, [&](const fleet::gateway_registration& other) {
+        const std::size_t higher = base::rendezvous_rank(server, other.name) > own_rank ? 1 : 0;
+        ++anywhere.others;
+        anywhere.higher_ranked += higher;
+        if (other.region == region) {
+            ++in_region.others;
+            in_region.higher_ranked += higher;
+        }
     });
-    const bool is_candidate = std::find(names.begin(), names.end(), m_own_locality.gateway) != names.end();
-    return {is_candidate && static_cast<std::size_t>(higher_ranked) < sender_count, sender_count};
+    const bool is_own_region = m_is_registered && m_own_locality.region == region;
+    const bool region_has_gateways = is_own_region || in_region.others > 0;
+    const bool is_candidate = m_is_registered && (is_own_region || !region_has_gateways);
+    const auto& counted = region_has_gateways ? in_region : anywhere;
+    const auto sender_count =
+        std::max<std::size_t>(1, std::min(maximum_senders, counted.others + (is_candidate ? 1 : 0)));
+    return {is_candidate && counted.higher_ranked < sender_count, sender_count};
 }
 
 } // namespace carawayway::placement
--- a/carawayway/placement/gateway_map.hpp
+++ b/carawayway/placement/gateway_map.hpp
@@ -35,11 +35,24 @@
 public:
     explicit gateway_map(locality own) : m_own_locality(std::move(own)) {}
 
-    void put(const fleet::gateway_registration& registration);
-    void erase(const std::string& name);
+    // A gateway whose registration disappears may be running, cut off from the store. It counts for shared
+    // limits and gets notices for this much longer.
+    static constexpr base::duration departed_memory = std::chrono::minutes{5};
+
+    void put(const fleet::gateway_registration& registration, base::time_point now);
+    void erase(const std::string& name, base::time_point now);
+    // Records that the store has removed the registration of this gateway. It stays in all(), because it goes
+    // on serving callers.
+    void record_own_removal() { m_is_registered = false; }
 
     const std::map<std::string, fleet::gateway_registration>& all() const { return m_gateways; }
 
+    // All known gateways and those that have departed within `departed_memory`, without this gateway.
+    std::vector<fleet::gateway_registration> others_that_may_run(base::time_point now) const;
+
+    // When the store first listed this gateway; nothing before that.
+    std::optional<base::time_point> first_registered_at() const { return m_first_registered_at; }
+
     // Number of known gateways including this one, so at least 1.
     std::size_t count() const;
 
@@ -48,14 +61,38 @@
     std::optional<fleet::gateway_registration> leader_of_own_domain() const;
 
     // Selects up to `maximum_senders` gateways for a cold server by rendezvous rank among the gateways of its
-    // region, or among all gateways when the region has none. Gateways that know the same list select the
-    // same senders.
+    // region that may run, or among all of them when the region has none. At most `maximum_senders` gateways
+    // regard themselves as senders, as long as each one remembers all that run. A gateway that has lost its
+    // registration is no sender, since the others may have replaced it.
     cold_sender_subset cold_senders_of(const std::string& server, const std::string& region,
-                                       std::size_t maximum_senders) const;
+                                       std::size_t maximum_senders, base::time_point now) const;
 
 private:
+    struct departed_gateway {
+        fleet::gateway_registration registration;
+        base::time_point forgotten_at;
+    };
+
+    // Calls visit(registration) for each of others_that_may_run().
+    template <class Visitor>
+    void visit_others(base::time_point now, Visitor&& visit) const {
+        for (const auto& [name, registration] : m_gateways) {
+            if (name != m_own_locality.gateway) {
+                visit(registration);
+            }
+        }
+        for (const auto& [name, departed] : m_departed) {
+            if (now < departed.forgotten_at) {
+                visit(departed.registration);
+            }
+        }
+    }
+
     locality m_own_locality;
     std::map<std::string, fleet::gateway_registration> m_gateways;
+    std::map<std::string, departed_gateway> m_departed; // none of m_gateways
+    bool m_is_registered = false;                       // in the store, as far as this gateway knows
+    std::optional<base::time_point> m_first_registered_at;
 };
 
 } // namespace carawayway::placement
--- a/carawayway/placement/server_table.cpp
+++ b/carawayway/placement/server_table.cpp
@@ -118,7 +118,8 @@
 }
 
 std::size_t server_table::cold_allowance(server_state& server, base::time_point now) {
-    if (now < m_started_at + cold_hold_after_start) {
+    const auto registered_at = m_gateways.first_registered_at();
+    if (!registered_at || now < *registered_at + cold_hold_after_registration) {
         return 0;
     }
     while (!server.recent_cold_sends.empty() && server.recent_cold_sends.front() + cold_limit_window <= now) {
@@ -132,7 +133,7 @@
         usable_cold_share;
     const auto senders = m_gateways.cold_senders_of(
         server.registration.id, server.region,
-        static_cast<std::size_t>(std::max(1.0, allowance / minimum_sender_requests_per_second)));
+        static_cast<std::size_t>(std::max(1.0, allowance / minimum_sender_requests_per_second)), now);
     if (!senders.is_sender) {
         return 0;
     }
--- a/carawayway/placement/server_table.hpp
+++ b/carawayway/placement/server_table.hpp
@@ -42,20 +42,18 @@
     // Minimum rate of each sender to a cold server; limits the number of gateways among which the allowance
     // is divided.
     static constexpr double minimum_sender_requests_per_second = 3.0;
-    // For this long after its start a gateway sends nothing to cold servers: it does not know what the
-    // process before it has sent within the last second, nor all gateways among which the allowance is
-    // divided.
-    static constexpr base::duration cold_hold_after_start = std::chrono::seconds{2};
+    // For this long after the store has first listed it, a gateway sends nothing to cold servers: it does not
+    // know what the process before it has sent within the last second, nor all gateways among which the
+    // allowance is divided.
+    static constexpr base::duration cold_hold_after_registration = std::chrono::seconds{2};
     // Time between probes of a suspect server, which doubles after each failure up to the maximum.
     static constexpr base::duration initial_probe_interval = std::chrono::milliseconds{500};
     static constexpr base::duration maximum_probe_interval = std::chrono::seconds{2};
     // Number of requests in a row without any answer after which a server is suspect.
     static constexpr std::uint32_t unanswered_until_suspect = 2;
 
-    // `started_at` is the start of this gateway's process.
-    server_table(locality own, cold_limits cold, base::time_point started_at)
-        : m_own_locality(std::move(own)), m_gateways(m_own_locality), m_cold_limits(cold),
-          m_started_at(started_at) {}
+    server_table(locality own, cold_limits cold)
+        : m_own_locality(std::move(own)), m_gateways(m_own_locality), m_cold_limits(cold) {}
 
     // Adds a server or updates its registration. A new incarnation starts with a new state.
     void put(const fleet::server_registration& registration, base::time_point now);
@@ -114,7 +112,6 @@
     locality m_own_locality;
     gateway_map m_gateways;
     cold_limits m_cold_limits;
-    base::time_point m_started_at;
     std::map<std::string, cold_start_profile> m_cold_start_profiles; // by service
     std::unordered_map<std::string, server_handle> m_servers;
     std::unordered_map<std::string, std::vector<server_handle>> m_by_service;
