gateway: Send crash notices also to gateways whose registrations have lapsed

Servers saw: a request that crashes them is sent on by every gateway until each has lost three servers itself. Cause: the same as for the retry budget: the recipients of a notice were the gateways that the sender knew. While the store takes no writes, registrations lapse, the notices go to nobody, and the quarantine cannot be written to the store either.

--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -100,6 +100,22 @@
     EXPECT_EQ(fleet.ended_servers(), servers_until_known);
 }
 
+// Guards against notices that go to nobody, because the registrations of all gateways have lapsed, so that
+// each gateway has to lose servers by itself. The store does not take the quarantine either.
+TEST(crash_content_test, gateways_that_lose_sight_of_each_other_learn_of_crashes) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    fleet.set_store_fault(soak::store_fault::writes_rejected);
+    fleet.wait_until_gateways_are_forgotten();
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        for (std::size_t resend = 0; resend < servers_until_known; ++resend) {
+            fleet.send(gateway, "POST", path);
+        }
+        std::this_thread::sleep_for(time_to_learn);
+    }
+    EXPECT_LE(fleet.ended_servers(), servers_until_known + permitted_retries);
+}
+
 // Guards against harmless content that is quarantined because servers lose answers or connections.
 TEST(crash_content_test, lost_answers_of_living_servers_quarantine_nothing) {
     gateway_fleet fleet(gateway_fleet::crashing_booking);
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -166,6 +166,19 @@
     return !m_gateways.at(index)->process->lines_with(text).empty();
 }
 
+void gateway_fleet::wait_until_gateways_are_forgotten() const {
+    for (const auto& item : m_gateways) {
+        for (const auto& other : m_gateways) {
+            EXPECT_TRUE(item == other || test_support::wait_until([&] {
+                            return !item->process
+                                        ->lines_with("event=gateway-gone gateway=" + other->name + " ")
+                                        .empty();
+                        }))
+                << item->name << " still knows " << other->name;
+        }
+    }
+}
+
 std::size_t gateway_fleet::ended_servers() {
     std::size_t count = 0;
     run_on_loop([&] { count = m_ended_servers; });
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -61,7 +61,9 @@
 
     // Whether the log of this gateway has a line with this text.
     bool has_logged(std::size_t index, std::string_view text) const;
-    const std::string& name_of(std::size_t index) const { return m_gateways.at(index)->name; }
+
+    // Waits until no gateway knows another one, while the store takes no registrations.
+    void wait_until_gateways_are_forgotten() const;
 
     std::size_t ended_servers();
     // What the servers received and the callers sent so far.
--- a/Tests/gateway_processes/retry_budget_test.cpp
+++ b/Tests/gateway_processes/retry_budget_test.cpp
@@ -28,19 +28,6 @@
     }
 }
 
-// Waits until no gateway knows another one. Their registrations have lapsed, and none can be written.
-void wait_until_gateways_are_forgotten(gateway_fleet& fleet) {
-    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
-        for (std::size_t other = 0; other < fleet.gateway_count(); ++other) {
-            EXPECT_TRUE(gateway == other || test_support::wait_until([&] {
-                            return fleet.has_logged(
-                                gateway, "event=gateway-gone gateway=" + fleet.name_of(other) + " ");
-                        }))
-                << fleet.name_of(gateway) << " still knows " << fleet.name_of(other);
-        }
-    }
-}
-
 // Guards against retries above the limit of the deployment when gateways lose sight of each other, take
 // larger shares and spend at once what they have earned long before.
 TEST(retry_budget_test, gateways_that_lose_sight_of_each_other_keep_the_limit_together) {
@@ -50,7 +37,7 @@
     gateway_fleet fleet(gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
                         gateways);
     fleet.set_store_fault(soak::store_fault::writes_rejected);
-    wait_until_gateways_are_forgotten(fleet);
+    fleet.wait_until_gateways_are_forgotten();
     send_to_all(fleet, earning_requests);
     // Requests older than two windows do not count for the limit.
     std::this_thread::sleep_for(2 * limit.window);
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -152,9 +152,9 @@
 
     std::vector<boost::asio::ip::udp::endpoint> notice_recipients() const {
         std::vector<boost::asio::ip::udp::endpoint> recipients;
-        for (const auto& [name, registration] : m_state.servers.gateways().all()) {
-            const auto address = net::parse_endpoint(registration.notice_address);
-            if (address && name != m_settings.name) {
+        const auto& gateways = m_state.servers.gateways();
+        for (const auto& other : gateways.others_that_may_run(base::monotonic_now())) {
+            if (const auto address = net::parse_endpoint(other.notice_address)) {
                 recipients.push_back(udp_endpoint(*address));
             }
         }
