Tests: Check retries and deadlines in the soak

Cause: the soak checked that no request is executed more often than its route allows, but neither the sum of the repeats nor the time that servers are given. Change: servers record what arrives, also what they reject; find_retry_excess() slides the window of the deployment over it, with a slack of three for each gateway. Each arrival must have a time left within that of its caller, and a repeat may not end later than the first send by more than half a second (with the checks of times). Callers have deadlines below and above the timeout of the route. The store may reject writes, and faults may outlast the leases.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -51,8 +51,8 @@
         auto made = std::make_unique<gateway>();
         const std::string domain = index % 2 == 0 ? "a1" : "b1";
         made->name = fmt::format("{}-{}", domain, index);
-        m_folder.write(made->name + ".ini",
-                       soak::gateway_settings(made->name, domain, made->ports, m_store.address()));
+        m_folder.write(made->name + ".ini", soak::gateway_settings(made->name, domain, made->ports,
+                                                                   m_store.address(), retry_limit));
         made->settings = m_folder.path() + "/" + made->name + ".ini";
         m_gateways.push_back(std::move(made));
     }
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -32,6 +32,8 @@
 class gateway_fleet {
 public:
     static constexpr std::size_t default_gateway_count = 4;
+    // The limit in the settings of the gateways.
+    static constexpr soak::retry_limit retry_limit{0.2, 60.0, std::chrono::milliseconds{10'000}};
     // A server that executes a request under one of these ends.
     static constexpr const char* crashing_lookup = "/read/crash/";
     static constexpr const char* crashing_booking = "/book/crash/";
--- a/Tests/gateway_processes/retry_budget_test.cpp
+++ b/Tests/gateway_processes/retry_budget_test.cpp
@@ -8,11 +8,6 @@
 namespace carawayway::gateway_processes {
 namespace {
 
-using std::chrono::milliseconds;
-
-// As in the settings of the gateways.
-const soak::retry_limit limit{0.2, 60.0, milliseconds{10'000}};
-
 // Sends this many look-ups to each gateway, one after the other, and to all gateways at the same time.
 void send_to_all(gateway_fleet& fleet, std::size_t requests_each) {
     std::vector<std::thread> senders;
@@ -40,10 +35,10 @@
     fleet.wait_until_gateways_are_forgotten();
     send_to_all(fleet, earning_requests);
     // Requests older than two windows do not count for the limit.
-    std::this_thread::sleep_for(2 * limit.window);
+    std::this_thread::sleep_for(2 * gateway_fleet::retry_limit.window);
     fleet.set_server_fault(soak::server_fault::load_shedding);
     send_to_all(fleet, failing_requests);
-    EXPECT_EQ(soak::find_retry_excess(limit, fleet.traffic()), std::nullopt);
+    EXPECT_EQ(soak::find_retry_excess(gateway_fleet::retry_limit, fleet.traffic()), std::nullopt);
 }
 
 } // namespace
--- a/Tests/soak/gateway_settings.hpp
+++ b/Tests/soak/gateway_settings.hpp
@@ -1,6 +1,7 @@
 // Settings of gateway processes that tests start on loopback.
 #pragma once
 
+#include "Tests/soak/retry_limit.hpp"
 #include "Tests/support/process_harness.hpp"
 
 #include <array>
@@ -27,6 +28,6 @@
 
 // The settings of a gateway in a deployment with the failure domains a1 of region a and b1 of region b.
 std::string gateway_settings(const std::string& name, const std::string& domain, const gateway_ports& ports,
-                             const std::string& store_address);
+                             const std::string& store_address, const retry_limit& retries);
 
 } // namespace carawayway::soak
--- a/Tests/soak/run_record.hpp
+++ b/Tests/soak/run_record.hpp
@@ -22,11 +22,13 @@
 struct arrival {
     std::string request_id;
     clock::time_point at;
+    std::chrono::milliseconds time_left; // that the server was given; zero if it was given none
 };
 
 struct caller_request {
     std::string request_id;
     request_semantics semantics = request_semantics::idempotent;
+    std::chrono::milliseconds deadline{}; // after `sent`; what the request says
     std::size_t gateway = 0;
     clock::time_point sent;
     clock::time_point ended;
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -45,7 +45,9 @@
         co_return answer;
     }
     const std::string id(request["Request-Id"]);
-    m_record.arrivals.push_back({id, clock::now()});
+    const std::string time_left(request["Deadline-Ms"]);
+    m_record.arrivals.push_back(
+        {id, clock::now(), milliseconds{time_left.empty() ? 0 : std::stoll(time_left)}});
     const auto refused = [&](unsigned status) {
         auto answer = answer_to(request, status, {});
         answer.set("Not-Executed", "1");
--- a/Tests/soak/soak_caller.cpp
+++ b/Tests/soak/soak_caller.cpp
@@ -37,6 +37,8 @@
     sent_request.request_id = fmt::format("{:016x}", m_random());
     sent_request.semantics =
         m_random() % 2 == 0 ? request_semantics::idempotent : request_semantics::non_idempotent;
+    sent_request.deadline = std::chrono::milliseconds{std::uniform_int_distribution<std::int64_t>{
+        shortest_deadline.count(), longest_deadline.count()}(m_random)};
     sent_request.gateway = gateway;
     sent_request.sent = clock::now();
     return sent_request;
@@ -59,7 +61,7 @@
                                  is_idempotent ? "/read/x" : "/book/x", 11};
             request.set(http::field::host, "soak.example");
             request.set("Request-Id", sent_request.request_id);
-            request.set("Deadline-Ms", "4000");
+            request.set("Deadline-Ms", std::to_string(sent_request.deadline.count()));
             request.set(http::field::cookie, fmt::format("Affinity-Key={}", m_random() % affinity_keys));
             request.prepare_payload();
             stream.expires_after(request_time_limit);
--- a/Tests/soak/soak_caller.hpp
+++ b/Tests/soak/soak_caller.hpp
@@ -17,6 +17,9 @@
 public:
     // Time limit of each connection attempt and request; well above the timeout of the routes.
     static constexpr std::chrono::milliseconds request_time_limit{6000};
+    // How long a request says that its caller waits; below and above the timeout of the routes.
+    static constexpr std::chrono::milliseconds shortest_deadline{700};
+    static constexpr std::chrono::milliseconds longest_deadline{4000};
 
     soak_caller(boost::asio::io_context& context, std::vector<boost::asio::ip::tcp::endpoint> gateways,
                 run_record& record, std::uint32_t seed);
--- a/Tests/soak/soak_run.cpp
+++ b/Tests/soak/soak_run.cpp
@@ -35,6 +35,9 @@
 // Requests that are sent within this time after a disruption of a gateway may still be affected by it.
 constexpr milliseconds disruption_margin{1500};
 constexpr std::size_t requests_before_check = 60;
+constexpr retry_limit retries_of_all_gateways{0.2, 12.0, milliseconds{10'000}};
+// By which a repeat may end later than the first send and the caller's deadline.
+constexpr milliseconds deadline_slack{500};
 
 boost::asio::ip::tcp::endpoint endpoint_of(const std::string& address) {
     return stand_ins::parse_address(address).value();
@@ -82,7 +85,8 @@
     m_ports.push_back(std::make_unique<gateway_ports>());
     made->caller_address = m_ports.back()->callers();
     made->readiness_address = m_ports.back()->readiness();
-    m_folder.write(name + ".ini", gateway_settings(name, domain, *m_ports.back(), m_store.address()));
+    m_folder.write(name + ".ini", gateway_settings(name, domain, *m_ports.back(), m_store.address(),
+                                                   retries_of_all_gateways));
     made->settings = m_folder.path() + "/" + name + ".ini";
     m_gateways.push_back(std::move(made));
 }
@@ -187,11 +191,13 @@
 }
 
 void soak_run::inject_store_fault() {
-    constexpr std::array faults{store_fault::hang, store_fault::unavailable, store_fault::reset,
+    constexpr std::array faults{store_fault::hang,           store_fault::unavailable,
+                                store_fault::reset,          store_fault::writes_rejected,
                                 store_fault::responses_lost, store_fault::history_compacted};
     const auto fault = faults.at(m_random() % faults.size());
     run_on_loop([&] { m_store.set_fault(fault); });
-    schedule(random_delay(200, 3000),
+    // The longest faults outlast the leases of the gateways.
+    schedule(random_delay(200, 6000),
              [this] { run_on_loop([this] { m_store.set_fault(store_fault::none); }); });
 }
 
@@ -367,6 +373,35 @@
     }
 }
 
+void soak_run::check_arrivals() {
+    retry_limit_input input{m_record.arrivals, {}};
+    std::map<std::string, const caller_request*> requests;
+    for (const auto& item : m_record.requests) {
+        input.sent.push_back(item.sent);
+        requests[item.request_id] = &item;
+    }
+    if (const auto excess = find_retry_excess(retries_of_all_gateways, input)) {
+        add_violation(*excess);
+    }
+    std::map<std::string, clock::time_point> latest_end; // of the first arrival and of the caller's deadline
+    for (const auto& item : m_record.arrivals) {
+        const auto found = requests.find(item.request_id);
+        if (found == requests.end()) {
+            continue; // a probe of the configuration
+        }
+        const auto& request = *found->second;
+        const auto end = item.at + item.time_left;
+        const auto [first, is_first] = latest_end.try_emplace(
+            item.request_id, std::max<clock::time_point>(end, request.sent + request.deadline));
+        const bool ends_late = !is_first && end > first->second + deadline_slack &&
+                               m_options.response_times == soak_options::timing::checked;
+        if (item.time_left <= milliseconds{0} || item.time_left > request.deadline || ends_late) {
+            add_violation(fmt::format("request {} reached a server with {} ms left", item.request_id,
+                                      item.time_left.count()));
+        }
+    }
+}
+
 std::vector<std::string> soak_run::execute() {
     std::vector<boost::asio::ip::tcp::endpoint> addresses;
     for (const auto* const domain : {"a1", "b1"}) {
@@ -420,7 +455,10 @@
         });
         return ended;
     });
-    run_on_loop([this] { check_requests(); });
+    run_on_loop([this] {
+        check_requests();
+        check_arrivals();
+    });
     return m_violations;
 }
 
--- a/Tests/soak/soak_run.hpp
+++ b/Tests/soak/soak_run.hpp
@@ -90,6 +90,8 @@
     void check_newest_configuration();
     void check_draining_servers();
     void check_requests();
+    // Checks that servers receive no more repeats, and no more time for a request, than the platform permits.
+    void check_arrivals();
     void add_violation(std::string violation);
 
     soak_options m_options;
