gateway: Give servers the time left at the moment of sending

Cause: the time left was written into the request when the server was chosen, before the connection was opened. Change: the exchange writes it when the connection is ready. Before (the header written at start()): server_exchange_test.time_left_is_that_of_the_moment_of_sending has 4999 ms left 200 ms later, at most 4800 are right. After: it passes. Conclusion: the time handed on depends no longer on how long a connect takes or on how late the process is scheduled.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace carawayway::gateway {
 namespace {
 
@@ -28,10 +30,11 @@
 
     void respond_next() {
         m_peer.async_read_some(boost::asio::buffer(m_chunk),
-                               [this](boost::system::error_code error, std::size_t) {
+                               [this](boost::system::error_code error, std::size_t size) {
                                    if (error) {
                                        return;
                                    }
+                                   m_last_request.assign(m_chunk.data(), size);
                                    ++m_requests;
                                    const std::string response = m_responses.front();
                                    m_responses.erase(m_responses.begin());
@@ -44,16 +47,21 @@
                                });
     }
 
-    exchange_result send(const std::string& request_id) {
+    static constexpr std::chrono::milliseconds time_left{5000}; // until the deadline of a request
+
+    // Runs the event loop only after `delay`.
+    exchange_result send(const std::string& request_id, std::chrono::milliseconds delay = {}) {
         auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
         request->set(http::field::host, "h");
         request->prepare_payload();
-        const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U};
+        const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U,
+                                     base::monotonic_now() + time_left};
         auto sent = std::make_shared<exchange>(m_context.get_executor(), m_pool, "i-1",
                                                m_acceptor.local_endpoint(), limits);
         std::optional<exchange_result> result;
         sent->start(request, request_id,
                     [&result](exchange_result completed) { result = std::move(completed); });
+        std::this_thread::sleep_for(delay);
         while (!result) {
             m_context.run_one();
         }
@@ -71,6 +79,7 @@
     backend_pool m_pool;
     std::vector<std::string> m_responses;
     std::array<char, 4096> m_chunk{};
+    std::string m_last_request;
     int m_requests = 0;
 };
 
@@ -112,6 +121,18 @@
     EXPECT_EQ(send("a").outcome, exchange_outcome::unanswered);
 }
 
+// Guards against a server that works on after its caller has left, because it is given the time that was left
+// before a slow connect.
+TEST_F(server_exchange_test, time_left_is_that_of_the_moment_of_sending) {
+    constexpr std::chrono::milliseconds delay{200};
+    serve({response_with("a", "own")});
+    EXPECT_EQ(send("a", delay).outcome, exchange_outcome::answered);
+    const std::string header = "Deadline-Ms: ";
+    const auto begin = m_last_request.find(header);
+    ASSERT_NE(begin, std::string::npos) << m_last_request;
+    EXPECT_LE(std::stoll(m_last_request.substr(begin + header.size())), (time_left - delay).count());
+}
+
 TEST_F(server_exchange_test, non_http_bytes_are_broken) {
     serve({"\x01\x02 what is this\r\n\r\n"});
     EXPECT_EQ(send("a").outcome, exchange_outcome::broken);
@@ -122,9 +143,9 @@
     const auto address = m_acceptor.local_endpoint();
     m_acceptor.close();
     auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
-    auto sent =
-        std::make_shared<exchange>(m_context.get_executor(), m_pool, "i-1", address,
-                                   exchange_limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1024});
+    const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1024,
+                                 base::monotonic_now() + time_left};
+    auto sent = std::make_shared<exchange>(m_context.get_executor(), m_pool, "i-1", address, limits);
     std::optional<exchange_result> result;
     sent->start(request, "a", [&result](exchange_result completed) { result = std::move(completed); });
     while (!result) {
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -159,9 +159,8 @@
         const exchange_limits limits{
             std::min<base::duration>(m_deadline - now, connect_timeout(round_trip_to(server))),
             maximum_idle_time(m_route->semantics, sent->losses_when_sent),
-            gateway_state::maximum_response_bytes};
+            gateway_state::maximum_response_bytes, m_deadline};
         auto request = std::make_shared<http_request>(m_request);
-        Platform::write_call(*request, server.registration.id, m_deadline - now);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
             m_state.executor, m_state.connections, server.registration.id, *address, limits);
         m_running_attempts.push_back(sent);
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -39,6 +39,7 @@
     base::duration connect_timeout{};
     base::duration maximum_idle_time{}; // of a pooled connection
     std::uint64_t maximum_response_bytes = 0;
+    base::time_point deadline{}; // of the caller
 };
 
 template <platform_protocol Platform>
@@ -52,7 +53,7 @@
           m_address(std::move(address)), m_limits(limits), m_connect_timer(m_executor) {}
 
     // `done` runs once, after this call has returned, unless abort() is called first.
-    void start(std::shared_ptr<const http_request> request, std::string request_id, completion_handler done) {
+    void start(std::shared_ptr<http_request> request, std::string request_id, completion_handler done) {
         m_request = std::move(request);
         m_request_id = std::move(request_id);
         m_done = std::move(done);
@@ -96,6 +97,7 @@
             co_return;
         }
         const auto sent_at = base::monotonic_now();
+        Platform::write_call(*m_request, m_server, m_limits.deadline - sent_at);
         m_sent = true;
         m_writing = true;
         http::async_write(m_connection->socket, *m_request,
@@ -192,7 +194,7 @@
     boost::asio::ip::tcp::endpoint m_address;
     exchange_limits m_limits;
     boost::asio::steady_timer m_connect_timer;
-    std::shared_ptr<const http_request> m_request;
+    std::shared_ptr<http_request> m_request;
     std::string m_request_id;
     completion_handler m_done;
     std::unique_ptr<backend_connection> m_connection;
