fleet: Order what is known of the store by its era

Cause: a position in the store was a bare revision, which only rises within one copy of the store. Change: store_revision is era and number, ordered by era first, in the replica, the watch and the messages between gateways. Any answer, or the reply of a peer, can tell of a higher era; the store is then listed again. What it has lost stays in force for 5 s, also later changes of keys that the copy has in an older state; what is written again takes effect at once. Registration and quarantined contents are written again. A peer without eras counts as era 0.

--- a/Tests/fleet/replication_codec_test.cpp
+++ b/Tests/fleet/replication_codec_test.cpp
@@ -11,13 +11,14 @@
 }
 
 TEST(replication_codec, round_trips_requests_and_replies) {
-    const replication_request request{77, std::chrono::milliseconds{700}};
+    const replication_request request{store_revision{77, 3}, std::chrono::milliseconds{700}};
     EXPECT_EQ(decode_request(bytes_of(encode(request))), request);
     for (const bool watches_store : {false, true}) {
         const replication_reply reply{
-            90,
+            store_revision{90, 3},
             true,
-            {{"servers/a", std::string("\0\xff{}", 4), 80, false}, {"op/evacuate/b", {}, 90, true}},
+            {{"servers/a", std::string("\0\xff{}", 4), store_revision{80, 2}, false},
+             {"op/evacuate/b", {}, 90, true}},
             watches_store,
             std::chrono::milliseconds{2300}};
         EXPECT_EQ(decode_reply(bytes_of(encode(reply))), reply);
--- a/Tests/fleet/store_replica_test.cpp
+++ b/Tests/fleet/store_replica_test.cpp
@@ -18,6 +18,16 @@
     return {key, {}, revision, true};
 }
 
+// The same record at the same number of the era after a restore.
+store_record restored(store_record record) {
+    record.revision = record.revision.in_era(1);
+    return record;
+}
+
+store_revision restored(std::int64_t number) {
+    return store_revision{number, 1};
+}
+
 // Guards against a reply of a peer that lags behind and reverts a configuration.
 TEST(store_replica, ignores_a_record_that_is_older_than_the_known_one) {
     store_replica replica;
@@ -91,5 +101,68 @@
     EXPECT_TRUE(replica.changes_after(100).has_value());
 }
 
+// Guards against a gateway that ignores every change after the store was restored, because their revisions
+// are lower than those that it knows.
+TEST(store_replica, a_write_after_a_restore_is_newer_whatever_its_number) {
+    store_replica replica;
+    replica.replace_all({written("a", 90, "before")}, 95);
+    replica.begin_era({restored(written("a", 90, "before"))}, restored(90));
+    EXPECT_EQ(replica.revision(), restored(90));
+    EXPECT_TRUE(replica.apply(restored(written("a", 91, "after"))));
+    EXPECT_FALSE(replica.apply(written("a", 99, "late answer")));
+    EXPECT_THAT(replica.all(), ElementsAre(restored(written("a", 91, "after"))));
+}
+
+// Guards against a server or an evacuation that counts as removed although it is about to be written again.
+TEST(store_replica, keys_that_a_restore_has_lost_stay_until_it_has_settled) {
+    store_replica replica;
+    replica.replace_all({written("a", 1), written("lost", 8), written("kept", 2)}, 9);
+    EXPECT_THAT(replica.begin_era({restored(written("a", 1)), restored(written("kept", 2))}, restored(5)),
+                IsEmpty());
+    EXPECT_EQ(replica.all().size(), 3U);
+    EXPECT_TRUE(replica.apply(restored(erased("a", 6))));
+    replica.advance(restored(6));
+    EXPECT_THAT(replica.settle_era(), ElementsAre(restored(erased("lost", 6))));
+    EXPECT_THAT(replica.all(), ElementsAre(restored(written("kept", 2))));
+}
+
+// Guards against a removed server, an ended evacuation or an older configuration that comes back into force,
+// because the copy has the write that preceded the change which the store has lost.
+TEST(store_replica, an_older_write_in_the_copy_does_not_undo_a_known_change) {
+    store_replica replica;
+    replica.replace_all({}, 1);
+    for (const auto& change : {written("removed", 2), written("config", 3, "old"), erased("removed", 6),
+                               written("config", 7, "new")}) {
+        replica.apply(change);
+    }
+    const std::vector<store_record> copy{restored(written("removed", 2)),
+                                         restored(written("config", 3, "old"))};
+    EXPECT_THAT(replica.begin_era(copy, restored(4)), IsEmpty());
+    EXPECT_THAT(replica.all(), ElementsAre(written("config", 7, "new")));
+    EXPECT_TRUE(replica.apply(restored(written("config", 5, "new"))));
+    // The removal was not written again.
+    EXPECT_THAT(replica.settle_era(), ElementsAre(restored(written("removed", 2))));
+}
+
+// Guards against a server that is ignored after a restore, because it has written its entry again before the
+// gateway listed the store.
+TEST(store_replica, a_write_of_the_new_era_is_no_older_write_of_the_copy) {
+    store_replica replica;
+    replica.replace_all({}, 1);
+    replica.apply(written("s", 2, "ready"));
+    replica.apply(written("s", 6, "draining"));
+    EXPECT_THAT(replica.begin_era({restored(written("s", 5, "draining again"))}, restored(5)),
+                ElementsAre(restored(written("s", 5, "draining again"))));
+}
+
+// Guards against a peer that gets changes of an era which it has not listed.
+TEST(store_replica, a_peer_of_an_earlier_era_needs_all_records) {
+    store_replica replica;
+    replica.replace_all({written("a", 1)}, 90);
+    replica.begin_era({restored(written("a", 1))}, restored(40));
+    EXPECT_FALSE(replica.changes_after(90).has_value());
+    EXPECT_THAT(replica.changes_after(restored(40)).value(), IsEmpty());
+}
+
 } // namespace
 } // namespace carawayway::fleet
--- a/Tests/gateway/scripted_store.hpp
+++ b/Tests/gateway/scripted_store.hpp
@@ -25,6 +25,8 @@
 struct scripted_answer {
     store_reaction reaction = store_reaction::answer;
     std::string body;
+    std::string era{}; // of the store; no header if empty
+    boost::beast::http::status status = boost::beast::http::status::ok;
 };
 
 class scripted_store {
@@ -87,7 +89,10 @@
             read_next(client);
             return;
         }
-        client->response = {boost::beast::http::status::ok, 11};
+        client->response = {answer.status, 11};
+        if (!answer.era.empty()) {
+            client->response.set("Store-Era", answer.era);
+        }
         client->response.body() = answer.body;
         client->response.prepare_payload();
         boost::beast::http::async_write(client->socket, client->response,
--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -24,6 +24,11 @@
     static scripted_answer empty_listing() {
         return {store_reaction::answer, R"({"items":[],"hasMore":false,"currentRev":1})"};
     }
+    // One key, and this revision of the store.
+    static std::string listing_at(int revision) {
+        return R"({"items":[{"key":"a","value":"","rev":12}],"hasMore":false,"currentRev":)" +
+               std::to_string(revision) + "}";
+    }
     static scripted_answer no_events() { return {store_reaction::answer, R"({"events":[],"currentRev":1})"}; }
     static scripted_answer silence() { return {store_reaction::stay_silent, {}}; }
 
@@ -38,13 +43,14 @@
                     m_on_records(records, certainty);
                 }
             },
-            [this] { return m_peers; }, [this] { return m_leader; });
+            [this] { ++m_restores; }, [this] { return m_peers; }, [this] { return m_leader; });
         tested.start();
         m_context.run();
     }
     void stop() { m_context.stop(); }
 
     session::records_handler m_on_records;
+    int m_restores = 0;
     std::vector<boost::asio::ip::tcp::endpoint> m_peers;
     std::optional<boost::asio::ip::tcp::endpoint> m_leader; // the leader to follow
     fleet::store_replica m_replica;
@@ -128,6 +134,87 @@
     EXPECT_LE(wait + time_to_list, time_until_contact);
 }
 
+// Guards against a gateway that goes on at a revision of the store which the restored store has not reached,
+// so that it learns of no change.
+TEST_F(store_session_test, lists_a_restored_store_again_and_resumes_at_its_revision) {
+    std::vector<std::string> watches;
+    std::size_t listings = 0;
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            const bool is_restored = !watches.empty();
+            if (target.starts_with("/kv-range")) {
+                ++listings;
+                return is_restored ? scripted_answer{store_reaction::answer, listing_at(40), "2"}
+                                   : scripted_answer{store_reaction::answer, listing_at(90), "1"};
+            }
+            if (!is_watch(target)) {
+                return silence();
+            }
+            watches.push_back(target);
+            if (watches.size() == 2) {
+                stop();
+            }
+            return {store_reaction::answer, {}, "2", boost::beast::http::status::gone};
+        },
+        [](const std::string&) {});
+    EXPECT_EQ(listings, 2U);
+    EXPECT_NE(watches.at(0).find("after=90&"), std::string::npos) << watches.at(0);
+    EXPECT_NE(watches.at(1).find("after=40&"), std::string::npos) << watches.at(1);
+    EXPECT_EQ(m_replica.revision(), (fleet::store_revision{40, 2}));
+    EXPECT_EQ(m_restores, 1);
+}
+
+// Guards against a restore that goes unnoticed while a watch waits, and against a listing that mixes pages
+// from before and after it.
+TEST_F(store_session_test, begins_a_listing_again_when_the_store_is_restored_between_its_pages) {
+    std::size_t pages = 0;
+    m_on_records = [this](const std::vector<fleet::store_record>& records, removal_certainty) {
+        EXPECT_EQ(records.size(), 1U);
+        stop();
+    };
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (!target.starts_with("/kv-range")) {
+                return silence();
+            }
+            return ++pages == 1 ? scripted_answer{store_reaction::answer,
+                                                  R"({"items":[{"key":"lost","value":"","rev":80}],)"
+                                                  R"("hasMore":true,"currentRev":90})",
+                                                  "1"}
+                                : scripted_answer{store_reaction::answer, listing_at(40), "2"};
+        },
+        [](const std::string&) {});
+    EXPECT_EQ(m_replica.revision(), (fleet::store_revision{40, 2}));
+    EXPECT_EQ(m_replica.all().size(), 1U);
+}
+
+// Guards against a gateway that is cut off from the store and refuses what its peers know of the restored
+// one.
+TEST_F(store_session_test, learns_of_a_restore_from_a_peer_while_the_store_does_not_answer) {
+    fleet::store_replica peer_replica;
+    peer_replica.replace_all({{"a", "new", fleet::store_revision{30, 2}, false}}, {30, 2});
+    replication_server peer(m_context.get_executor(), {boost::asio::ip::address_v4::loopback(), 0},
+                            peer_replica, [] { return replication_server::watch_status{}; });
+    m_peers = {peer.endpoint()};
+    bool is_listed = false;
+    m_on_records = [this](const std::vector<fleet::store_record>&, removal_certainty) {
+        if (m_replica.revision().era == 2) {
+            stop();
+        }
+    };
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (target.starts_with("/kv-range") && !is_listed) {
+                is_listed = true;
+                return {store_reaction::answer, listing_at(90), "1"};
+            }
+            return {store_reaction::close, {}};
+        },
+        [](const std::string&) {});
+    EXPECT_EQ(m_replica.revision(), (fleet::store_revision{30, 2}));
+    EXPECT_EQ(m_replica.all().at(0).value, "new");
+}
+
 class store_session_follow_test : public store_session_test {
 protected:
     // Starts another gateway as the leader; it has newer records than the store has sent.
@@ -194,7 +281,7 @@
     change_timer.expires_after(std::chrono::milliseconds{100});
     change_timer.async_wait([this](boost::system::error_code) { add_change(); });
     m_on_records = [&](const std::vector<fleet::store_record>& records, removal_certainty) {
-        if (!records.empty() && records.front().revision == 2) {
+        if (!records.empty() && records.front().revision == fleet::store_revision{2}) {
             stop();
         }
     };
@@ -207,7 +294,7 @@
             return silence();
         },
         [](const std::string&) {});
-    EXPECT_EQ(m_replica.revision(), 2);
+    EXPECT_EQ(m_replica.revision(), fleet::store_revision{2});
     EXPECT_EQ(watches, 0);
 }
 
--- a/Tests/platform/headers_test.cpp
+++ b/Tests/platform/headers_test.cpp
@@ -87,6 +87,17 @@
     EXPECT_EQ(protocol::write_lookup({"10.0.0.1:80"}, 2s), R"({"addrs":["10.0.0.1:80"],"ttlS":2E0})");
 }
 
+TEST(read_era, needs_a_whole_number) {
+    gateway::http::fields headers;
+    EXPECT_EQ(protocol::read_era(headers), std::nullopt);
+    headers.set("Store-Era", "7");
+    EXPECT_EQ(protocol::read_era(headers), 7);
+    for (const char* const invalid : {"", "seven", "7.5", "7 8", "99999999999999999999"}) {
+        headers.set("Store-Era", invalid);
+        EXPECT_EQ(protocol::read_era(headers), std::nullopt) << invalid;
+    }
+}
+
 TEST(read_bounds, reads_numbers_and_booleans) {
     const auto bounds = protocol::read_bounds(
         "budgetRatio=0.3,budgetSlack=60,coldOver=1.5,coldSlack=5,graceS=6,shiftMost=0.2,"
--- a/Tests/platform/store_calls_test.cpp
+++ b/Tests/platform/store_calls_test.cpp
@@ -25,7 +25,7 @@
              R"("hasMore":true,"currentRev":530})");
     EXPECT_EQ(page.status, store_status::done);
     EXPECT_TRUE(page.has_more);
-    EXPECT_EQ(page.revision, 530);
+    EXPECT_EQ(page.revision, fleet::store_revision{530});
     EXPECT_THAT(page.items, testing::ElementsAre(fleet::store_record{"k", "node-1", 412, false}));
 }
 
--- a/carawayway/fleet/replication_codec.cpp
+++ b/carawayway/fleet/replication_codec.cpp
@@ -29,7 +29,7 @@
 }
 
 store_record read_record(const schema::Fact& from) {
-    store_record record{from.key()->str(), {}, from.revision(), from.erased()};
+    store_record record{from.key()->str(), {}, {from.revision(), from.era()}, from.erased()};
     if (const auto* const value = from.value()) {
         record.value.assign(reinterpret_cast<const char*>(value->data()), value->size());
     }
@@ -40,7 +40,8 @@
 
 std::string encode(const replication_request& request) {
     flatbuffers::FlatBufferBuilder builder;
-    const auto body = schema::CreateFactRequest(builder, request.revision, to_wire(request.wait));
+    const auto body = schema::CreateFactRequest(builder, request.revision.number, to_wire(request.wait),
+                                                request.revision.era);
     return finish(builder, schema::Body::FactRequest, body.Union());
 }
 
@@ -52,11 +53,13 @@
         const auto key = builder.CreateString(record.key);
         const auto value = builder.CreateVector(reinterpret_cast<const std::uint8_t*>(record.value.data()),
                                                 record.value.size());
-        facts.push_back(schema::CreateFact(builder, key, value, record.revision, record.erased));
+        facts.push_back(schema::CreateFact(builder, key, value, record.revision.number, record.erased,
+                                           record.revision.era));
     }
     const auto list = builder.CreateVector(facts);
-    const auto body = schema::CreateFactReply(builder, reply.revision, reply.complete, list,
-                                              reply.watches_store, to_wire(reply.time_since_failure));
+    const auto body =
+        schema::CreateFactReply(builder, reply.revision.number, reply.complete, list, reply.watches_store,
+                                to_wire(reply.time_since_failure), reply.revision.era);
     return finish(builder, schema::Body::FactReply, body.Union());
 }
 
@@ -66,7 +69,7 @@
     if (body == nullptr) {
         return std::nullopt;
     }
-    return replication_request{body->revision(), std::chrono::milliseconds{body->wait_ms()}};
+    return replication_request{{body->revision(), body->era()}, std::chrono::milliseconds{body->wait_ms()}};
 }
 
 std::optional<replication_reply> decode_reply(std::span<const std::byte> payload) {
@@ -75,7 +78,7 @@
     if (body == nullptr) {
         return std::nullopt;
     }
-    replication_reply reply{body->revision(),
+    replication_reply reply{{body->revision(), body->era()},
                             body->complete(),
                             {},
                             body->watches_store(),
--- a/carawayway/fleet/replication_codec.hpp
+++ b/carawayway/fleet/replication_codec.hpp
@@ -14,15 +14,15 @@
 namespace carawayway::fleet {
 
 struct replication_request {
-    std::int64_t revision = 0;         // up to which the sender knows all changes of the store
+    store_revision revision;           // up to which the sender knows all changes of the store
     std::chrono::milliseconds wait{0}; // longest time that the reply may wait for a change; 0: reply at once
 
     bool operator==(const replication_request&) const = default;
 };
 
 struct replication_reply {
-    std::int64_t revision = 0; // up to which the sender knows all changes of the store
-    bool complete = false;     // the records are a whole listing, not only the changes
+    store_revision revision; // up to which the sender knows all changes of the store
+    bool complete = false;   // the records are a whole listing, not only the changes
     std::vector<store_record> records;
     bool watches_store = false; // the sender watches the store itself and can reach it
     // Since the sender's last failed call to the store; 0 while calls fail.
--- a/carawayway/fleet/store_health.hpp
+++ b/carawayway/fleet/store_health.hpp
@@ -25,6 +25,10 @@
         m_last_failure_at = std::max(m_last_failure_at, now - time_since_failure);
     }
 
+    // The store was restored from an older copy. It counts as unsettled until keys that were lost can have
+    // been written again.
+    void record_restore(base::time_point now) { m_last_failure_at = std::max(m_last_failure_at, now); }
+
     // Time since the last failed call; zero while the store is unreachable.
     base::duration time_since_failure(base::time_point now) const {
         return m_reachable ? now - m_last_failure_at : base::duration::zero();
--- a/carawayway/fleet/store_messages.hpp
+++ b/carawayway/fleet/store_messages.hpp
@@ -34,7 +34,7 @@
     store_status status = store_status::unreadable;
     std::vector<store_record> items; // in a listing, none is erased
     bool has_more = false;
-    std::int64_t revision = 0; // of the store at the time of the answer
+    store_revision revision; // of the store at the time of the answer
 
     bool operator==(const store_page&) const = default;
 };
--- a/carawayway/fleet/store_replica.cpp
+++ b/carawayway/fleet/store_replica.cpp
@@ -17,7 +17,7 @@
 }
 
 std::vector<store_record> store_replica::replace_all(const std::vector<store_record>& records,
-                                                     std::int64_t revision) {
+                                                     store_revision revision) {
     std::vector<store_record> changes;
     std::unordered_set<std::string> listed;
     for (const auto& record : records) {
@@ -26,18 +26,15 @@
             changes.push_back(record);
         }
     }
-    std::vector<store_record> missing;
+    std::vector<std::string> missing;
     for (const auto& [key, known] : m_records) {
         // The watch reports a key that changed after the listing began.
         if (!known.erased && known.revision <= revision && !listed.contains(key)) {
-            missing.push_back({key, {}, revision, true});
+            missing.push_back(key);
         }
     }
-    for (const auto& record : missing) {
-        m_records[record.key] = record;
-        append_change(record);
-        changes.push_back(record);
-    }
+    const auto erased = erase_keys(missing, revision);
+    changes.insert(changes.end(), erased.begin(), erased.end());
     // Keys that were written and erased before the listing are not among the changes, so a peer whose
     // revision is older than the listing needs all records.
     m_changes_complete_from = std::max(m_changes_complete_from, revision);
@@ -45,11 +42,73 @@
     return changes;
 }
 
-void store_replica::advance(std::int64_t revision) {
+std::vector<store_record> store_replica::begin_era(const std::vector<store_record>& records,
+                                                   store_revision revision) {
+    std::vector<store_record> changes;
+    m_outdated.clear();
+    for (const auto& record : records) {
+        auto known = m_records.find(record.key);
+        if (known != m_records.end() && is_outdated_copy(record, known->second)) {
+            m_outdated[record.key] = record;
+            continue;
+        }
+        const bool is_known_value =
+            known != m_records.end() && !known->second.erased && known->second.value == record.value;
+        if (is_known_value && known->second.revision < record.revision) {
+            known->second.revision = record.revision;
+        } else if (apply(record)) {
+            changes.push_back(record);
+        }
+    }
+    m_changes_complete_from = std::max(m_changes_complete_from, revision);
+    advance(revision);
+    return changes;
+}
+
+std::vector<store_record> store_replica::settle_era() {
+    std::vector<store_record> changes;
+    for (const auto& [key, record] : m_outdated) {
+        if (apply(record)) {
+            changes.push_back(record);
+        }
+    }
+    m_outdated.clear();
+    std::vector<std::string> missing;
+    for (const auto& [key, known] : m_records) {
+        if (!known.erased && known.revision.era < m_revision.era) {
+            missing.push_back(key);
+        }
+    }
+    const auto erased = erase_keys(missing, m_revision);
+    changes.insert(changes.end(), erased.begin(), erased.end());
+    return changes;
+}
+
+std::vector<store_record> store_replica::erase_keys(const std::vector<std::string>& keys,
+                                                    store_revision revision) {
+    std::vector<store_record> changes;
+    for (const auto& key : keys) {
+        changes.push_back({key, {}, revision, true});
+        m_records[key] = changes.back();
+        append_change(changes.back());
+    }
+    return changes;
+}
+
+bool store_replica::is_outdated_copy(const store_record& record, const store_record& known) const {
+    const auto is_copy = [&record](const store_record& change) {
+        return change.key == record.key && change.revision.era < record.revision.era && !change.erased &&
+               change.revision.number == record.revision.number && change.value == record.value;
+    };
+    return known.revision.era < record.revision.era && !is_copy(known) &&
+           std::any_of(m_changes.begin(), m_changes.end(), is_copy);
+}
+
+void store_replica::advance(store_revision revision) {
     m_revision = std::max(m_revision, revision);
 }
 
-std::optional<std::vector<store_record>> store_replica::changes_after(std::int64_t revision) const {
+std::optional<std::vector<store_record>> store_replica::changes_after(store_revision revision) const {
     if (revision < m_changes_complete_from) {
         return std::nullopt;
     }
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -56,6 +56,10 @@
                   m_applier.apply(records, certainty, base::monotonic_now());
                   m_replication_server->notify();
               },
+              [this] {
+                  m_state.metrics.add("carawayway_gateway_store_restores_total", {});
+                  m_quarantine_publisher.publish_again();
+              },
               [this] { return peer_addresses(); }, [this] { return leader_address(); }),
           m_tick_timer(m_context), m_stop_timer(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
 
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -30,6 +30,8 @@
                     "Requests sent to backend servers, by service and how they ended.");
     metrics.declare("carawayway_gateway_refusals_total", metrics::metric_type::counter,
                     "Requests that were given up, by service and kind.");
+    metrics.declare("carawayway_gateway_store_restores_total", metrics::metric_type::counter,
+                    "Times that the store came back from an older copy, as this gateway saw.");
     service_retries::declare_metrics(metrics);
 }
 
--- a/carawayway/gateway/quarantine_publisher.hpp
+++ b/carawayway/gateway/quarantine_publisher.hpp
@@ -16,6 +16,8 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace carawayway::gateway {
 
@@ -36,15 +38,15 @@
         : m_executor(std::move(executor)), m_gateway(std::move(gateway)), m_channel(m_executor, store),
           m_retry_timer(m_executor) {}
 
-    void publish(std::uint64_t fingerprint) {
-        if (m_pending.size() >= maximum_pending) {
-            base::log(base::log_level::warning, "quarantine-not-published",
-                      {{"content", to_text(fingerprint)}, {"pending", m_pending.size()}});
-            return;
-        }
-        m_pending.push_back({fingerprint, base::monotonic_now()});
-        if (m_pending.size() == 1) {
-            boost::asio::co_spawn(m_executor, write_pending(), boost::asio::detached);
+    void publish(std::uint64_t fingerprint) { publish({fingerprint, base::monotonic_now()}); }
+
+    // Writes again what may have been lost when the store was restored from an older copy.
+    void publish_again() {
+        const auto published = std::exchange(m_published, {});
+        for (const auto& item : published) {
+            if (!is_over(item)) {
+                publish(item);
+            }
         }
     }
 
@@ -54,12 +56,31 @@
         base::time_point since;
     };
 
+    static bool is_over(const pending_quarantine& item) {
+        return base::monotonic_now() - item.since >= key_lifetime;
+    }
+
+    void publish(const pending_quarantine& item) {
+        if (m_pending.size() >= maximum_pending) {
+            base::log(base::log_level::warning, "quarantine-not-published",
+                      {{"content", to_text(item.fingerprint)}, {"pending", m_pending.size()}});
+            return;
+        }
+        m_pending.push_back(item);
+        if (m_pending.size() == 1) {
+            boost::asio::co_spawn(m_executor, write_pending(), boost::asio::detached);
+        }
+    }
+
     boost::asio::awaitable<void> write_pending() {
         while (!m_pending.empty()) {
             const auto item = m_pending.front();
             const bool written = co_await write(item.fingerprint);
-            const bool is_over = base::monotonic_now() - item.since >= key_lifetime;
-            if (written || is_over) {
+            if (written) {
+                std::erase_if(m_published, is_over);
+                m_published.push_back(item);
+            }
+            if (written || is_over(item)) {
                 base::log(base::log_level::info,
                           written ? "quarantine-published" : "quarantine-not-published",
                           {{"content", to_text(item.fingerprint)}});
@@ -89,7 +110,8 @@
     std::string m_gateway;
     store_channel m_channel;
     boost::asio::steady_timer m_retry_timer;
-    std::deque<pending_quarantine> m_pending; // the first one is being written
+    std::deque<pending_quarantine> m_pending;    // the first one is being written
+    std::vector<pending_quarantine> m_published; // by this gateway, without those that are over
 };
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -91,7 +91,7 @@
                    {"revision", record.revision}});
     }
 
-    void remove_server(const std::string& id, std::string_view reason, std::int64_t revision) {
+    void remove_server(const std::string& id, std::string_view reason, fleet::store_revision revision) {
         m_state.servers.erase(id);
         m_state.connections.close_all(id);
         base::log(base::log_level::info, "server-gone",
--- a/carawayway/gateway/store_channel.cpp
+++ b/carawayway/gateway/store_channel.cpp
@@ -84,7 +84,7 @@
     if (!response.keep_alive()) {
         close();
     }
-    co_return store_response{response.result_int(), std::move(response.body())};
+    co_return store_response{response.result_int(), std::move(response.body()), std::move(response.base())};
 }
 
 void store_channel::interrupt() {
--- a/carawayway/gateway/store_channel.hpp
+++ b/carawayway/gateway/store_channel.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <optional>
 #include <string>
@@ -17,8 +18,7 @@
 struct store_response {
     unsigned status = 0;
     std::string body;
-
-    bool operator==(const store_response&) const = default;
+    boost::beast::http::fields headers;
 };
 
 class store_channel {
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/base/log.hpp"
+#include "carawayway/fleet/store_era.hpp"
 #include "carawayway/fleet/store_health.hpp"
 #include "carawayway/fleet/store_replica.hpp"
 #include "carawayway/gateway/removal_certainty.hpp"
@@ -53,23 +54,32 @@
     // goes unnoticed; changes must be applied within 2.5 s.
     static constexpr base::duration leader_request_wait = std::chrono::milliseconds{700};
     static constexpr base::duration leader_request_margin = std::chrono::milliseconds{300};
+    // After the store was restored from an older copy, keys that it has lost stay in force for this long.
+    // Servers write again within about two seconds, and the platform removes those that have ended after
+    // three heartbeats.
+    static constexpr base::duration restore_hold = std::chrono::seconds{5};
+    // Gateways list a restored store at different times within this, to stay within its rate limits.
+    static constexpr base::duration restore_spread = std::chrono::milliseconds{400};
     // After a failed request to the leader, the gateway watches the store itself for this long.
     static constexpr base::duration follow_retry_delay = std::chrono::seconds{3};
 
     using records_handler = std::function<void(const std::vector<fleet::store_record>&, removal_certainty)>;
+    // Runs when the store was restored from an older copy, so that what this gateway wrote may be lost.
+    using restore_handler = std::function<void()>;
     using peers_function = std::function<std::vector<boost::asio::ip::tcp::endpoint>()>;
     // Address of the leader to follow; nothing when this gateway is to watch the store.
     using leader_function = std::function<std::optional<boost::asio::ip::tcp::endpoint>()>;
 
     store_session(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& store,
                   fleet::gateway_registration own_registration, base::duration lease,
-                  fleet::store_replica& replica, records_handler on_records, peers_function find_peers,
-                  leader_function find_leader)
+                  fleet::store_replica& replica, records_handler on_records, restore_handler on_restore,
+                  peers_function find_peers, leader_function find_leader)
         : m_executor(std::move(executor)), m_own_registration(std::move(own_registration)),
           m_lease_lifetime(lease), m_replica(replica), m_on_records(std::move(on_records)),
-          m_find_peers(std::move(find_peers)), m_find_leader(std::move(find_leader)),
-          m_watch_channel(m_executor, store), m_lease_channel(m_executor, store), m_watch_timer(m_executor),
-          m_lease_timer(m_executor), m_random(std::random_device{}()) {}
+          m_on_restore(std::move(on_restore)), m_find_peers(std::move(find_peers)),
+          m_find_leader(std::move(find_leader)), m_watch_channel(m_executor, store),
+          m_lease_channel(m_executor, store), m_watch_timer(m_executor), m_lease_timer(m_executor),
+          m_random(std::random_device{}()) {}
 
     void start() {
         boost::asio::co_spawn(m_executor, synchronize_replica(), boost::asio::detached);
@@ -102,10 +112,13 @@
 private:
     boost::asio::awaitable<void> synchronize_replica() {
         std::uint32_t failures = 0;
-        bool listed = false;
         for (;;) {
+            settle_restored_store();
             auto status = fleet::store_status::refused;
-            if (!listed) {
+            if (m_replica.revision().era < m_era.known()) {
+                m_listed = false;
+            }
+            if (!m_listed) {
                 status = co_await list_store();
             } else {
                 const auto leader = leader_to_follow();
@@ -119,7 +132,7 @@
                 status = co_await watch_once();
             }
             if (status == fleet::store_status::done) {
-                listed = true;
+                m_listed = true;
                 failures = 0;
                 record_store_success();
                 continue;
@@ -127,7 +140,7 @@
             if (status == fleet::store_status::compacted) {
                 base::log(base::log_level::warning, "store-history-lost",
                           {{"revision", m_replica.revision()}});
-                listed = false;
+                m_listed = false;
                 continue;
             }
             record_store_failure(status);
@@ -141,47 +154,96 @@
     boost::asio::awaitable<fleet::store_status> list_store() {
         std::vector<fleet::store_record> items;
         std::string last_key;
-        std::int64_t revision = 0;
+        std::optional<fleet::store_revision> revision;
         for (bool more = true; more;) {
             const auto response = co_await m_watch_channel.call(Platform::list_call(last_key), list_timeout);
-            if (!response) {
+            if (!response || observe_era(*response) == fleet::era_order::older) {
                 co_return fleet::store_status::refused;
             }
+            if (revision && revision->era < m_era.known()) {
+                co_return fleet::store_status::compacted; // restored in the middle of the listing
+            }
             auto page = Platform::read_page(response->status, response->body);
             if (page.status != fleet::store_status::done) {
                 co_return page.status;
             }
             // The pages are not a snapshot, so the watch starts at the revision of the first one.
-            revision = revision == 0 ? page.revision : revision;
+            revision = revision.value_or(page.revision.in_era(m_era.known()));
             more = page.has_more && !page.items.empty();
             last_key = more ? page.items.back().key : std::string{};
-            std::move(page.items.begin(), page.items.end(), std::back_inserter(items));
+            for (auto& item : page.items) {
+                item.revision = item.revision.in_era(m_era.known());
+                items.push_back(std::move(item));
+            }
         }
-        m_on_records(m_replica.replace_all(items, revision), own_removal_certainty());
-        base::log(base::log_level::info, "store-listed", {{"items", items.size()}, {"revision", revision}});
+        merge_listing(items, *revision);
+        base::log(base::log_level::info, "store-listed", {{"items", items.size()}, {"revision", *revision}});
         co_return fleet::store_status::done;
     }
 
+    void merge_listing(const std::vector<fleet::store_record>& items, fleet::store_revision revision) {
+        const auto before = m_replica.revision();
+        if (m_replica.empty() || revision.era <= before.era) {
+            m_on_records(m_replica.replace_all(items, revision), own_removal_certainty());
+            return;
+        }
+        const auto now = base::monotonic_now();
+        const auto changes = m_replica.begin_era(items, revision);
+        base::log(base::log_level::warning, "store-restored",
+                  {{"known", before},
+                   {"revision", revision},
+                   {"items", items.size()},
+                   {"changes", changes.size()}});
+        m_health.record_restore(now);
+        m_restore_settles_at = now + restore_hold;
+        m_on_records(changes, removal_certainty::unconfirmed);
+        handle_registration_loss();
+        m_on_restore();
+    }
+
+    // Ends the hold after the store was restored.
+    void settle_restored_store() {
+        if (!m_restore_settles_at || base::monotonic_now() < *m_restore_settles_at) {
+            return;
+        }
+        m_restore_settles_at.reset();
+        const auto changes = m_replica.settle_era();
+        base::log(base::log_level::info, "store-restore-settled",
+                  {{"revision", m_replica.revision()}, {"not_written_again", changes.size()}});
+        m_on_records(changes, removal_certainty::confirmed);
+    }
+
+    fleet::era_order observe_era(const store_response& response) {
+        return m_era.observe(Platform::read_era(response.headers), base::monotonic_now());
+    }
+
     boost::asio::awaitable<fleet::store_status> watch_once() {
         const bool is_probe = std::exchange(m_leader_lost_store, false) || !m_health.is_reachable();
         const auto wait = is_probe ? probing_watch_wait : watch_wait;
         const auto timeout = is_probe ? call_timeout : watch_wait + watch_timeout_margin;
         const auto response =
-            co_await m_watch_channel.call(Platform::watch_call(m_replica.revision(), wait), timeout);
-        if (!response) {
+            co_await m_watch_channel.call(Platform::watch_call(m_replica.revision().number, wait), timeout);
+        const auto order = response ? observe_era(*response) : fleet::era_order::older;
+        if (order == fleet::era_order::older) {
             co_return fleet::store_status::refused;
         }
-        const auto page = Platform::read_events(response->status, response->body);
+        if (m_replica.revision().era < m_era.known()) {
+            // The events are those of a restored store that has not been listed yet.
+            co_await pause(m_watch_timer, random_part_of(restore_spread));
+            co_return fleet::store_status::compacted;
+        }
+        auto page = Platform::read_events(response->status, response->body);
         if (page.status != fleet::store_status::done) {
             co_return page.status;
         }
         std::vector<fleet::store_record> changes;
-        for (const auto& item : page.items) {
+        for (auto& item : page.items) {
+            item.revision = item.revision.in_era(m_era.known());
             if (m_replica.apply(item)) {
                 changes.push_back(item);
             }
         }
-        m_replica.advance(page.revision);
+        m_replica.advance(page.revision.in_era(m_era.known()));
         if (!changes.empty()) {
             m_on_records(changes, own_removal_certainty());
             co_await pause(m_watch_timer, change_batching_delay);
@@ -234,6 +296,13 @@
         if (reply.revision < m_replica.revision()) {
             return;
         }
+        if (reply.revision.era > m_replica.revision().era && !m_replica.empty()) {
+            m_era.observe(reply.revision.era, base::monotonic_now());
+            if (reply.complete && !m_health.is_reachable()) {
+                merge_listing(reply.records, reply.revision);
+            }
+            return; // lists the store itself while it can be reached
+        }
         std::vector<fleet::store_record> changes;
         if (reply.complete) {
             changes = m_replica.replace_all(reply.records, reply.revision);
@@ -270,6 +339,9 @@
                 kept = co_await create_registration();
             } else {
                 kept = co_await renew_lease();
+                if (!kept && m_lease_id == 0) {
+                    kept = co_await create_registration();
+                }
             }
             co_await pause(m_lease_timer, kept ? renew_interval : initial_backoff * 2);
         }
@@ -307,13 +379,23 @@
 
     boost::asio::awaitable<std::optional<store_response>> call_lease_channel(fleet::store_call call) {
         auto response = co_await m_lease_channel.call(std::move(call), call_timeout);
-        if (!response) {
-            // The store does not answer; without this the pending watch would notice only at its own timeout.
+        const auto order = response ? observe_era(*response) : fleet::era_order::current;
+        if (order == fleet::era_order::older) {
+            response.reset();
+        }
+        if (!response || (order == fleet::era_order::newer && !m_replica.empty())) {
+            // The store does not answer, or has been restored; without this the pending watch would notice
+            // only at its own timeout.
             m_watch_channel.interrupt();
         }
         co_return response;
     }
 
+    base::duration random_part_of(base::duration longest) {
+        return base::duration{
+            std::uniform_int_distribution<base::duration::rep>{0, longest.count()}(m_random)};
+    }
+
     void record_store_failure(fleet::store_status status) {
         if (m_health.is_reachable()) {
             base::log(base::log_level::warning, "store-lost",
@@ -339,6 +421,7 @@
     base::duration m_lease_lifetime;
     fleet::store_replica& m_replica;
     records_handler m_on_records;
+    restore_handler m_on_restore;
     peers_function m_find_peers;
     leader_function m_find_leader;
     store_channel m_watch_channel; // for listing and watch
@@ -347,7 +430,10 @@
     boost::asio::steady_timer m_lease_timer;
     std::minstd_rand m_random;
     fleet::store_health m_health;
-    bool m_watches_store = true;            // false while a leader is followed
+    fleet::store_era m_era;
+    std::optional<base::time_point> m_restore_settles_at; // while lost keys stay in force
+    bool m_listed = false;                                // in the known era
+    bool m_watches_store = true;                          // false while a leader is followed
     bool m_leader_lost_store = false;       // as the leader has answered, and the store was not watched since
     base::time_point m_follow_not_before{}; // earliest time to follow a leader again
     std::int64_t m_lease_id = 0;            // 0: none
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -101,6 +101,7 @@
     { Platform::read_page(status, body) } -> std::same_as<fleet::store_page>;
     { Platform::read_events(status, body) } -> std::same_as<fleet::store_page>;
     { Platform::read_lease(status, body) } -> std::same_as<fleet::store_lease>;
+    { Platform::read_era(headers) } -> std::same_as<std::optional<std::int64_t>>; // of the store
     { Platform::read_status(status) } -> std::same_as<fleet::store_status>;
 
     // Store records.
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -129,7 +129,8 @@
     VT_KEY = 4,
     VT_VALUE = 6,
     VT_REVISION = 8,
-    VT_ERASED = 10
+    VT_ERASED = 10,
+    VT_ERA = 12
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -143,6 +144,9 @@
   bool erased() const {
     return GetField<uint8_t>(VT_ERASED, 0) != 0;
   }
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_KEY) &&
@@ -151,6 +155,7 @@
            verifier.VerifyVector(value()) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ERASED, 1) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -171,6 +176,9 @@
   void add_erased(bool erased) {
     fbb_.AddElement<uint8_t>(Fact::VT_ERASED, static_cast<uint8_t>(erased), 0);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(Fact::VT_ERA, era, 0);
+  }
   explicit FactBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -188,8 +196,10 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
     int64_t revision = 0,
-    bool erased = false) {
+    bool erased = false,
+    int64_t era = 0) {
   FactBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_value(value);
   builder_.add_key(key);
@@ -207,7 +217,8 @@
     const char *key = nullptr,
     const std::vector<uint8_t> *value = nullptr,
     int64_t revision = 0,
-    bool erased = false) {
+    bool erased = false,
+    int64_t era = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return carawayway::wire::relay::CreateFact(
@@ -215,7 +226,8 @@
       key__,
       value__,
       revision,
-      erased);
+      erased,
+      era);
 }
 
 struct FactRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -223,7 +235,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISION = 4,
-    VT_WAIT_MS = 6
+    VT_WAIT_MS = 6,
+    VT_ERA = 8
   };
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
@@ -231,10 +244,14 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -249,6 +266,9 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(FactRequest::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(FactRequest::VT_ERA, era, 0);
+  }
   explicit FactRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -263,8 +283,10 @@
 inline flatbuffers::Offset<FactRequest> CreateFactRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t revision = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    int64_t era = 0) {
   FactRequestBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_wait_ms(wait_ms);
   return builder_.Finish();
@@ -283,7 +305,8 @@
     VT_COMPLETE = 6,
     VT_FACTS = 8,
     VT_WATCHES_STORE = 10,
-    VT_UNDISTURBED_MS = 12
+    VT_UNDISTURBED_MS = 12,
+    VT_ERA = 14
   };
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
@@ -300,6 +323,9 @@
   uint32_t undisturbed_ms() const {
     return GetField<uint32_t>(VT_UNDISTURBED_MS, 0);
   }
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
@@ -309,6 +335,7 @@
            verifier.VerifyVectorOfTables(facts()) &&
            VerifyField<uint8_t>(verifier, VT_WATCHES_STORE, 1) &&
            VerifyField<uint32_t>(verifier, VT_UNDISTURBED_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -332,6 +359,9 @@
   void add_undisturbed_ms(uint32_t undisturbed_ms) {
     fbb_.AddElement<uint32_t>(FactReply::VT_UNDISTURBED_MS, undisturbed_ms, 0);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(FactReply::VT_ERA, era, 0);
+  }
   explicit FactReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -349,8 +379,10 @@
     bool complete = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<carawayway::wire::relay::Fact>>> facts = 0,
     bool watches_store = false,
-    uint32_t undisturbed_ms = 0) {
+    uint32_t undisturbed_ms = 0,
+    int64_t era = 0) {
   FactReplyBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_undisturbed_ms(undisturbed_ms);
   builder_.add_facts(facts);
@@ -370,7 +402,8 @@
     bool complete = false,
     const std::vector<flatbuffers::Offset<carawayway::wire::relay::Fact>> *facts = nullptr,
     bool watches_store = false,
-    uint32_t undisturbed_ms = 0) {
+    uint32_t undisturbed_ms = 0,
+    int64_t era = 0) {
   auto facts__ = facts ? _fbb.CreateVector<flatbuffers::Offset<carawayway::wire::relay::Fact>>(*facts) : 0;
   return carawayway::wire::relay::CreateFactReply(
       _fbb,
@@ -378,7 +411,8 @@
       complete,
       facts__,
       watches_store,
-      undisturbed_ms);
+      undisturbed_ms,
+      era);
 }
 
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
