Tests: Restore the store from an older copy

Change: the store stand-in keeps copies of the last 8 s, gives out revisions again and tells its era; operators and servers write again after a delay.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -30,6 +30,8 @@
 // From the end of a server until its entry is replaced by that of the next incarnation.
 constexpr milliseconds restart_delay{1500};
 constexpr int route_timeout_ms = 3000;
+// Until operators and servers write again what a restored store has lost.
+constexpr milliseconds rewrite_delay{500};
 
 } // namespace
 
@@ -91,6 +93,15 @@
                           {"paths", json::array{route("/read/", "safe"), route("/book/", "unsafe")}}}}}});
 }
 
+std::string gateway_fleet::start_server() {
+    std::string id;
+    run_on_loop([&] {
+        add_server("a1");
+        id = m_servers.back()->id();
+    });
+    return id;
+}
+
 void gateway_fleet::add_server(const std::string& domain) {
     auto made =
         std::make_unique<soak::server_stand_in>(m_context, fmt::format("i-{}", m_servers.size()), domain,
@@ -154,6 +165,10 @@
     run_on_loop([&] { m_store.set_fault(fault); });
 }
 
+void gateway_fleet::restore_store(milliseconds age) {
+    run_on_loop([&] { m_store.restore_copy(age, rewrite_delay); });
+}
+
 void gateway_fleet::set_server_fault(soak::server_fault fault) {
     run_on_loop([&] {
         for (const auto& server : m_servers) {
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -59,8 +59,13 @@
     void restart_all_gateways();
 
     void set_store_fault(soak::store_fault fault);
+    // The store comes back from a copy of this long ago.
+    void restore_store(std::chrono::milliseconds age);
     void set_server_fault(soak::server_fault fault);
 
+    // Starts one more server, and returns its ID.
+    std::string start_server();
+
     // Whether the log of this gateway has a line with this text.
     bool has_logged(std::size_t index, std::string_view text) const;
 
--- a/Tests/soak/soak_run.cpp
+++ b/Tests/soak/soak_run.cpp
@@ -201,6 +201,19 @@
              [this] { run_on_loop([this] { m_store.set_fault(store_fault::none); }); });
 }
 
+// The store is away for a moment and comes back from an older copy.
+void soak_run::restore_store() {
+    run_on_loop([&] { m_store.set_fault(store_fault::unavailable); });
+    schedule(random_delay(100, 800), [this] {
+        const auto age = random_delay(300, 5000);
+        const auto rewrite_delay = random_delay(100, 2000);
+        run_on_loop([&] {
+            m_store.restore_copy(age, rewrite_delay);
+            m_store.set_fault(store_fault::none);
+        });
+    });
+}
+
 void soak_run::inject_server_fault() {
     constexpr std::array faults{server_fault::hang_before_execution,  server_fault::hang_after_execution,
                                 server_fault::reset_before_execution, server_fault::reset_after_execution,
@@ -227,7 +240,7 @@
 }
 
 void soak_run::inject_random_fault() {
-    switch (m_random() % 9) {
+    switch (m_random() % 10) {
     case 0:
         kill_gateway();
         break;
@@ -249,6 +262,9 @@
     case 6:
         inject_store_fault();
         break;
+    case 7:
+        restore_store();
+        break;
     default:
         inject_server_fault();
         break;
--- a/Tests/soak/soak_run.hpp
+++ b/Tests/soak/soak_run.hpp
@@ -82,6 +82,7 @@
     void stop_gateway();
     void reload_gateway();
     void inject_store_fault();
+    void restore_store();
     void inject_server_fault();
     void drain_server();
 
--- a/Tests/soak/store_stand_in.cpp
+++ b/Tests/soak/store_stand_in.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t page_size = 20;     // small, so that listings have several pages
 constexpr milliseconds hang_time{60'000}; // longer than any timeout of a gateway
 constexpr milliseconds lease_check_interval{50};
+constexpr milliseconds copy_interval{200};
+constexpr std::size_t maximum_copies = 40;
 constexpr unsigned status_gone = 410;
 
 std::map<std::string, std::string> parse_query(const std::string& target) {
@@ -53,7 +55,8 @@
 } // namespace
 
 store_stand_in::store_stand_in(boost::asio::io_context& context)
-    : m_listener(context, "127.1.1.1", [this](http_request request) { return handle(std::move(request)); }) {
+    : m_executor(context.get_executor()),
+      m_listener(context, "127.1.1.1", [this](http_request request) { return handle(std::move(request)); }) {
     boost::asio::co_spawn(context, expire_leases(), boost::asio::detached);
 }
 
@@ -67,16 +70,66 @@
 }
 
 void store_stand_in::put(const std::string& key, const json::object& value) {
-    write(key, carawayway::json::base64_encode(json::serialize(value)), 0);
+    const auto encoded = carawayway::json::base64_encode(json::serialize(value));
+    m_external_writes[key] = encoded;
+    write(key, encoded, 0);
 }
 
 void store_stand_in::erase(const std::string& key) {
+    m_external_writes[key] = std::nullopt;
     if (m_items.erase(key) > 0) {
         m_changes.push_back({key, ++m_revision, true});
         notify_watches();
     }
 }
 
+void store_stand_in::take_copy() {
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_copies.empty() && now < m_copies.back().taken_at + copy_interval) {
+        return;
+    }
+    m_copies.push_back({now, m_items, m_leases, m_revision});
+    if (m_copies.size() > maximum_copies) {
+        m_copies.pop_front();
+    }
+}
+
+void store_stand_in::restore_copy(milliseconds age, milliseconds rewrite_delay) {
+    const auto now = std::chrono::steady_clock::now();
+    while (m_copies.size() > 1 && m_copies.back().taken_at > now - age) {
+        m_copies.pop_back();
+    }
+    if (m_copies.empty()) {
+        return;
+    }
+    const auto& restored = m_copies.back();
+    m_items = restored.items;
+    m_leases = restored.leases;
+    for (auto& [id, state] : m_leases) {
+        state.expires_at = now + state.lifetime;
+    }
+    m_revision = restored.revision;
+    m_changes.clear();
+    m_compacted_revision = m_revision;
+    ++m_era;
+    notify_watches();
+    boost::asio::co_spawn(m_executor, write_again(rewrite_delay), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> store_stand_in::write_again(milliseconds delay) {
+    co_await sleep_for(delay);
+    for (const auto& [key, value] : m_external_writes) {
+        const auto found = m_items.find(key);
+        if (value && (found == m_items.end() || found->second.value != *value)) {
+            write(key, *value, 0);
+        } else if (!value && found != m_items.end()) {
+            m_items.erase(found);
+            m_changes.push_back({key, ++m_revision, true});
+            notify_watches();
+        }
+    }
+}
+
 std::size_t store_stand_in::count(const std::string& prefix) const {
     return static_cast<std::size_t>(
         std::count_if(m_items.begin(), m_items.end(),
@@ -111,6 +164,7 @@
 boost::asio::awaitable<void> store_stand_in::expire_leases() {
     for (;;) {
         co_await sleep_for(lease_check_interval);
+        take_copy();
         std::vector<std::int64_t> ended;
         for (const auto& [id, state] : m_leases) {
             if (state.expires_at < std::chrono::steady_clock::now()) {
@@ -124,6 +178,14 @@
 }
 
 boost::asio::awaitable<std::optional<http_response>> store_stand_in::handle(http_request request) {
+    auto response = co_await answer(std::move(request));
+    if (response) {
+        response->set("Store-Era", std::to_string(m_era));
+    }
+    co_return response;
+}
+
+boost::asio::awaitable<std::optional<http_response>> store_stand_in::answer(http_request request) {
     if (m_fault == store_fault::hang) {
         co_await sleep_for(hang_time);
         co_return std::nullopt;
@@ -138,14 +200,14 @@
     const std::string target(request.target());
     const auto path = target.substr(0, target.find('?'));
     if (path == "/kv-watch") {
-        auto answer = co_await watch(parse_query(target));
-        co_return answer;
+        auto events = co_await watch(parse_query(target));
+        co_return events;
     }
-    auto answer = execute(request, path, parse_query(target));
+    auto response = execute(request, path, parse_query(target));
     if (m_fault == store_fault::responses_lost) {
         co_return std::nullopt;
     }
-    co_return answer;
+    co_return response;
 }
 
 http_response store_stand_in::execute(const http_request& request, const std::string& path,
@@ -208,7 +270,8 @@
 boost::asio::awaitable<std::optional<http_response>>
 store_stand_in::watch(std::map<std::string, std::string> query) {
     const std::int64_t after = std::stoll(query["after"]);
-    if (after < m_compacted_revision) {
+    const auto is_unavailable = [&] { return after < m_compacted_revision || after > m_revision; };
+    if (is_unavailable()) {
         co_return make_response(status_gone);
     }
     if (m_changes.empty() || m_changes.back().revision <= after) {
@@ -227,7 +290,7 @@
     if (!answers_reads) {
         co_return std::nullopt;
     }
-    if (after < m_compacted_revision) {
+    if (is_unavailable()) {
         co_return make_response(status_gone);
     }
     json::array events;
--- a/Tests/soak/store_stand_in.hpp
+++ b/Tests/soak/store_stand_in.hpp
@@ -3,11 +3,14 @@
 
 #include "Tests/soak/http_server.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +38,11 @@
     void put(const std::string& key, const boost::json::object& value);
     void erase(const std::string& key);
 
+    // Replaces the contents by those of `age` ago, or the oldest copy. Revisions are given out again, leases
+    // granted since are gone, and watches end. Operators and servers write again what they have written after
+    // `rewrite_delay`.
+    void restore_copy(std::chrono::milliseconds age, std::chrono::milliseconds rewrite_delay);
+
     // Number of keys with this prefix.
     std::size_t count(const std::string& prefix) const;
 
@@ -54,7 +62,18 @@
         std::chrono::milliseconds lifetime{};
     };
 
+    // The contents at one time.
+    struct copy {
+        std::chrono::steady_clock::time_point taken_at;
+        std::map<std::string, stored_item> items;
+        std::map<std::int64_t, lease_state> leases;
+        std::int64_t revision = 0;
+    };
+
     boost::asio::awaitable<std::optional<http_response>> handle(http_request request);
+    boost::asio::awaitable<std::optional<http_response>> answer(http_request request);
+    boost::asio::awaitable<void> write_again(std::chrono::milliseconds delay);
+    void take_copy();
     http_response execute(const http_request& request, const std::string& path,
                           const std::map<std::string, std::string>& query);
     boost::asio::awaitable<std::optional<http_response>> watch(std::map<std::string, std::string> query);
@@ -65,12 +84,17 @@
     void remove_lease(std::int64_t id);
     void notify_watches();
 
+    boost::asio::any_io_executor m_executor;
     std::map<std::string, stored_item> m_items;
     std::vector<stored_change> m_changes;
     std::int64_t m_compacted_revision = 0; // changes up to this revision are no longer available
     std::map<std::int64_t, lease_state> m_leases;
     std::int64_t m_revision = 1;
     std::int64_t m_last_lease = 0;
+    std::int64_t m_era = 1;
+    std::deque<copy> m_copies; // of the last seconds
+    // What operators and servers have last written; no value for a key that they have removed.
+    std::map<std::string, std::optional<std::string>> m_external_writes;
     store_fault m_fault = store_fault::none;
     std::set<boost::asio::steady_timer*> m_waiting_watches;
     http_server m_listener;
