gateway: Follow no leader of an earlier era of the store

Cause: a follower took the reply of a leader that knows no eras, or has not noticed a restore, as an answer, and its records as older than its own: it got no changes from then on. Found by reading. Before: store_session_follow_test.watches_the_store_when_the_leader_is_of_an_earlier_era does not end within 20 s. After: it passes.

--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -308,6 +308,26 @@
     EXPECT_TRUE(is_long_watch(watches.at(1)));
 }
 
+// Guards against a gateway that gets no changes because its leader has not noticed that the store was
+// restored.
+TEST_F(store_session_follow_test, watches_the_store_when_the_leader_is_of_an_earlier_era) {
+    m_on_records = nullptr;
+    bool has_watched = false;
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (target.starts_with("/kv-range")) {
+                return {store_reaction::answer, listing_at(1), "3"};
+            }
+            if (is_watch(target)) {
+                has_watched = true;
+                stop();
+            }
+            return silence();
+        },
+        [](const std::string&) {});
+    EXPECT_TRUE(has_watched);
+}
+
 // Guards against a gateway that gets no changes because its leader hangs.
 TEST_F(store_session_follow_test, watches_the_store_when_the_leader_hangs) {
     boost::asio::ip::tcp::acceptor silent(m_context, {boost::asio::ip::address_v4::loopback(), 0});
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -259,13 +259,15 @@
         return leader;
     }
 
-    // Returns false when the leader does not answer or does not watch the store itself.
+    // Returns false when the leader does not answer, does not watch the store itself, or does not know of its
+    // era, as one of an older version of this program.
     boost::asio::awaitable<bool> follow_once(boost::asio::ip::tcp::endpoint leader) {
         const fleet::replication_request request{
             m_replica.revision(), std::chrono::duration_cast<std::chrono::milliseconds>(leader_request_wait)};
         const auto reply = co_await request_records(m_executor, leader, request,
                                                     leader_request_wait + leader_request_margin);
-        if (!reply || !reply->watches_store) {
+        const bool is_of_earlier_era = reply && reply->revision.era < m_era.known();
+        if (!reply || !reply->watches_store || is_of_earlier_era) {
             m_watches_store = true;
             m_leader_lost_store = reply.has_value();
             m_follow_not_before = base::monotonic_now() + follow_retry_delay;
