--- a/carawayway/fleet/store_revision.hpp
+++ b/carawayway/fleet/store_revision.hpp
@@ -3,7 +3,6 @@
 
 #include <fmt/format.h>
 
-#include <compare>
 #include <cstdint>
 
 namespace carawayway::fleet {
@@ -20,7 +19,19 @@
     std::int64_t era = 0; // 0 for a store that does not tell its era
     std::int64_t number = 0;
 
-    auto operator<=>(const store_revision&) const = default;
+    bool operator==(const store_revision&) const = default;
+    friend constexpr bool operator<(const store_revision& left, const store_revision& right) {
+        return left.era != right.era ? left.era < right.era : left.number < right.number;
+    }
+    friend constexpr bool operator>(const store_revision& left, const store_revision& right) {
+        return right < left;
+    }
+    friend constexpr bool operator<=(const store_revision& left, const store_revision& right) {
+        return !(right < left);
+    }
+    friend constexpr bool operator>=(const store_revision& left, const store_revision& right) {
+        return !(left < right);
+    }
 };
 
 } // namespace carawayway::fleet
