--- a/Tests/fleet/store_health_test.cpp
+++ b/Tests/fleet/store_health_test.cpp
@@ -35,6 +35,16 @@
     EXPECT_TRUE(store.is_settled(start + store_health::settling_time - 500ms));
 }
 
+// Guards against removing servers that have not yet written their registrations again after a restore.
+TEST(store_health, is_settled_only_some_time_after_a_restore) {
+    store_health store;
+    store.record_success();
+    store.record_restore(start);
+    EXPECT_TRUE(store.is_reachable());
+    EXPECT_FALSE(store.is_settled(start + 2s));
+    EXPECT_TRUE(store.is_settled(start + store_health::settling_time));
+}
+
 TEST(store_health, reports_a_reachable_store_once) {
     store_health store;
     EXPECT_TRUE(store.record_success());
--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -328,6 +328,39 @@
     EXPECT_TRUE(has_watched);
 }
 
+// Guards against a gateway that takes events of a restored store for the whole difference, and then drops all
+// that it knows from before: it learned of the new era by its lease while it still followed the leader.
+TEST_F(store_session_follow_test, lists_a_restored_store_before_it_uses_events_of_the_new_era) {
+    m_on_records = nullptr;
+    m_leader_replica.advance(fleet::store_revision{90, 1});
+    std::size_t listings = 0;
+    bool is_restored = false;
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            const std::string era = is_restored ? "2" : "1";
+            if (target.starts_with("/kv-range")) {
+                ++listings;
+                if (is_restored) {
+                    stop();
+                }
+                return {store_reaction::answer, listing_at(is_restored ? 40 : 90), era};
+            }
+            if (is_watch(target)) {
+                return {store_reaction::answer, R"({"events":[],"currentRev":50})", era};
+            }
+            if (target.starts_with("/kv-keep")) {
+                // The leader no longer watches the store, which the gateway learns after this answer.
+                is_restored = true;
+                m_watch_status.watches_store = false;
+                return {store_reaction::answer, R"({"ttlMs":3500})", "2"};
+            }
+            return {store_reaction::answer, R"({"lease":7,"ttlMs":3500,"rev":91})", era};
+        },
+        [](const std::string&) {});
+    EXPECT_EQ(listings, 2U);
+    EXPECT_EQ(m_replica.revision(), (fleet::store_revision{90, 1}));
+}
+
 // Guards against a gateway that gets no changes because its leader hangs.
 TEST_F(store_session_follow_test, watches_the_store_when_the_leader_hangs) {
     boost::asio::ip::tcp::acceptor silent(m_context, {boost::asio::ip::address_v4::loopback(), 0});
