gateway: Log each server that becomes suspect and how many are left

Change: the line server-suspect names the server, its service and the number of servers of that service that are still usable. No decision changes.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -250,7 +250,7 @@
             return;
         }
         count_attempt(result.outcome == exchange_outcome::not_connected ? "not-connected" : "lost");
-        m_state.servers.record_no_answer(*sent->server, now);
+        m_state.record_no_answer(*sent->server, now);
         if (result.outcome != exchange_outcome::not_connected) {
             ++m_attempt_count;
             m_may_have_executed = true;
@@ -476,7 +476,7 @@
             // longer than the route allows.
             const bool overdue = now - item->chosen_at > placement::overdue_after(item->expected_latency);
             if (overdue && item->exchange->was_sent()) {
-                m_state.servers.record_no_answer(*item->server, now);
+                m_state.record_no_answer(*item->server, now);
                 check_silent_server(item);
             }
         }
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -78,6 +78,19 @@
     }
 }
 
+void gateway_state::record_no_answer(placement::server_state& server, base::time_point now) {
+    const bool was_usable = servers.is_usable(server);
+    servers.record_no_answer(server, now);
+    if (was_usable && !servers.is_usable(server)) {
+        const auto& service = server.registration.service;
+        log.write(base::log_level::info, "server-suspect",
+                  {{"server", server.registration.id},
+                   {"service", service},
+                   {"usable_servers", servers.candidates(service).size()}},
+                  now);
+    }
+}
+
 service_retries& gateway_state::retries_of(const std::string& service, base::time_point now) {
     const auto found = m_retries.find(service);
     if (found != m_retries.end()) {
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -58,6 +58,9 @@
     void record_rate_limit(const placement::server_state& server, const response_metadata& answer,
                            answer_verdict verdict, base::time_point sent_at, base::time_point now);
 
+    // Records a request that a server did not answer, or to which no connection could be opened.
+    void record_no_answer(placement::server_state& server, base::time_point now);
+
     // How often log_retries() is called.
     static constexpr base::duration retry_log_interval = std::chrono::seconds{5};
 
