Tests: Reproduce gateways that are partitioned from all servers, which fails

Change: gateways of a fleet can reach the servers over links, by a view of the store that lists the servers at the addresses of the links; the link stand-in learns to refuse new connections while open ones live on.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 gateway_fleet::gateway_fleet(std::string crashing_prefix, soak::server_stand_in::end_kind end_kind,
-                             std::size_t gateways)
+                             std::size_t gateways, const std::set<std::size_t>& behind_links)
     : m_store(m_context), m_crashing_prefix(std::move(crashing_prefix)), m_end_kind(end_kind),
       m_loop_thread([this] {
           const auto work = boost::asio::make_work_guard(m_context);
@@ -50,13 +50,19 @@
             add_server("b1");
         }
         publish_configuration();
+        std::map<std::string, std::string> address_of_server;
+        for (const auto& server : m_servers) {
+            address_of_server[server->id()] = std::string(server->registration().at("address").as_string());
+        }
+        m_links = std::make_unique<linked_servers>(m_context, m_store, address_of_server);
     });
     for (std::size_t index = 0; index < gateways; ++index) {
         auto made = std::make_unique<gateway>();
         const std::string domain = index % 2 == 0 ? "a1" : "b1";
         made->name = fmt::format("{}-{}", domain, index);
-        m_folder.write(made->name + ".ini", soak::gateway_settings(made->name, domain, made->ports,
-                                                                   m_store.address(), retry_limit));
+        const auto store = behind_links.contains(index) ? m_links->store_address() : m_store.address();
+        m_folder.write(made->name + ".ini",
+                       soak::gateway_settings(made->name, domain, made->ports, store, retry_limit));
         made->settings = m_folder.path() + "/" + made->name + ".ini";
         m_gateways.push_back(std::move(made));
     }
@@ -183,6 +189,16 @@
     });
 }
 
+void gateway_fleet::set_link_fault(link_fault fault) {
+    m_links->set_fault(fault);
+}
+
+void gateway_fleet::kill_gateway(std::size_t index) {
+    auto& process = *m_gateways.at(index)->process;
+    process.send_signal(SIGKILL);
+    process.wait();
+}
+
 void gateway_fleet::name_request_limit(const std::vector<std::string>& servers,
                                        std::optional<double> requests_per_second) {
     run_on_loop([&] {
@@ -237,6 +253,17 @@
     return count;
 }
 
+std::size_t gateway_fleet::most_executions_of_bookings() {
+    std::size_t most = 0;
+    run_on_loop([&] {
+        const std::scoped_lock lock(m_sent_mutex);
+        for (const auto& request_id : m_bookings) {
+            most = std::max(most, m_record.executions[request_id].size());
+        }
+    });
+    return most;
+}
+
 soak::retry_limit_input gateway_fleet::traffic() {
     soak::retry_limit_input result;
     run_on_loop([&] { result.arrivals = m_record.arrivals; });
@@ -253,11 +280,14 @@
 
 answer gateway_fleet::send(std::size_t index, const std::string& method, const std::string& path,
                            const std::string& object) {
-    std::size_t request_number = 0;
+    std::string request_id;
     {
         const std::scoped_lock lock(m_sent_mutex);
         m_sent.push_back(soak::clock::now());
-        request_number = m_sent.size();
+        request_id = fmt::format("{:016x}", m_sent.size());
+        if (method == "POST") {
+            m_bookings.push_back(request_id);
+        }
     }
     boost::asio::io_context context;
     boost::beast::tcp_stream stream(context);
@@ -267,7 +297,7 @@
     request.set(http::field::host, "fleet.example");
     request.set(http::field::connection, "close");
     request.set(http::field::cookie, "Affinity-Key=" + object);
-    request.set("Request-Id", fmt::format("{:016x}", request_number));
+    request.set("Request-Id", request_id);
     request.set("Deadline-Ms", std::to_string(route_timeout_ms));
     request.prepare_payload();
     if (!error) {
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -2,6 +2,7 @@
 // request under a crashing path, and another incarnation takes its place some seconds later.
 #pragma once
 
+#include "Tests/gateway_processes/linked_servers.hpp"
 #include "Tests/soak/gateway_settings.hpp"
 #include "Tests/soak/http_server.hpp"
 #include "Tests/soak/retry_limit.hpp"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -41,11 +43,12 @@
     static constexpr const char* crashing_lookup = "/read/crash/";
     static constexpr const char* crashing_booking = "/book/crash/";
 
-    // Starts everything, and returns when the gateways are ready.
+    // Starts everything, and returns when the gateways are ready. The gateways of `behind_links` reach the
+    // servers that run now only over links that set_link_fault() can cut.
     explicit gateway_fleet(
         std::string crashing_prefix,
         soak::server_stand_in::end_kind end_kind = soak::server_stand_in::end_kind::reset_connections,
-        std::size_t gateways = default_gateway_count);
+        std::size_t gateways = default_gateway_count, const std::set<std::size_t>& behind_links = {});
     gateway_fleet(const gateway_fleet&) = delete;
     gateway_fleet(gateway_fleet&&) = delete;
     gateway_fleet& operator=(const gateway_fleet&) = delete;
@@ -66,6 +69,9 @@
     // The store comes back from a copy of this long ago.
     void restore_store(std::chrono::milliseconds age);
     void set_server_fault(soak::server_fault fault);
+    void set_link_fault(link_fault fault);
+    // Kills one gateway, which does not start again.
+    void kill_gateway(std::size_t index);
 
     // Makes the servers name this limit in their answers from now on, or none.
     void name_request_limit(const std::vector<std::string>& servers,
@@ -85,6 +91,8 @@
     std::size_t peak_memory_bytes(std::size_t index) const;
 
     std::size_t ended_servers();
+    // How often servers began to execute the same request that is not idempotent, at most.
+    std::size_t most_executions_of_bookings();
     // What the servers received and the callers sent so far.
     soak::retry_limit_input traffic();
     // Number of keys in the store with this prefix.
@@ -112,9 +120,11 @@
     std::string m_crashing_prefix;
     soak::server_stand_in::end_kind m_end_kind;
     std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
+    std::unique_ptr<linked_servers> m_links;
     std::size_t m_ended_servers = 0;
     std::mutex m_sent_mutex;
     std::vector<soak::clock::time_point> m_sent; // times of the requests of callers; under m_sent_mutex
+    std::vector<std::string> m_bookings;         // IDs of those that are not idempotent; under m_sent_mutex
     std::vector<std::unique_ptr<gateway>> m_gateways;
     std::thread m_loop_thread;
 };
--- a/Tests/soak/store_stand_in.hpp
+++ b/Tests/soak/store_stand_in.hpp
@@ -32,6 +32,8 @@
     explicit store_stand_in(boost::asio::io_context& context);
 
     std::string address() const { return m_listener.address(); }
+    // Answers one call. Returns std::nullopt if its connection is to be reset.
+    boost::asio::awaitable<std::optional<http_response>> handle(http_request request);
     void set_fault(store_fault fault);
 
     // Writes a value on behalf of operators or servers. The value is stored in base64.
@@ -70,7 +72,6 @@
         std::int64_t revision = 0;
     };
 
-    boost::asio::awaitable<std::optional<http_response>> handle(http_request request);
     boost::asio::awaitable<std::optional<http_response>> answer(http_request request);
     boost::asio::awaitable<void> write_again(std::chrono::milliseconds delay);
     void take_copy();
--- a/stand_ins/link/relay_route.cpp
+++ b/stand_ins/link/relay_route.cpp
@@ -173,6 +173,8 @@
         set_reachability(reachability::refused);
     } else if (m_unreachable) {
         set_reachability(reachability::unreachable);
+    } else if (m_refuse_new) {
+        set_reachability(reachability::refused);
     } else if (m_target_refuses && m_mirror_refusal && !m_to_target.stalled) {
         set_reachability(reachability::refused);
     } else {
@@ -224,6 +226,8 @@
             m_cut = value.as_bool();
         } else if (key == "unreachable") {
             m_unreachable = value.as_bool();
+        } else if (key == "refuse_new") {
+            m_refuse_new = value.as_bool();
         } else if (key == "mirror_refusal") {
             m_mirror_refusal = value.as_bool();
         } else if (key == "stall") {
--- a/stand_ins/link/relay_route.hpp
+++ b/stand_ins/link/relay_route.hpp
@@ -71,6 +71,7 @@
     std::uint64_t m_accepted = 0;
     bool m_cut = false;
     bool m_unreachable = false;
+    bool m_refuse_new = false;     // connections that are open live on
     bool m_target_refuses = false; // whether the target refused the last connection attempt
     bool m_probing = false;        // whether probe_target() is running
     bool m_mirror_refusal = true;  // refuse connections while the target refuses them
