gateway: Send requests through other gateways while no server is reachable

Cause: the only way of a request was from the gateway that got it to a server. A gateway gave up its servers one by one and had nothing left. The class: a single path without an alternative, and local failures that are attributed to the other side. Then the request goes to another gateway (placement::relay_peers, gateway::request_relay), one hop, over an address that takes a request only with the key that its gateway has written into the store. The first gateway keeps the caller, the deadline and the right to try again; the other one chooses the server and keeps affinity, rest, losses of content and budget. A request that a gateway may have sent on is not sent again unless it is idempotent. Suspicions since the beginning of the failures are dropped, and losses behind a partition do not count as crashes.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -54,10 +54,10 @@
         auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
         request->set(http::field::host, "h");
         request->prepare_payload();
-        const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U,
-                                     base::monotonic_now() + time_left};
+        const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U};
+        const server_call<platform::protocol> call{base::monotonic_now() + time_left};
         auto sent = std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1",
-                                               m_acceptor.local_endpoint(), limits);
+                                               m_acceptor.local_endpoint(), limits, call);
         std::optional<exchange_result> result;
         sent->start(request, request_id,
                     [&result](exchange_result completed) { result = std::move(completed); });
@@ -172,10 +172,10 @@
     const auto address = m_acceptor.local_endpoint();
     m_acceptor.close();
     auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
-    const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1024,
-                                 base::monotonic_now() + time_left};
+    const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1024};
+    const server_call<platform::protocol> call{base::monotonic_now() + time_left};
     auto sent =
-        std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1", address, limits);
+        std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1", address, limits, call);
     std::optional<exchange_result> result;
     sent->start(request, "a", [&result](exchange_result completed) { result = std::move(completed); });
     while (!result) {
--- a/Tests/gateway/server_liveness_test.cpp
+++ b/Tests/gateway/server_liveness_test.cpp
@@ -32,6 +32,30 @@
     tcp::endpoint m_address = m_acceptor.local_endpoint();
 };
 
+// Guards against a partition that is assumed because one of several servers has ended.
+TEST_F(server_liveness_test, one_of_several_targets_that_accepts_a_connection_is_enough) {
+    const auto any_accepts = [this](std::vector<tcp::endpoint> addresses) {
+        std::vector<connection_target> targets;
+        for (const auto& address : addresses) {
+            targets.push_back({address, std::chrono::seconds{5}});
+        }
+        m_context.restart();
+        std::optional<bool> result;
+        boost::asio::co_spawn(m_context, any_accepts_connection(m_context.get_executor(), targets),
+                              [&result](const std::exception_ptr&, bool accepts) { result = accepts; });
+        while (!result) {
+            m_context.run_one();
+        }
+        return *result;
+    };
+    tcp::acceptor closed{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+    const auto refusing = closed.local_endpoint();
+    closed.close();
+    EXPECT_TRUE(any_accepts({refusing, m_address, refusing}));
+    EXPECT_FALSE(any_accepts({refusing, refusing}));
+    EXPECT_FALSE(any_accepts({}));
+}
+
 TEST_F(server_liveness_test, a_server_that_takes_connections_has_not_ended) {
     EXPECT_FALSE(has_ended());
 }
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -257,13 +257,24 @@
     std::size_t most = 0;
     run_on_loop([&] {
         const std::scoped_lock lock(m_sent_mutex);
-        for (const auto& request_id : m_bookings) {
+        for (const auto& [request_id, status] : m_bookings) {
             most = std::max(most, m_record.executions[request_id].size());
         }
     });
     return most;
 }
 
+std::size_t gateway_fleet::executed_refused_bookings() {
+    std::size_t count = 0;
+    run_on_loop([&] {
+        const std::scoped_lock lock(m_sent_mutex);
+        for (const auto& [request_id, status] : m_bookings) {
+            count += status == 503 && !m_record.executions[request_id].empty() ? 1 : 0;
+        }
+    });
+    return count;
+}
+
 soak::retry_limit_input gateway_fleet::traffic() {
     soak::retry_limit_input result;
     run_on_loop([&] { result.arrivals = m_record.arrivals; });
@@ -280,19 +291,25 @@
 
 answer gateway_fleet::send(std::size_t index, const std::string& method, const std::string& path,
                            const std::string& object) {
+    return send_to(m_gateways.at(index)->ports.callers(), method, path, object);
+}
+
+answer gateway_fleet::send_to_relay_address(std::size_t index, const std::string& path) {
+    return send_to(m_gateways.at(index)->ports.relays(), "GET", path, usual_object);
+}
+
+answer gateway_fleet::send_to(const std::string& address, const std::string& method, const std::string& path,
+                              const std::string& object) {
     std::string request_id;
     {
         const std::scoped_lock lock(m_sent_mutex);
         m_sent.push_back(soak::clock::now());
         request_id = fmt::format("{:016x}", m_sent.size());
-        if (method == "POST") {
-            m_bookings.push_back(request_id);
-        }
     }
     boost::asio::io_context context;
     boost::beast::tcp_stream stream(context);
     boost::system::error_code error;
-    stream.connect(stand_ins::parse_address(m_gateways.at(index)->ports.callers()).value(), error);
+    stream.connect(stand_ins::parse_address(address).value(), error);
     http::request<http::string_body> request{http::string_to_verb(method), path, 11};
     request.set(http::field::host, "fleet.example");
     request.set(http::field::connection, "close");
@@ -308,7 +325,13 @@
     if (!error) {
         http::read(stream, buffer, response, error);
     }
-    return error ? answer{} : answer{response.result_int(), response.count(http::field::retry_after) > 0};
+    const auto result =
+        error ? answer{} : answer{response.result_int(), response.count(http::field::retry_after) > 0};
+    if (method == "POST") {
+        const std::scoped_lock lock(m_sent_mutex);
+        m_bookings[request_id] = result.status;
+    }
+    return result;
 }
 
 } // namespace carawayway::gateway_processes
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -62,6 +63,9 @@
     answer send(std::size_t index, const std::string& method, const std::string& path,
                 const std::string& object = usual_object);
 
+    // Sends a request to the address at which this gateway takes requests of other gateways.
+    answer send_to_relay_address(std::size_t index, const std::string& path);
+
     // Kills all gateways at the same moment, starts them again and waits until they are ready.
     void restart_all_gateways();
 
@@ -93,6 +97,8 @@
     std::size_t ended_servers();
     // How often servers began to execute the same request that is not idempotent, at most.
     std::size_t most_executions_of_bookings();
+    // Requests that are not idempotent and were executed, though their callers were told that they were not.
+    std::size_t executed_refused_bookings();
     // What the servers received and the callers sent so far.
     soak::retry_limit_input traffic();
     // Number of keys in the store with this prefix.
@@ -107,6 +113,8 @@
         int start_count = 0;
     };
 
+    answer send_to(const std::string& address, const std::string& method, const std::string& path,
+                   const std::string& object);
     void run_on_loop(const std::function<void()>& action);
     void publish_configuration();
     void add_server(const std::string& domain);
@@ -124,7 +132,8 @@
     std::size_t m_ended_servers = 0;
     std::mutex m_sent_mutex;
     std::vector<soak::clock::time_point> m_sent; // times of the requests of callers; under m_sent_mutex
-    std::vector<std::string> m_bookings;         // IDs of those that are not idempotent; under m_sent_mutex
+    // Status of the answer to each request that is not idempotent, by ID; under m_sent_mutex.
+    std::map<std::string, unsigned> m_bookings;
     std::vector<std::unique_ptr<gateway>> m_gateways;
     std::thread m_loop_thread;
 };
--- a/Tests/placement/server_table_test.cpp
+++ b/Tests/placement/server_table_test.cpp
@@ -94,5 +94,39 @@
     EXPECT_THAT(table.begin_due_probes(start + 1min), IsEmpty());
 }
 
+// Guards against servers that stay excluded after a partition that only this gateway had.
+TEST(server_table, servers_that_became_suspect_without_fault_of_theirs_are_restored) {
+    auto table = table_with("i-1");
+    table.put(registration_of("i-2"), start);
+    table.make_suspect(*table.find("i-1"), start);
+    table.make_suspect(*table.find("i-2"), start + 2s);
+    table.restore_suspects(start + 1s);
+    ASSERT_EQ(table.candidates("s").size(), 1U) << "the other one had failed before";
+    EXPECT_EQ(table.candidates("s").front()->registration.id, "i-2");
+    table.record_no_answer(*table.find("i-2"), start + 3s);
+    EXPECT_EQ(table.candidates("s").size(), 1U) << "failures are counted anew";
+}
+
+// Guards against a check that asks only servers which have just ended, or a single failure domain.
+TEST(server_table, servers_that_answered_last_are_the_most_reachable_of_their_domain) {
+    server_table table({"g", "a", "r", {{"a", "r"}, {"b", "r"}}}, {});
+    for (const auto* const id : {"a-1", "a-2", "b-1", "leaving"}) {
+        auto registration = registration_of(id);
+        registration.failure_domain = std::string(id).substr(0, 1);
+        table.put(registration, start);
+    }
+    auto leaving = registration_of("leaving");
+    leaving.intent = fleet::server_intent::leaving;
+    table.put(leaving, start);
+    table.record_answer(*table.find("a-1"), true, start + 2s);
+    table.record_answer(*table.find("a-2"), true, start + 3s);
+    table.record_answer(*table.find("b-1"), true, start + 1s);
+    std::vector<std::string> ids;
+    for (const auto& server : table.by_reachability()) {
+        ids.push_back(server->registration.id);
+    }
+    EXPECT_THAT(ids, ElementsAre("a-2", "b-1", "a-1"));
+}
+
 } // namespace
 } // namespace carawayway::placement
--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -161,19 +161,21 @@
 }
 
 TEST(gateway_record, is_written_and_read_back) {
-    const fleet::gateway_registration own{"g", "z", "r", "10.0.0.1:80", "10.0.0.1:81", "10.0.0.1:82"};
+    const fleet::gateway_registration own{"g",           "z",           "r",           "10.0.0.1:80",
+                                          "10.0.0.1:81", "10.0.0.1:82", "10.0.0.1:83", "key"};
     const auto call = protocol::register_call(own, 42);
     EXPECT_EQ(call.target, "/kv-txn");
     EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
     EXPECT_EQ(
         protocol::read_gateway(
             "g",
-            R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81","notices":"10.0.0.1:82"})"),
+            R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81","notices":"10.0.0.1:82","relays":"10.0.0.1:83","relayKey":"key"})"),
         own);
     const auto without_notices = protocol::read_gateway(
         "g", R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81"})");
     ASSERT_TRUE(without_notices.has_value());
     EXPECT_EQ(without_notices->notice_address, "") << "a gateway of an older version";
+    EXPECT_EQ(without_notices->relay_address, "") << "a gateway of an older version";
     EXPECT_FALSE(protocol::read_gateway("g", R"({"domain":"z"})").has_value());
 }
 
--- a/carawayway/config/gateway_settings.hpp
+++ b/carawayway/config/gateway_settings.hpp
@@ -21,6 +21,8 @@
     std::optional<socket_address> metrics_address; // absent: metrics are not served
     // UDP; other gateways send notices of crashes here. Absent: this gateway neither sends nor gets any.
     std::optional<socket_address> notice_address;
+    // Other gateways send requests here while they reach no server. Absent: this gateway takes none.
+    std::optional<socket_address> relay_address;
     std::vector<socket_address> seeds; // peer addresses to query during a store outage
     std::string bounds;                // limits in the platform's own text format
     base::log_level log_level = base::log_level::info;
@@ -29,6 +31,7 @@
     base::duration shortest_lease = std::chrono::seconds{1}; // shortest lease that the store grants
 
     std::uint32_t caller_connections = 3000;
+    std::uint32_t relayed_requests = 128;          // of other gateways, at once
     std::uint32_t largest_body_bytes = 64U << 20U; // of a request; the whole body is buffered
 
     std::map<std::string, std::string> region_of_domain;
--- a/carawayway/config/gateway_settings_fields.hpp
+++ b/carawayway/config/gateway_settings_fields.hpp
@@ -17,10 +17,12 @@
     visit("peer_address", settings.peer_address);
     visit("metrics_address", settings.metrics_address);
     visit("notice_address", settings.notice_address);
+    visit("relay_address", settings.relay_address);
     visit("seeds", settings.seeds);
     visit("bounds", settings.bounds);
     visit("log_level", settings.log_level);
     visit("caller_connections", settings.caller_connections);
+    visit("relayed_requests", settings.relayed_requests);
     visit("largest_body_bytes", settings.largest_body_bytes);
 }
 
--- a/carawayway/config/key_table.cpp
+++ b/carawayway/config/key_table.cpp
@@ -198,6 +198,10 @@
     key_description{gateway, "gateway", "notice_address", value_kind::listen_address, "", optional, "", 0, 0,
                     "UDP address that other gateways tell which requests crash servers; without it this "
                     "gateway tells and learns only through the store."},
+    key_description{
+        gateway, "gateway", "relay_address", value_kind::listen_address, "", optional, "", 0, 0,
+        "Address to which other gateways send requests while they reach no server; without it this "
+        "gateway takes none."},
     key_description{gateway, "gateway", "seeds", value_kind::remote_address_list, "", optional, "", 0, 0,
                     "Peer addresses of gateways to ask before any other is known."},
     key_description{gateway, "gateway", "bounds", value_kind::text, "", optional, "", 0, 0,
@@ -206,6 +210,8 @@
                     "Lowest level that is logged."},
     key_description{gateway, "gateway", "caller_connections", value_kind::integer, "connections", optional,
                     "3000", 1, 65535, "Caller connections that are open at once."},
+    key_description{gateway, "gateway", "relayed_requests", value_kind::integer, "requests", optional, "128",
+                    1, 65535, "Requests of other gateways that run at once; more are refused."},
     key_description{
         gateway, "gateway", "largest_body_bytes", value_kind::integer, "bytes", optional, "67108864",
         1U << 20U, 4e9,
--- a/carawayway/fleet/registrations.hpp
+++ b/carawayway/fleet/registrations.hpp
@@ -31,9 +31,11 @@
     std::string name;
     std::string failure_domain;
     std::string region;
-    std::string caller_address; // IP:port
-    std::string peer_address;   // IP:port
-    std::string notice_address; // IP:port for datagrams; empty if it takes none
+    std::string caller_address;  // IP:port
+    std::string peer_address;    // IP:port
+    std::string notice_address;  // IP:port for datagrams; empty if it takes none
+    std::string relay_address{}; // IP:port for requests of other gateways; empty if it takes none
+    std::string relay_key{};     // that such a request must present
 
     bool operator==(const gateway_registration&) const = default;
 };
--- a/carawayway/gateway/backend_pool.hpp
+++ b/carawayway/gateway/backend_pool.hpp
@@ -39,6 +39,8 @@
     void close_stale(base::time_point now);
     // Closes all idle connections to a server.
     void close_all(const std::string& server);
+    // Closes all idle connections.
+    void clear() { m_idle_connections.clear(); }
 
     std::size_t size() const;
 
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -9,6 +9,7 @@
 #include "carawayway/gateway/error_response.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
 #include "carawayway/gateway/request_content.hpp"
+#include "carawayway/gateway/request_relay.hpp"
 #include "carawayway/gateway/server_attempt.hpp"
 #include "carawayway/gateway/server_liveness.hpp"
 #include "carawayway/net/endpoint.hpp"
@@ -37,10 +38,14 @@
     // Sent to callers while this gateway has no configuration.
     static constexpr base::duration not_ready_retry_after = std::chrono::milliseconds{300};
 
+    // `relayed` comes with a request that another gateway got from its caller.
     forwarded_request(gateway_state& state, http_request request, base::time_point arrived,
-                      response_callback respond)
-        : m_state(state), m_request(std::move(request)), m_arrived(arrived), m_respond(std::move(respond)),
-          m_deadline_timer(state.executor), m_hedge_timer(state.executor) {}
+                      response_callback respond, std::optional<relayed_call> relayed = std::nullopt)
+        : m_state(state), m_request(std::move(request)),
+          m_arrived(arrived - (relayed ? relayed->elapsed : base::duration::zero())),
+          m_respond(std::move(respond)), m_relayed(relayed), m_deadline_timer(state.executor),
+          m_hedge_timer(state.executor), m_attempt_count(relayed ? relayed->attempts : 0),
+          m_is_counted(relayed && !relayed->earns_retries), m_is_relay_refused(relayed.has_value()) {}
 
     void start() {
         m_metadata = Platform::read_call(m_request);
@@ -49,6 +54,12 @@
             post_error_response(base::error_kind::not_ready, not_ready_retry_after);
             return;
         }
+        // One hop at most. The caller may have seen the effect of the configuration of its own gateway.
+        if (m_relayed &&
+            (m_state.contact.is_lost() || m_routes->source().version < m_relayed->configuration)) {
+            post_error_response(base::error_kind::peer_refused, {});
+            return;
+        }
         const std::string_view target = m_request.target();
         if (target.empty() || target.front() != '/' || m_request.count(http::field::host) != 1) {
             post_error_response(base::error_kind::request_invalid, {});
@@ -69,7 +80,6 @@
             base::hash_bytes(m_metadata.object.empty() ? m_metadata.request_id : m_metadata.object);
         m_service = m_route->targets[m_state.splitter.choose(*m_route, key)].service;
         m_object_hash = base::hash_bytes(m_service, key);
-        m_state.retries_of(m_service, m_arrived).record_first_attempt(m_arrived);
         prepare_request();
         start_deadline_timer();
         send_to_next_server();
@@ -95,6 +105,7 @@
 
     void prepare_request() {
         remove_hop_by_hop_headers(m_request);
+        remove_relay_headers(m_request);
         m_request.version(11);
         m_request.keep_alive(true);
         m_request.prepare_payload();
@@ -118,12 +129,77 @@
             respond_with_failure(base::error_kind::request_quarantined, now);
             return;
         }
+        if (m_state.contact.is_lost() && try_relay()) {
+            return;
+        }
+        count_first_attempt(now);
         const auto placed = m_state.selector.choose(next_placement_request(now), now);
-        if (!placed.server) {
+        if (placed.server) {
+            send_to(placed, now);
+        } else if (placed.reason != placement::refusal::no_server || !try_relay()) {
             fail_unplaced(placed, now);
+        }
+    }
+
+    // Counted once, at the gateway that first sends the request to a server.
+    void count_first_attempt(base::time_point now) {
+        if (!m_is_counted) {
+            m_is_counted = true;
+            m_state.retries_of(m_service, now).record_first_attempt(now);
+        }
+    }
+
+    // Sends the request through another gateway. Returns whether one gets it.
+    bool try_relay() {
+        if (m_is_relay_refused) {
+            return false;
+        }
+        relay_order order{m_request,
+                          m_metadata.request_id,
+                          m_arrived,
+                          m_deadline,
+                          m_route->semantics,
+                          m_route->allowed_regions,
+                          {{}, m_attempt_count, !m_is_counted, m_routes->source().version}};
+        m_relay = std::make_shared<request_relay<Platform>>(
+            m_state, std::move(order), [self = this->shared_from_this()](relay_result result) {
+                self->finish_relay(std::move(result));
+            });
+        if (!m_relay->start()) {
+            m_relay.reset();
+            m_is_relay_refused = true;
+            return false;
+        }
+        m_is_counted = true;
+        return true;
+    }
+
+    void finish_relay(relay_result result) {
+        const auto now = base::monotonic_now();
+        m_relay.reset();
+        if (result.outcome == relay_outcome::refused) {
+            m_is_relay_refused = true;
+            send_to_next_server();
             return;
         }
-        send_to(placed, now);
+        if (result.outcome == relay_outcome::lost) {
+            ++m_attempt_count;
+            m_may_have_executed = true;
+            if (may_retry(retry_cause::lost, now)) {
+                send_to_next_server();
+                return;
+            }
+            respond_with_failure(base::error_kind::peer_lost, now);
+            return;
+        }
+        if (!result.verdict.failure) {
+            forward_response(std::move(result.response), now);
+            return;
+        }
+        m_may_have_executed = m_may_have_executed || base::properties_of(*result.verdict.failure).execution ==
+                                                         base::execution_state::unknown;
+        m_retry_after = retry_after_in(result.response).value_or(m_retry_after);
+        respond_with_failure(*result.verdict.failure, now);
     }
 
     placement::placement_request next_placement_request(base::time_point now) const {
@@ -159,11 +235,11 @@
         const exchange_limits limits{
             std::min<base::duration>(m_deadline - now, connect_timeout(round_trip_to(server))),
             maximum_idle_time(m_route->semantics, sent->losses_when_sent),
-            gateway_state::maximum_response_bytes, m_deadline};
+            gateway_state::maximum_response_bytes};
         auto request = std::make_shared<http_request>(m_request);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
             m_state.executor, m_state.connections, m_state.responses, server.registration.id, *address,
-            limits);
+            limits, server_call<Platform>{m_deadline});
         m_running_attempts.push_back(sent);
         sent->exchange->start(std::move(request), m_metadata.request_id,
                               [self = this->shared_from_this(), sent](exchange_result result) {
@@ -180,7 +256,9 @@
     }
 
     bool any_attempt_sent() const {
-        return std::any_of(m_running_attempts.begin(), m_running_attempts.end(),
+        const bool is_relayed = m_relay && m_relay->was_sent();
+        return is_relayed ||
+               std::any_of(m_running_attempts.begin(), m_running_attempts.end(),
                            [](const attempt_handle& item) { return item->exchange->was_sent(); });
     }
 
@@ -190,6 +268,10 @@
             m_state.servers.record_request_end(*item->server);
         }
         m_running_attempts.clear();
+        if (m_relay) {
+            m_relay->abort();
+            m_relay.reset();
+        }
     }
 
     // Aborts attempts whose outcome nobody waits for any longer. A server may still be lost to suspected
@@ -244,12 +326,16 @@
         m_state.servers.record_request_end(*sent->server);
         if (result.connect_time > base::duration::zero()) {
             m_state.round_trips.observe(sent->server->registration.failure_domain, result.connect_time);
+            m_state.contact.record_connection(now);
         }
         if (result.outcome == exchange_outcome::answered) {
             handle_response(*sent, std::move(result), now);
             return;
         }
         count_attempt(result.outcome == exchange_outcome::not_connected ? "not-connected" : "lost");
+        if (result.outcome != exchange_outcome::broken) {
+            m_state.contact.record_failure(*sent->server, now);
+        }
         m_state.record_no_answer(*sent->server, now);
         if (result.outcome != exchange_outcome::not_connected) {
             ++m_attempt_count;
@@ -261,7 +347,9 @@
                 });
                 return;
             }
-            m_content.record_loss({}, now);
+            if (!m_state.contact.is_lost()) {
+                m_content.record_loss({}, now);
+            }
         }
         continue_after(result.outcome, now);
     }
@@ -272,10 +360,14 @@
             return; // the other server may still respond, or the deadline has passed
         }
         if (outcome == exchange_outcome::not_connected) {
-            if (++m_connect_failures <= maximum_connect_failures) {
+            const bool is_hopeless = m_state.contact.is_lost() && m_is_relay_refused;
+            if (!is_hopeless && ++m_connect_failures <= maximum_connect_failures) {
                 send_to_next_server();
                 return;
             }
+            if (try_relay()) {
+                return;
+            }
             respond_with_failure(base::error_kind::no_server_available, now);
             return;
         }
@@ -311,7 +403,10 @@
     static boost::asio::awaitable<void> record_if_ended(std::shared_ptr<forwarded_request> self,
                                                         attempt_handle sent, std::function<void()> then) {
         const auto timeout = connect_timeout(self->round_trip_to(*sent->server));
-        const bool has_ended = co_await has_server_ended(self->m_state.executor, sent->address, timeout);
+        bool has_ended = co_await has_server_ended(self->m_state.executor, sent->address, timeout);
+        // Behind a partition, all servers seem to have ended.
+        has_ended = has_ended &&
+                    co_await self->m_state.contact.reaches_server_other_than(sent->server->registration.id);
         if (has_ended) {
             self->m_content.record_loss(sent->losses_when_sent, base::monotonic_now());
         }
@@ -374,6 +469,7 @@
         if (result.metadata.other_server) {
             m_state.servers.mark_address_reassigned(server);
         }
+        m_answering_server = server.registration.id;
         if (good) {
             record_good_response(sent, result, now);
             forward_response(std::move(result.response), now);
@@ -493,6 +589,10 @@
     }
 
     void respond_with_error(base::error_kind kind, base::duration retry_after, base::time_point now) {
+        // The gateway that has sent the request tries another one.
+        if (m_relayed && kind == base::error_kind::no_server_available && m_state.contact.is_lost()) {
+            kind = base::error_kind::peer_refused;
+        }
         m_deadline_timer.cancel();
         m_hedge_timer.cancel();
         m_content.share_losses(now);
@@ -514,6 +614,9 @@
                           now);
         auto response = error_response(error, m_may_have_executed ? base::duration::zero() : retry_after);
         Platform::write_request_id(response, m_metadata.request_id);
+        if (m_relayed) {
+            write_relay_verdict(response, {kind, {}});
+        }
         complete_request(std::move(response), now);
     }
 
@@ -532,6 +635,10 @@
                               now);
         }
         remove_hop_by_hop_headers(response);
+        remove_relay_headers(response);
+        if (m_relayed) {
+            write_relay_verdict(response, {std::nullopt, m_answering_server});
+        }
         complete_request(std::move(response), now);
     }
 
@@ -560,7 +667,8 @@
     gateway_state& m_state;
     http_request m_request;
     base::time_point m_arrived;
-    response_callback m_respond; // null after the response or when the caller has disconnected
+    response_callback m_respond;           // null after the response or when the caller has disconnected
+    std::optional<relayed_call> m_relayed; // of the gateway that got the request from its caller, if another
     boost::asio::steady_timer m_deadline_timer;
     boost::asio::steady_timer m_hedge_timer;
     request_metadata m_metadata;
@@ -572,11 +680,15 @@
     base::time_point m_deadline{};
     base::duration m_time_spent_in_earlier_attempts{}; // by the caller
     std::vector<attempt_handle> m_running_attempts;    // at most two
+    std::shared_ptr<request_relay<Platform>> m_relay;  // null unless another gateway has the request
     std::optional<http_response> m_failed_response;    // of a server; forwarded if no attempt succeeds
     base::duration m_retry_after = placement::server_selector::minimum_retry_after;
     std::vector<std::string> m_tried_servers; // IDs
-    std::uint32_t m_attempt_count = 0;        // attempts that reached a server
+    std::string m_answering_server;           // ID; empty without an answer
+    std::uint32_t m_attempt_count;            // attempts that reached a server, also those of other gateways
     std::uint32_t m_connect_failures = 0;
+    bool m_is_counted;       // as a first attempt, here or at another gateway
+    bool m_is_relay_refused; // no other gateway takes the request, or it has come from one
     bool m_may_have_executed = false;
     bool m_caller_disconnected = false;
     bool m_is_completed = false; // a response was given to the caller
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -15,9 +15,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
 
 #include <csignal>
 #include <memory>
+#include <random>
+#include <vector>
 
 namespace carawayway::gateway {
 
@@ -31,11 +34,15 @@
     static constexpr base::duration stop_margin = std::chrono::milliseconds{400};
     // Limit for each of the lookup, readiness and metrics listeners.
     static constexpr std::size_t maximum_auxiliary_sessions = 256;
+    // Connections of other gateways that relay requests. Idle ones stay open for reuse.
+    static constexpr std::size_t maximum_relay_sessions = 1024;
+    // Headers that the relaying gateway adds to those of the caller, at most.
+    static constexpr std::uint32_t relay_header_bytes = 1024;
 
     using reload_function = std::function<std::optional<config::gateway_settings>()>;
 
     gateway_instance(config::gateway_settings settings, platform_bounds bounds, reload_function reload)
-        : m_settings(std::move(settings)), m_reload(std::move(reload)),
+        : m_settings(std::move(settings)), m_reload(std::move(reload)), m_relay_key(random_relay_key()),
           m_state(
               m_context.get_executor(),
               {m_settings.name, m_settings.failure_domain, m_settings.region, m_settings.region_of_domain},
@@ -109,7 +116,19 @@
                 m_settings.region,
                 config::format_value(m_settings.caller_address),
                 config::format_value(m_settings.peer_address),
-                m_settings.notice_address ? config::format_value(*m_settings.notice_address) : std::string{}};
+                text_of(m_settings.notice_address),
+                text_of(m_settings.relay_address),
+                m_relay_key};
+    }
+
+    static std::string text_of(const std::optional<config::socket_address>& address) {
+        return address ? config::format_value(*address) : std::string{};
+    }
+
+    // The store gives the key to gateways alone, so that nobody else can use the relay address.
+    static std::string random_relay_key() {
+        std::random_device random;
+        return fmt::format("{:08x}{:08x}{:08x}{:08x}", random(), random(), random(), random());
     }
 
     session_limits caller_limits() const {
@@ -143,6 +162,22 @@
         if (m_settings.notice_address) {
             open_crash_notices(*m_settings.notice_address);
         }
+        if (m_settings.relay_address) {
+            open_relay_listener(*m_settings.relay_address);
+        }
+    }
+
+    void open_relay_listener(const config::socket_address& address) {
+        m_relay_listener = std::make_unique<session_listener>(
+            m_context.get_executor(), endpoint_of(address), maximum_relay_sessions,
+            [this](http_request request, base::time_point arrived, response_callback respond) {
+                return forward_relayed(std::move(request), arrived, std::move(respond));
+            },
+            [this] {
+                auto limits = caller_limits();
+                limits.header_bytes += relay_header_bytes;
+                return limits;
+            });
     }
 
     void open_crash_notices(const config::socket_address& address) {
@@ -193,6 +228,44 @@
         return [forwarded] { forwarded->cancel(); };
     }
 
+    // Takes a request of another gateway, as long as this one has room for it.
+    cancel_callback forward_relayed(http_request request, base::time_point arrived,
+                                    response_callback respond) {
+        const auto call = read_relayed_call(request);
+        if (!has_relay_key(request, m_relay_key) || !call) {
+            refuse_relayed(base::error_kind::unauthorized, request, std::move(respond));
+            return [] {};
+        }
+        if (m_relayed_requests >= m_settings.relayed_requests) {
+            refuse_relayed(base::error_kind::peer_refused, request, std::move(respond));
+            return [] {};
+        }
+        ++m_relayed_requests;
+        m_state.metrics.add("carawayway_gateway_relayed_requests_total", {{"end", "taken"}});
+        const auto place = std::shared_ptr<void>(nullptr, [this](void*) { --m_relayed_requests; });
+        auto forwarded = std::make_shared<forwarded_request<Platform>>(
+            m_state, std::move(request), arrived,
+            [place, respond = std::move(respond)](http_response response) { respond(std::move(response)); },
+            call);
+        forwarded->start();
+        return [forwarded] { forwarded->cancel(); };
+    }
+
+    void refuse_relayed(base::error_kind kind, const http_request& request, response_callback respond) {
+        const auto& error = base::properties_of(kind);
+        m_state.metrics.add("carawayway_gateway_relayed_requests_total", {{"end", std::string(error.name)}});
+        m_state.log.write(base::log_level::warning, "relayed-request-refused",
+                          {{"request_id", Platform::read_call(request).request_id}, {"kind", error.name}},
+                          base::monotonic_now());
+        auto response = error_response(error, {});
+        Platform::write_request_id(response, Platform::read_call(request).request_id);
+        write_relay_verdict(response, {kind, {}});
+        boost::asio::post(m_context,
+                          [response = std::move(response), respond = std::move(respond)]() mutable {
+                              respond(std::move(response));
+                          });
+    }
+
     bool is_ready() const { return !m_stopping && m_state.routes() && m_state.servers.size() > 0; }
 
     http_response readiness_response(const http_request& request) const {
@@ -257,6 +330,8 @@
         const auto now = base::monotonic_now();
         m_applier.remove_missing(m_store_session.health(), now);
         m_state.connections.close_stale(now);
+        m_state.peer_connections.close_stale(now);
+        m_state.contact.start_due_check(now);
         if (now >= m_next_retry_log) {
             m_next_retry_log = now + gateway_state::retry_log_interval;
             m_state.log_retries(now);
@@ -295,6 +370,9 @@
         stream.expires_after(probe_timeout);
         boost::system::error_code error;
         co_await stream.async_connect(address, redirect_error(use_awaitable, error));
+        if (!error) {
+            m_state.contact.record_connection(base::monotonic_now());
+        }
         http_request request{http::verb::get, path, 11};
         request.set(http::field::host, server->registration.address);
         request.keep_alive(false);
@@ -344,6 +422,14 @@
                   {{"restart_needed", !(comparable == m_settings)}});
     }
 
+    std::vector<session_listener*> request_listeners() const {
+        std::vector<session_listener*> listeners{m_caller_listener.get()};
+        if (m_relay_listener) {
+            listeners.push_back(m_relay_listener.get());
+        }
+        return listeners;
+    }
+
     // Reports not ready at once, keeps serving requests that still arrive, and ends the process when no
     // caller is connected or the grace period is over.
     void stop() {
@@ -352,18 +438,24 @@
         base::log(base::log_level::info, "stopping", {{"sessions", m_caller_listener->size()}});
         m_store_session.deregister();
         m_permit_session.stop();
-        m_caller_listener->close_after_responses();
+        for (auto* const listener : request_listeners()) {
+            listener->close_after_responses();
+        }
         check_stop();
     }
 
     void check_stop() {
         static constexpr base::duration check_interval = std::chrono::milliseconds{50};
         const auto since = base::monotonic_now() - m_stop_started_at;
-        if (since >= accept_time_after_stop) {
-            m_caller_listener->close();
-            m_caller_listener->close_idle();
+        std::size_t sessions = 0;
+        for (auto* const listener : request_listeners()) {
+            if (since >= accept_time_after_stop) {
+                listener->close();
+                listener->close_idle();
+            }
+            sessions += listener->size();
         }
-        const bool done = since >= accept_time_after_stop && m_caller_listener->size() == 0;
+        const bool done = since >= accept_time_after_stop && sessions == 0;
         if (done || since >= m_state.bounds.stop_grace - stop_margin) {
             m_context.stop();
             return;
@@ -378,6 +470,7 @@
 
     config::gateway_settings m_settings;
     reload_function m_reload;
+    std::string m_relay_key;              // that other gateways present with the requests that they relay
     boost::asio::io_context m_context{1}; // one thread runs it
     gateway_state m_state;
     quarantine_publisher<Platform> m_quarantine_publisher;
@@ -386,6 +479,8 @@
     record_applier<Platform> m_applier;
     store_session<Platform> m_store_session;
     std::unique_ptr<session_listener> m_caller_listener;
+    std::unique_ptr<session_listener> m_relay_listener; // null without an address for it
+    std::uint32_t m_relayed_requests = 0;               // of other gateways that are running
     std::vector<std::unique_ptr<session_listener>> m_auxiliary_listeners;
     std::unique_ptr<replication_server> m_replication_server;
     std::unique_ptr<crash_notices> m_crash_notices; // null without an address for notices
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -21,6 +21,9 @@
       affinity(maximum_remembered_objects), region_shifts(own.region, limits.region_shift_share),
       region_spillover(own.region),
       selector(servers, run_times, affinity, round_trips, region_shifts, region_spillover),
+      peers(servers.gateways(), own),
+      contact(executor, servers, round_trips,
+              [this](base::time_point failing_since) { leave_servers(failing_since); }),
       metrics(metric_series_limit), guard(metrics, std::move(share), std::move(publish)),
       m_on_limit_change(std::move(on_limit_change)) {
     metrics.declare("carawayway_gateway_requests_total", metrics::metric_type::counter,
@@ -33,6 +36,12 @@
                     "Requests that were given up, by service and kind.");
     metrics.declare("carawayway_gateway_store_restores_total", metrics::metric_type::counter,
                     "Times that the store came back from an older copy, as this gateway saw.");
+    metrics.declare("carawayway_gateway_contact_losses_total", metrics::metric_type::counter,
+                    "Times that this gateway found itself partitioned from the backend servers.");
+    metrics.declare("carawayway_gateway_relays_total", metrics::metric_type::counter,
+                    "Requests sent through another gateway, by how it ended.");
+    metrics.declare("carawayway_gateway_relayed_requests_total", metrics::metric_type::counter,
+                    "Requests of other gateways, by whether they were taken.");
     service_retries::declare_metrics(metrics);
 }
 
@@ -78,7 +87,17 @@
     }
 }
 
+// Open connections may be as dead as those that failed, and the servers are not to blame.
+void gateway_state::leave_servers(base::time_point failing_since) {
+    metrics.add("carawayway_gateway_contact_losses_total", {});
+    connections.clear();
+    servers.restore_suspects(failing_since);
+}
+
 void gateway_state::record_no_answer(placement::server_state& server, base::time_point now) {
+    if (contact.is_lost()) {
+        return; // says nothing of the server
+    }
     const bool was_usable = servers.is_usable(server);
     servers.record_no_answer(server, now);
     if (was_usable && !servers.is_usable(server)) {
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "carawayway/gateway/backend_pool.hpp"
+#include "carawayway/gateway/contact_monitor.hpp"
 #include "carawayway/gateway/content_guard.hpp"
 #include "carawayway/gateway/rate_limited_log.hpp"
 #include "carawayway/gateway/response_memory.hpp"
 #include "carawayway/gateway/service_retries.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
+#include "carawayway/placement/relay_peers.hpp"
 #include "carawayway/placement/server_selector.hpp"
 #include "carawayway/routing/route_table.hpp"
 #include "carawayway/routing/traffic_splitter.hpp"
@@ -79,6 +81,9 @@
     placement::server_selector selector;
     routing::traffic_splitter splitter;
     backend_pool connections;
+    backend_pool peer_connections; // to the relay addresses of other gateways, by name
+    placement::relay_peers peers;
+    contact_monitor contact; // to the backend servers
     response_memory responses;
     metrics::metric_registry metrics;
     content_guard guard;
@@ -86,6 +91,8 @@
     bool checks_silent_server = false; // whether a server that let a deadline pass is being checked
 
 private:
+    void leave_servers(base::time_point failing_since);
+
     limit_change_handler m_on_limit_change;
     std::shared_ptr<const routing::route_table> m_routes;
     std::map<std::string, service_retries> m_retries;                       // by service
--- a/carawayway/gateway/message_headers.cpp
+++ b/carawayway/gateway/message_headers.cpp
@@ -8,6 +8,13 @@
 
 namespace carawayway::gateway {
 
+namespace {
+
+// Keeps times within the range of base::duration.
+constexpr double longest_retry_after_seconds = 86'400.0;
+
+} // namespace
+
 void remove_hop_by_hop_headers(http::fields& headers) {
     std::vector<std::string> named_by_connection;
     for (const auto& token : http::token_list{headers[http::field::connection]}) {
@@ -53,4 +60,20 @@
     return std::chrono::seconds{seconds};
 }
 
+std::optional<base::duration> retry_after_in(const http::fields& headers) {
+    const auto found = headers.find(http::field::retry_after);
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    const std::string_view text(found->value());
+    double seconds = 0.0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool is_valid = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() &&
+                          seconds >= 0.0 && seconds <= longest_retry_after_seconds;
+    if (!is_valid) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+}
+
 } // namespace carawayway::gateway
--- a/carawayway/gateway/message_headers.hpp
+++ b/carawayway/gateway/message_headers.hpp
@@ -11,4 +11,7 @@
 // The timeout parameter of the Keep-Alive header, if present.
 std::optional<base::duration> keep_alive_timeout(const http::fields& headers);
 
+// The time in Retry-After, if it is given in seconds.
+std::optional<base::duration> retry_after_in(const http::fields& headers);
+
 } // namespace carawayway::gateway
--- a/carawayway/gateway/server_attempt.hpp
+++ b/carawayway/gateway/server_attempt.hpp
@@ -1,12 +1,12 @@
 // One send of a request to one server, and the limits of its connection.
 #pragma once
 
+#include "carawayway/gateway/connect_timeout.hpp"
 #include "carawayway/gateway/content_guard.hpp"
 #include "carawayway/gateway/server_exchange.hpp"
 #include "carawayway/placement/server_selector.hpp"
 #include "carawayway/routing/configuration.hpp"
 
-#include <algorithm>
 #include <memory>
 
 namespace carawayway::gateway {
@@ -22,12 +22,6 @@
     std::shared_ptr<server_exchange<Platform>> exchange;
 };
 
-inline base::duration connect_timeout(base::duration round_trip) {
-    constexpr base::duration minimum = std::chrono::milliseconds{150};
-    constexpr int round_trips = 4; // leaves time for one retransmitted packet
-    return std::max<base::duration>(minimum, round_trip * round_trips);
-}
-
 // How long a connection may have been idle before a request is sent on it. A server may have dropped an idle
 // connection without notice, so a request that must not be retried uses only recently used ones. Suspected
 // content gets a new connection: it shows that the server is alive when the request is sent, so that a loss
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -1,4 +1,5 @@
-// Sends one request to one backend server over a new or pooled connection, and reads the response.
+// Sends one request to one backend server, or to another gateway, over a new or pooled connection, and reads
+// the response.
 #pragma once
 
 #include "carawayway/gateway/backend_pool.hpp"
@@ -40,19 +41,37 @@
     base::duration connect_timeout{};
     base::duration maximum_idle_time{}; // of a pooled connection
     std::uint64_t maximum_response_bytes = 0;
-    base::time_point deadline{}; // of the caller
 };
 
+// Writes into a request what its receiver must know, in the moment in which it is sent.
+template <class Call>
+concept exchange_call = requires(const Call& call, http_request& request, const std::string& receiver,
+                                 base::time_point now) {
+    { call.write(request, receiver, now) } -> std::same_as<void>;
+};
+
+// A request to a backend server.
 template <platform_protocol Platform>
-class server_exchange : public std::enable_shared_from_this<server_exchange<Platform>> {
+struct server_call {
+    base::time_point deadline{}; // of the caller
+
+    void write(http_request& request, const std::string& server, base::time_point now) const {
+        Platform::write_call(request, server, deadline - now);
+    }
+};
+
+template <platform_protocol Platform, exchange_call Call = server_call<Platform>>
+class server_exchange : public std::enable_shared_from_this<server_exchange<Platform, Call>> {
 public:
     using completion_handler = std::function<void(exchange_result)>;
 
     // `pool` and `memory` must outlive the exchange.
     server_exchange(boost::asio::any_io_executor executor, backend_pool& pool, response_memory& memory,
-                    std::string server, boost::asio::ip::tcp::endpoint address, exchange_limits limits)
+                    std::string server, boost::asio::ip::tcp::endpoint address, exchange_limits limits,
+                    Call call)
         : m_executor(std::move(executor)), m_pool(pool), m_memory(memory), m_server(std::move(server)),
-          m_address(std::move(address)), m_limits(limits), m_connect_timer(m_executor) {}
+          m_address(std::move(address)), m_limits(limits), m_call(std::move(call)),
+          m_connect_timer(m_executor) {}
 
     // `done` runs once, after this call has returned, unless abort() is called first.
     void start(std::shared_ptr<http_request> request, std::string request_id, completion_handler done) {
@@ -99,7 +118,7 @@
             co_return;
         }
         const auto sent_at = base::monotonic_now();
-        Platform::write_call(*m_request, m_server, m_limits.deadline - sent_at);
+        m_call.write(*m_request, m_server, sent_at);
         m_sent = true;
         m_writing = true;
         http::async_write(m_connection->socket, *m_request,
@@ -209,6 +228,7 @@
     std::string m_server;
     boost::asio::ip::tcp::endpoint m_address;
     exchange_limits m_limits;
+    Call m_call;
     boost::asio::steady_timer m_connect_timer;
     std::shared_ptr<http_request> m_request;
     std::string m_request_id;
--- a/carawayway/placement/server_state.hpp
+++ b/carawayway/placement/server_state.hpp
@@ -42,6 +42,7 @@
     bool removed = false; // no longer in the table; the state lives on while requests are in flight
 
     server_reachability reachability = server_reachability::usable;
+    base::time_point suspect_since{}; // meaningful while the server is suspect
     base::time_point next_probe_at{};
     base::duration probe_interval{};
     bool probe_in_progress = false;
--- a/carawayway/placement/server_table.cpp
+++ b/carawayway/placement/server_table.cpp
@@ -188,6 +188,7 @@
         return;
     }
     server.reachability = server_reachability::suspect;
+    server.suspect_since = now;
     server.probe_interval = initial_probe_interval;
     server.next_probe_at = now + initial_probe_interval;
 }
@@ -196,6 +197,37 @@
     server.reachability = server_reachability::address_reassigned;
 }
 
+void server_table::restore_suspects(base::time_point from) {
+    for (const auto& [id, server] : m_servers) {
+        if (server->reachability == server_reachability::suspect && server->suspect_since >= from) {
+            server->reachability = server_reachability::usable;
+            server->consecutive_unanswered = 0;
+        }
+    }
+}
+
+std::vector<server_handle> server_table::by_reachability() const {
+    std::vector<server_handle> servers;
+    for (const auto& [id, server] : m_servers) {
+        if (server->registration.intent == fleet::server_intent::serving &&
+            server->reachability != server_reachability::address_reassigned) {
+            servers.push_back(server);
+        }
+    }
+    std::sort(servers.begin(), servers.end(), [](const server_handle& left, const server_handle& right) {
+        return left->last_answer_at > right->last_answer_at;
+    });
+    std::set<std::string> domains;
+    std::vector<server_handle> ordered;
+    std::vector<server_handle> others;
+    for (auto& server : servers) {
+        const bool is_first = domains.insert(server->registration.failure_domain).second;
+        (is_first ? ordered : others).push_back(std::move(server));
+    }
+    std::move(others.begin(), others.end(), std::back_inserter(ordered));
+    return ordered;
+}
+
 std::vector<server_handle> server_table::begin_due_probes(base::time_point now) {
     std::vector<server_handle> due;
     for (const auto& [id, server] : m_servers) {
--- a/carawayway/placement/server_table.hpp
+++ b/carawayway/placement/server_table.hpp
@@ -93,6 +93,11 @@
     void record_no_answer(server_state& server, base::time_point now);
     void make_suspect(server_state& server, base::time_point now);
     void mark_address_reassigned(server_state& server);
+    // Makes servers usable again that have become suspect since `from`, because the cause was not theirs.
+    void restore_suspects(base::time_point from);
+    // The servers that may accept connections, the most likely first: the one of each failure domain that
+    // answered last, then all others by the time of their last answer.
+    std::vector<server_handle> by_reachability() const;
 
     // Returns the suspect servers whose probe is due, and marks each as being probed until
     // record_probe_result().
