gateway, platform: Read and log that servers ask for rest or are leaving

Change: the adapter decodes Retry-After of a 503 and Server-Leaving of any answer; the lines server-rests, server-leaving-named and server-rest-unreadable say which server told what. No decision changes.

--- a/Tests/platform/headers_test.cpp
+++ b/Tests/platform/headers_test.cpp
@@ -48,6 +48,37 @@
     EXPECT_FALSE(protocol::read_answer(503, headers).other_server);
 }
 
+TEST(read_answer, reads_for_how_long_a_server_asks_for_rest) {
+    gateway::http::fields headers;
+    EXPECT_FALSE(protocol::read_answer(503, headers).asks_for_rest);
+    for (const auto& [text, rest] :
+         std::vector<std::pair<std::string, std::optional<base::duration>>>{{"3", 3s},
+                                                                            {" 0.25 ", 250ms},
+                                                                            {"0", 0s},
+                                                                            {"", {}},
+                                                                            {"-1", {}},
+                                                                            {"nan", {}},
+                                                                            {"1e300", {}},
+                                                                            {"soon", {}}}) {
+        headers.set("Retry-After", text);
+        EXPECT_TRUE(protocol::read_answer(503, headers).asks_for_rest) << text;
+        EXPECT_EQ(protocol::read_answer(503, headers).rest, rest) << text;
+    }
+    headers.set("Retry-After", "3");
+    EXPECT_FALSE(protocol::read_answer(200, headers).asks_for_rest) << "turns nothing away";
+    EXPECT_FALSE(protocol::read_answer(429, headers).asks_for_rest);
+}
+
+TEST(read_answer, reads_whether_a_server_is_leaving) {
+    gateway::http::fields headers;
+    EXPECT_FALSE(protocol::read_answer(200, headers).is_leaving);
+    headers.set("Server-Leaving", "0");
+    EXPECT_FALSE(protocol::read_answer(200, headers).is_leaving);
+    headers.set("Server-Leaving", "1");
+    EXPECT_TRUE(protocol::read_answer(200, headers).is_leaving);
+    EXPECT_TRUE(protocol::read_answer(500, headers).is_leaving);
+}
+
 TEST(read_answer, reads_the_limit_that_a_server_names) {
     gateway::http::fields headers;
     EXPECT_FALSE(protocol::read_answer(200, headers).names_rate_limit);
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -454,6 +454,7 @@
             m_state.region_spillover.record_load(m_service, server.region,
                                                  result.metadata.load->utilization(), now);
         }
+        m_state.record_notices(server, result.metadata, now);
         m_state.record_rate_limit(server, result.metadata,
                                   good ? answer_verdict::good : answer_verdict::failed, sent.chosen_at, now);
         // A refusal by a full server is legitimate; a server that refuses with free slots is failing.
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -87,6 +87,23 @@
     }
 }
 
+void gateway_state::record_notices(placement::server_state& server, const response_metadata& answer,
+                                   base::time_point now) {
+    if (answer.other_server) {
+        return; // says nothing of the server to which the request was sent
+    }
+    const auto& id = server.registration.id;
+    if (answer.is_leaving) {
+        log.write(base::log_level::info, "server-leaving-named", {{"server", id}}, now);
+    }
+    if (answer.rest) {
+        log.write(base::log_level::info, "server-rests",
+                  {{"server", id}, {"rest_ms", base::to_milliseconds(*answer.rest)}}, now);
+    } else if (answer.asks_for_rest) {
+        log.write(base::log_level::warning, "server-rest-unreadable", {{"server", id}}, now);
+    }
+}
+
 // Open connections may be as dead as those that failed, and the servers are not to blame.
 void gateway_state::leave_servers(base::time_point failing_since) {
     metrics.add("carawayway_gateway_contact_losses_total", {});
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -41,6 +41,9 @@
     std::optional<placement::load_report> load;
     bool names_rate_limit = false;            // whether the response names a limit, readable or not
     std::optional<double> request_rate_limit; // requests per second that the server takes from all gateways
+    bool is_leaving = false;                  // the server is about to stop
+    bool asks_for_rest = false;         // it wants no requests of this gateway, readable or not how long
+    std::optional<base::duration> rest; // for how long
 
     bool operator==(const response_metadata&) const = default;
 };
