Tests: Reproduce requests to servers that ask for rest or are leaving, which fails

Change: server stand-ins ask for rest and say that they are leaving; a check counts what a gateway sends to a server within its rest. The load that tests share has a file of its own.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -210,6 +210,19 @@
     });
 }
 
+soak::server_stand_in& gateway_fleet::server_of(const std::string& id) {
+    return **std::find_if(m_servers.begin(), m_servers.end(),
+                          [&id](const auto& server) { return server->id() == id; });
+}
+
+void gateway_fleet::ask_for_rest(const std::string& server, std::optional<milliseconds> rest) {
+    run_on_loop([&] { server_of(server).ask_for_rest(rest); });
+}
+
+void gateway_fleet::say_leaving(const std::string& server) {
+    run_on_loop([&] { server_of(server).say_leaving(); });
+}
+
 std::vector<std::string> gateway_fleet::server_ids() {
     std::vector<std::string> ids;
     run_on_loop([&] {
@@ -275,6 +288,15 @@
     return count;
 }
 
+std::size_t gateway_fleet::most_arrivals_within_rest() {
+    std::size_t most = 0;
+    run_on_loop([&] {
+        const std::scoped_lock lock(m_sent_mutex);
+        most = soak::most_arrivals_within_rest(m_record.arrivals, m_gateway_of_request);
+    });
+    return most;
+}
+
 soak::retry_limit_input gateway_fleet::traffic() {
     soak::retry_limit_input result;
     run_on_loop([&] { result.arrivals = m_record.arrivals; });
@@ -291,20 +313,21 @@
 
 answer gateway_fleet::send(std::size_t index, const std::string& method, const std::string& path,
                            const std::string& object) {
-    return send_to(m_gateways.at(index)->ports.callers(), method, path, object);
+    return send_to(m_gateways.at(index)->ports.callers(), index, method, path, object);
 }
 
 answer gateway_fleet::send_to_relay_address(std::size_t index, const std::string& path) {
-    return send_to(m_gateways.at(index)->ports.relays(), "GET", path, usual_object);
+    return send_to(m_gateways.at(index)->ports.relays(), index, "GET", path, usual_object);
 }
 
-answer gateway_fleet::send_to(const std::string& address, const std::string& method, const std::string& path,
-                              const std::string& object) {
+answer gateway_fleet::send_to(const std::string& address, std::size_t gateway_index,
+                              const std::string& method, const std::string& path, const std::string& object) {
     std::string request_id;
     {
         const std::scoped_lock lock(m_sent_mutex);
         m_sent.push_back(soak::clock::now());
         request_id = fmt::format("{:016x}", m_sent.size());
+        m_gateway_of_request[request_id] = gateway_index;
     }
     boost::asio::io_context context;
     boost::beast::tcp_stream stream(context);
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -5,6 +5,7 @@
 #include "Tests/gateway_processes/linked_servers.hpp"
 #include "Tests/soak/gateway_settings.hpp"
 #include "Tests/soak/http_server.hpp"
+#include "Tests/soak/rest_limit.hpp"
 #include "Tests/soak/retry_limit.hpp"
 #include "Tests/soak/run_record.hpp"
 #include "Tests/soak/server_stand_in.hpp"
@@ -80,6 +81,10 @@
     // Makes the servers name this limit in their answers from now on, or none.
     void name_request_limit(const std::vector<std::string>& servers,
                             std::optional<double> requests_per_second);
+    // Makes a server turn requests away and ask for rest, or no longer.
+    void ask_for_rest(const std::string& server, std::optional<std::chrono::milliseconds> rest);
+    // Makes a server say in its answers that it is leaving.
+    void say_leaving(const std::string& server);
     std::vector<std::string> server_ids();
 
     // Starts one more server, and returns its ID.
@@ -99,6 +104,8 @@
     std::size_t most_executions_of_bookings();
     // Requests that are not idempotent and were executed, though their callers were told that they were not.
     std::size_t executed_refused_bookings();
+    // The most requests of one gateway that reached one server within a rest for which it had asked.
+    std::size_t most_arrivals_within_rest();
     // What the servers received and the callers sent so far.
     soak::retry_limit_input traffic();
     // Number of keys in the store with this prefix.
@@ -113,8 +120,9 @@
         int start_count = 0;
     };
 
-    answer send_to(const std::string& address, const std::string& method, const std::string& path,
-                   const std::string& object);
+    answer send_to(const std::string& address, std::size_t gateway_index, const std::string& method,
+                   const std::string& path, const std::string& object);
+    soak::server_stand_in& server_of(const std::string& id); // on the event loop
     void run_on_loop(const std::function<void()>& action);
     void publish_configuration();
     void add_server(const std::string& domain);
@@ -132,6 +140,7 @@
     std::size_t m_ended_servers = 0;
     std::mutex m_sent_mutex;
     std::vector<soak::clock::time_point> m_sent; // times of the requests of callers; under m_sent_mutex
+    std::map<std::string, std::size_t> m_gateway_of_request; // by ID; under m_sent_mutex
     // Status of the answer to each request that is not idempotent, by ID; under m_sent_mutex.
     std::map<std::string, unsigned> m_bookings;
     std::vector<std::unique_ptr<gateway>> m_gateways;
--- a/Tests/gateway_processes/rate_limit_test.cpp
+++ b/Tests/gateway_processes/rate_limit_test.cpp
@@ -1,11 +1,11 @@
 // Request rates of servers that name a limit, under requests from many gateway processes.
 #include "Tests/gateway_processes/gateway_fleet.hpp"
+#include "Tests/gateway_processes/steady_load.hpp"
 #include "Tests/soak/rate_limit.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <atomic>
 #include <thread>
 
 namespace carawayway::gateway_processes {
@@ -17,37 +17,6 @@
 constexpr double limit = 7.0;       // requests per second
 constexpr double small_limit = 2.0; // requests per second
 
-// Sends look-ups for many objects through all gateways for as long as it exists.
-class steady_load {
-public:
-    explicit steady_load(gateway_fleet& fleet) {
-        for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
-            m_senders.emplace_back([this, &fleet, gateway] {
-                for (std::size_t request = 0; !m_ended; ++request) {
-                    const auto object = std::to_string(request % objects);
-                    fleet.send(gateway, "GET", "/read/" + object, object);
-                }
-            });
-        }
-    }
-    steady_load(const steady_load&) = delete;
-    steady_load(steady_load&&) = delete;
-    steady_load& operator=(const steady_load&) = delete;
-    steady_load& operator=(steady_load&&) = delete;
-    ~steady_load() {
-        m_ended = true;
-        for (auto& sender : m_senders) {
-            sender.join();
-        }
-    }
-
-private:
-    static constexpr std::size_t objects = 40;
-
-    std::atomic<bool> m_ended = false;
-    std::vector<std::thread> m_senders;
-};
-
 // Checks what the server got since it named the limit.
 void expect_limit_is_kept(gateway_fleet& fleet, const std::string& server, double requests_per_second,
                           soak::clock::time_point named_at) {
--- a/Tests/soak/run_record.hpp
+++ b/Tests/soak/run_record.hpp
@@ -24,6 +24,8 @@
     clock::time_point at;
     std::chrono::milliseconds time_left; // that the server was given; zero if it was given none
     std::string server{};                // its ID
+    // For which the server asked when it turned the request away; zero if it did not.
+    std::chrono::milliseconds rest_asked{};
 };
 
 struct caller_request {
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -38,6 +38,9 @@
     if (m_request_limit) {
         answer.set("Server-Limit", std::to_string(*m_request_limit));
     }
+    if (m_says_leaving) {
+        answer.set("Server-Leaving", "1");
+    }
     return answer;
 }
 
@@ -59,6 +62,12 @@
     if (request["Target-Instance"] != m_id) {
         co_return refused(421);
     }
+    if (m_rest) {
+        m_record.arrivals.back().rest_asked = *m_rest;
+        auto answer = refused(503);
+        answer.set("Retry-After", std::to_string(std::chrono::duration<double>(*m_rest).count()));
+        co_return answer;
+    }
     const auto fault = m_fault;
     if (fault == server_fault::hang_before_execution) {
         co_await sleep_for(hang_time);
--- a/Tests/soak/server_stand_in.hpp
+++ b/Tests/soak/server_stand_in.hpp
@@ -35,7 +35,11 @@
     void set_fault(server_fault fault) { m_fault = fault; }
     // Requests per second that the server names as its limit in answers. It does not reject those beyond it.
     void name_request_limit(std::optional<double> limit) { m_request_limit = limit; }
+    // The server turns all requests away from now on, and asks each sender for this much rest.
+    void ask_for_rest(std::optional<std::chrono::milliseconds> rest) { m_rest = rest; }
     void start_draining() { m_draining = true; }
+    // The server says in its answers that it is leaving, and writes nothing into the store.
+    void say_leaving() { m_says_leaving = true; }
 
     // Whether the connections of a server that ends are closed.
     enum class end_kind : std::uint8_t { reset_connections, silence };
@@ -62,7 +66,9 @@
     std::minstd_rand m_random;
     server_fault m_fault = server_fault::none;
     bool m_draining = false;
+    bool m_says_leaving = false;
     std::optional<double> m_request_limit;
+    std::optional<std::chrono::milliseconds> m_rest;
     int m_running = 0; // executions in progress
     request_predicate m_crashes = [](const http_request&) { return false; };
     end_kind m_end_kind = end_kind::reset_connections;
