gateway: Send nothing to servers that ask for rest or say that they are leaving

Seen by the users: a server had asked a gateway for 3 s of rest and got 4 requests from it in that time. Cause: nothing read Retry-After of a server's 503, nor Server-Leaving. The class: an answer of which only the parts are used that were known when the reader was written. Change: a rest belongs to one incarnation of a server and to the gateway that was asked. No first attempt, repeat, hedge or health check goes to the server, and a request whose connection was being opened is withheld. After the rest the server gets one request at a time until it has answered one well. When all servers rest, callers get 503 at once with the time until the first rest ends (servers-resting). A server that says it is leaving counts as leaving for the rest of its incarnation; a gateway learns it also from answers that another one has relayed.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -17,6 +17,13 @@
 protected:
     using exchange = server_exchange<platform::protocol>;
 
+    server_exchange_test() {
+        fleet::server_registration registration;
+        registration.id = "i-1";
+        m_servers.put(registration, base::monotonic_now());
+        m_server = m_servers.find("i-1");
+    }
+
     // Starts a server that writes one of `responses` per request, and closes the connection after the last.
     void serve(std::vector<std::string> responses) {
         m_responses = std::move(responses);
@@ -55,7 +62,7 @@
         request->set(http::field::host, "h");
         request->prepare_payload();
         const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U};
-        const server_call<platform::protocol> call{base::monotonic_now() + time_left};
+        const server_call<platform::protocol> call{base::monotonic_now() + time_left, m_servers, m_server};
         auto sent = std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1",
                                                m_acceptor.local_endpoint(), limits, call);
         std::optional<exchange_result> result;
@@ -76,6 +83,8 @@
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     tcp::socket m_peer{m_context};
+    placement::server_table m_servers{{"g", "a", "r", {{"a", "r"}}}, {}};
+    placement::server_handle m_server;
     backend_pool m_pool;
     response_memory m_memory;
     std::vector<std::string> m_responses;
@@ -167,13 +176,22 @@
     EXPECT_FALSE(first.try_resize(response_memory::own_bytes + 701));
 }
 
+// Guards against requests that reach a server for which they had to wait while it asked for rest.
+TEST_F(server_exchange_test, a_request_is_withheld_from_a_server_that_rests) {
+    serve({response_with("a", "one"), response_with("b", "two")});
+    m_servers.record_rest(*m_server, std::chrono::seconds{10}, base::monotonic_now());
+    EXPECT_EQ(send("a").outcome, exchange_outcome::withheld);
+    EXPECT_EQ(m_requests, 0);
+    EXPECT_EQ(m_pool.size(), 1U) << "the connection can be used later";
+}
+
 // Guards against counting a request as sent although no server was reached.
 TEST_F(server_exchange_test, refused_connection_is_not_connected) {
     const auto address = m_acceptor.local_endpoint();
     m_acceptor.close();
     auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
     const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1024};
-    const server_call<platform::protocol> call{base::monotonic_now() + time_left};
+    const server_call<platform::protocol> call{base::monotonic_now() + time_left, m_servers, m_server};
     auto sent =
         std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1", address, limits, call);
     std::optional<exchange_result> result;
--- a/Tests/placement/server_selector_test.cpp
+++ b/Tests/placement/server_selector_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace carawayway::placement {
 namespace {
 
@@ -197,5 +199,43 @@
     EXPECT_GT(diverted, 25U);
 }
 
+// Guards against requests that go to servers which want none, or that wait for them.
+TEST_F(server_selector_test, resting_servers_get_nothing_while_others_are_usable) {
+    std::vector<std::string> rested;
+    for (int choice = 0; choice < 5; ++choice) {
+        const auto server = choose(7).server;
+        ASSERT_NE(server, nullptr);
+        EXPECT_EQ(std::count(rested.begin(), rested.end(), server->registration.id), 0);
+        rested.push_back(server->registration.id);
+        m_servers.record_rest(*server, 3s, start);
+    }
+    EXPECT_NE(choose(7).server, nullptr) << "the last of six";
+}
+
+TEST_F(server_selector_test, requests_are_refused_until_the_first_rest_ends_when_all_servers_rest) {
+    auto rest = 5s;
+    for (const auto& server : m_servers.candidates("s")) {
+        m_servers.record_rest(*server, rest--, start - 500ms);
+        rest = std::max(rest, 2s);
+    }
+    const auto refused = choose(7);
+    EXPECT_EQ(refused.server, nullptr);
+    EXPECT_EQ(refused.reason, refusal::resting);
+    EXPECT_EQ(refused.retry_after, 1500ms);
+}
+
+TEST_F(server_selector_test, the_earliest_of_rests_and_limits_decides_when_to_come_back) {
+    const auto all = m_servers.candidates("s");
+    for (const auto& server : all) {
+        m_servers.record_rest(*server, 3s, start);
+    }
+    all.front()->rests_until = {};
+    all.front()->has_rested = false;
+    m_servers.rate_limits().record_named(*all.front(), 2.0, start);
+    const auto refused = choose(7);
+    EXPECT_EQ(refused.reason, refusal::rate_limit);
+    EXPECT_EQ(refused.retry_after, request_rate_limits::unpermitted_retry_after);
+}
+
 } // namespace
 } // namespace carawayway::placement
--- a/Tests/placement/server_table_test.cpp
+++ b/Tests/placement/server_table_test.cpp
@@ -94,6 +94,50 @@
     EXPECT_THAT(table.begin_due_probes(start + 1min), IsEmpty());
 }
 
+// Guards against requests and health checks for a server that wants nothing, and against a crowd after that.
+TEST(server_table, a_resting_server_gets_nothing_and_then_one_request_at_a_time) {
+    auto table = table_with("i-1");
+    const auto server = table.find("i-1");
+    table.record_rest(*server, 3s, start);
+    EXPECT_TRUE(server_table::is_resting(*server, start + 2999ms));
+    EXPECT_FALSE(table.may_send(*server, start + 2999ms));
+    EXPECT_FALSE(server_table::is_resting(*server, start + 3s));
+    EXPECT_TRUE(table.may_send(*server, start + 3s));
+    table.record_request_start(*server);
+    EXPECT_TRUE(server_table::is_resting(*server, start + 3s)) << "the first request is running";
+    table.record_request_end(*server);
+    table.record_answer(*server, false, start + 3s);
+    table.record_request_start(*server);
+    EXPECT_TRUE(server_table::is_resting(*server, start + 3s)) << "it has failed";
+    table.record_answer(*server, true, start + 4s);
+    EXPECT_FALSE(server_table::is_resting(*server, start + 4s));
+    table.make_suspect(*server, start + 4s);
+    table.record_rest(*server, 10s, start + 4s);
+    EXPECT_THAT(table.begin_due_probes(start + 13s), IsEmpty());
+    EXPECT_EQ(table.begin_due_probes(start + 14s).size(), 1U);
+}
+
+TEST(server_table, a_shorter_rest_does_not_end_a_longer_one) {
+    auto table = table_with("i-1");
+    table.record_rest(*table.find("i-1"), 3s, start);
+    table.record_rest(*table.find("i-1"), 1s, start + 1s);
+    EXPECT_TRUE(server_table::is_resting(*table.find("i-1"), start + 2999ms));
+}
+
+// Guards against servers that are avoided for what the process before them has said.
+TEST(server_table, a_new_incarnation_neither_rests_nor_leaves) {
+    auto table = table_with("i-1");
+    table.record_rest(*table.find("i-1"), 1h, start);
+    EXPECT_TRUE(table.record_leaving(*table.find("i-1")));
+    EXPECT_FALSE(table.record_leaving(*table.find("i-1"))) << "known";
+    EXPECT_THAT(table.candidates("s"), IsEmpty());
+    table.put(registration_of("i-1"), start + 1s); // the same one, which the store still lists as serving
+    EXPECT_THAT(table.candidates("s"), IsEmpty());
+    table.put(registration_of("i-1", 1790000000000), start + 2s);
+    ASSERT_EQ(table.candidates("s").size(), 1U);
+    EXPECT_FALSE(server_table::is_resting(*table.find("i-1"), start + 2s));
+}
+
 // Guards against servers that stay excluded after a partition that only this gateway had.
 TEST(server_table, servers_that_became_suspect_without_fault_of_theirs_are_restored) {
     auto table = table_with("i-1");
--- a/carawayway/base/error_kind.cpp
+++ b/carawayway/base/error_kind.cpp
@@ -66,6 +66,8 @@
     {not_found, "not-found", "Not found", 404, not_executed, after_fixing_input},
     {request_rate_limited, "request-rate-limited", "Backend servers limit their request rate", 503,
      not_executed, fresh_request_id},
+    {servers_resting, "servers-resting", "Backend servers have asked for rest", 503, not_executed,
+     fresh_request_id},
     {internal, "internal", "Internal error", 500, unknown, same_request_id},
 }};
 
--- a/carawayway/base/error_kind.hpp
+++ b/carawayway/base/error_kind.hpp
@@ -59,6 +59,7 @@
     settings_invalid,
     not_found,
     request_rate_limited, // the backend servers take no more requests per second
+    servers_resting,      // the backend servers have asked for no requests for some time
     internal,
 };
 
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -99,6 +99,18 @@
     }
 
 private:
+    // A server that has told a caller of this gateway that it is leaving gets nothing more from it, also
+    // after contact has returned. A rest concerns the other gateway alone.
+    void record_relayed_notices(const relay_result& result, base::time_point now) {
+        const auto server = m_state.servers.find(result.verdict.server);
+        if (server) {
+            auto answer = Platform::read_answer(result.response.result_int(), result.response);
+            answer.asks_for_rest = false;
+            answer.rest.reset();
+            m_state.record_notices(*server, answer, now);
+        }
+    }
+
     bool is_idempotent() const {
         return m_route != nullptr && m_route->semantics == routing::request_semantics::idempotent;
     }
@@ -193,6 +205,7 @@
             return;
         }
         if (!result.verdict.failure) {
+            record_relayed_notices(result, now);
             forward_response(std::move(result.response), now);
             return;
         }
@@ -239,7 +252,7 @@
         auto request = std::make_shared<http_request>(m_request);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
             m_state.executor, m_state.connections, m_state.responses, server.registration.id, *address,
-            limits, server_call<Platform>{m_deadline});
+            limits, server_call<Platform>{m_deadline, m_state.servers, sent->server});
         m_running_attempts.push_back(sent);
         sent->exchange->start(std::move(request), m_metadata.request_id,
                               [self = this->shared_from_this(), sent](exchange_result result) {
@@ -332,6 +345,13 @@
             handle_response(*sent, std::move(result), now);
             return;
         }
+        if (result.outcome == exchange_outcome::withheld) {
+            count_attempt("withheld");
+            if (m_running_attempts.empty()) {
+                send_to_next_server();
+            }
+            return;
+        }
         count_attempt(result.outcome == exchange_outcome::not_connected ? "not-connected" : "lost");
         if (result.outcome != exchange_outcome::broken) {
             m_state.contact.record_failure(*sent->server, now);
@@ -454,13 +474,13 @@
             m_state.region_spillover.record_load(m_service, server.region,
                                                  result.metadata.load->utilization(), now);
         }
-        m_state.record_notices(server, result.metadata, now);
         m_state.record_rate_limit(server, result.metadata,
                                   good ? answer_verdict::good : answer_verdict::failed, sent.chosen_at, now);
         // A refusal by a full server is legitimate; a server that refuses with free slots is failing.
         const bool full = result.metadata.not_executed && result.metadata.load &&
                           result.metadata.load->utilization() > full_server_load;
         m_state.servers.record_answer(server, good || full, now);
+        m_state.record_notices(server, result.metadata, now);
         // An error does not show that the content is harmless: the server may have failed before it got to
         // the part that ends servers, or run out of time.
         if (good && m_content.record_answer(now)) {
@@ -543,6 +563,9 @@
         case placement::refusal::rate_limit:
             respond_with_failure(base::error_kind::request_rate_limited, now);
             return;
+        case placement::refusal::resting:
+            respond_with_failure(base::error_kind::servers_resting, now);
+            return;
         case placement::refusal::too_late:
             respond_with_failure(base::error_kind::deadline_unreachable, now);
             return;
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -386,6 +386,10 @@
         }
         if (!error) {
             report = Platform::read_health(response.result_int(), response, server->registration.id);
+            if (report.verdict != placement::health_check_result::other_server) {
+                m_state.record_notices(*server, Platform::read_answer(response.result_int(), response),
+                                       base::monotonic_now());
+            }
         }
         m_state.servers.record_probe_result(*server, report.verdict, report.cold_left, base::monotonic_now());
         if (report.verdict == placement::health_check_result::healthy) {
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -93,10 +93,11 @@
         return; // says nothing of the server to which the request was sent
     }
     const auto& id = server.registration.id;
-    if (answer.is_leaving) {
+    if (answer.is_leaving && servers.record_leaving(server)) {
         log.write(base::log_level::info, "server-leaving-named", {{"server", id}}, now);
     }
     if (answer.rest) {
+        servers.record_rest(server, *answer.rest, now);
         log.write(base::log_level::info, "server-rests",
                   {{"server", id}, {"rest_ms", base::to_milliseconds(*answer.rest)}}, now);
     } else if (answer.asks_for_rest) {
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -63,7 +63,7 @@
     // Records a request that a server did not answer, or to which no connection could be opened.
     void record_no_answer(placement::server_state& server, base::time_point now);
 
-    // Logs whether the answer says that the server is leaving or asks for rest.
+    // Records whether the answer says that the server is leaving or asks for rest.
     void record_notices(placement::server_state& server, const response_metadata& answer,
                         base::time_point now);
 
--- a/carawayway/gateway/request_relay.hpp
+++ b/carawayway/gateway/request_relay.hpp
@@ -24,6 +24,7 @@
     base::time_point arrived{};   // of the request, from its caller
     base::duration travel_time{}; // to the receiver, as expected
 
+    static bool may_send(base::time_point /*now*/) { return true; }
     void write(http_request& request, const std::string& /*peer*/, base::time_point now) const {
         auto complete = call;
         complete.elapsed = now - arrived + travel_time;
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -24,6 +24,7 @@
 enum class exchange_outcome : std::uint8_t {
     answered,
     not_connected, // nothing was sent
+    withheld,      // nothing was sent, since the receiver no longer takes requests
     unanswered,    // the request was sent, and the connection closed before any byte of a response
     broken,        // the request was sent, and the response is incomplete or not HTTP
 };
@@ -48,13 +49,18 @@
 concept exchange_call = requires(const Call& call, http_request& request, const std::string& receiver,
                                  base::time_point now) {
     { call.write(request, receiver, now) } -> std::same_as<void>;
+    // Whether the receiver still takes requests, which may have changed while the connection was opened.
+    { call.may_send(now) } -> std::same_as<bool>;
 };
 
 // A request to a backend server.
 template <platform_protocol Platform>
 struct server_call {
     base::time_point deadline{}; // of the caller
+    const placement::server_table& servers;
+    placement::server_handle receiver;
 
+    bool may_send(base::time_point now) const { return servers.may_send(*receiver, now); }
     void write(http_request& request, const std::string& server, base::time_point now) const {
         Platform::write_call(request, server, deadline - now);
     }
@@ -118,6 +124,11 @@
             co_return;
         }
         const auto sent_at = base::monotonic_now();
+        if (!m_call.may_send(sent_at)) {
+            result.outcome = exchange_outcome::withheld;
+            m_pool.put(m_server, std::move(m_connection), sent_at);
+            co_return;
+        }
         m_call.write(*m_request, m_server, sent_at);
         m_sent = true;
         m_writing = true;
--- a/carawayway/placement/server_selector.cpp
+++ b/carawayway/placement/server_selector.cpp
@@ -133,6 +133,11 @@
     auto& rate_limits = m_servers.rate_limits();
     server_shortlist shortlisted;
     for (auto& [rank, server] : all) {
+        if (server_table::is_resting(*server, now)) {
+            const auto wait = std::max<base::duration>(minimum_retry_after, server->rests_until - now);
+            shortlisted.resting_for = std::min(wait, shortlisted.resting_for.value_or(wait));
+            continue;
+        }
         const auto& id = server->registration.id;
         const bool is_rate_limited = rate_limits.is_limited(id, now);
         if (is_rate_limited && !rate_limits.allows(id, now)) {
@@ -266,27 +271,34 @@
     return {own_gateways / static_cast<double>(gateways.size()), own_slots / all_slots};
 }
 
-placement_result server_selector::refused_by_rate_limit(base::duration wait) {
-    return {nullptr, refusal::rate_limit, {}, {}, std::max(minimum_retry_after, wait)};
+placement_result server_selector::refused_without_server(const server_shortlist& shortlisted) {
+    const auto& resting_for = shortlisted.resting_for;
+    const auto& rate_limited_for = shortlisted.rate_limited_for;
+    if (resting_for && (!rate_limited_for || *resting_for <= *rate_limited_for)) {
+        return {nullptr, refusal::resting, {}, {}, *resting_for};
+    }
+    if (rate_limited_for) {
+        return {nullptr, refusal::rate_limit, {}, {}, std::max(minimum_retry_after, *rate_limited_for)};
+    }
+    return {nullptr, refusal::no_server, {}, {}, minimum_retry_after};
 }
 
 placement_result server_selector::choose(const placement_request& request, base::time_point now) {
     std::vector<scored_server> scored_servers;
-    auto [shortlisted, rate_limited_for] = shortlist(request, now);
+    auto shortlisted = shortlist(request, now);
     if (request.has_object) {
-        order_by_load(request, shortlisted, now);
+        order_by_load(request, shortlisted.servers, now);
     }
     if (!m_spillover.is_initialized(request.service)) {
         m_spillover.initialize(request.service, own_region_proportions(request.service), now);
     }
-    const auto* const preferred = preferred_server(request, shortlisted, now);
-    scored_servers.reserve(shortlisted.size());
-    for (const auto& server : shortlisted) {
+    const auto* const preferred = preferred_server(request, shortlisted.servers, now);
+    scored_servers.reserve(shortlisted.servers.size());
+    for (const auto& server : shortlisted.servers) {
         scored_servers.push_back(evaluate(request, server, *preferred, now));
     }
     if (scored_servers.empty()) {
-        return rate_limited_for ? refused_by_rate_limit(*rate_limited_for)
-                                : placement_result{nullptr, refusal::no_server, {}, {}, minimum_retry_after};
+        return refused_without_server(shortlisted);
     }
     std::sort(scored_servers.begin(), scored_servers.end(),
               [](const scored_server& left, const scored_server& right) { return left.cost < right.cost; });
@@ -323,8 +335,8 @@
         m_shift_limiter.record_request(item.server->region, reason, now);
         return {item.server, refusal::none, item.cache_state, item.expected_latency, {}};
     }
-    if (rate_limited_for) {
-        return refused_by_rate_limit(*rate_limited_for);
+    if (shortlisted.rate_limited_for) {
+        return refused_without_server(shortlisted);
     }
     return {nullptr, refusal::too_late, {}, earliest, std::max(minimum_retry_after, earliest / 4)};
 }
--- a/carawayway/placement/server_selector.hpp
+++ b/carawayway/placement/server_selector.hpp
@@ -35,6 +35,7 @@
     too_late,   // every usable server would miss the deadline
     overload,   // the service is overloaded, and the answer would be late
     rate_limit, // every usable server limits the rate of its requests
+    resting,    // every usable server rests, or limits the rate of its requests
 };
 
 struct placement_result {
@@ -79,12 +80,15 @@
         std::vector<server_handle> servers;
         // Until one of the servers that were left out because of their rate limit may get a request.
         std::optional<base::duration> rate_limited_for;
+        // Until one of the servers that were left out because they rest may get a request.
+        std::optional<base::duration> resting_for;
     };
 
     // The highest ranked usable servers for the object in the own region and in the others, best first, and
     // the other servers of the own region for whose limited rate this gateway has a permit.
     server_shortlist shortlist(const placement_request& request, base::time_point now) const;
-    static placement_result refused_by_rate_limit(base::duration wait);
+    // Refuses a request for which servers were left out of the list, or that has no usable server.
+    static placement_result refused_without_server(const server_shortlist& shortlisted);
     // Penalty for a server other than the preferred one.
     base::duration additional_cost(const server_state& preferred, const server_state& other) const;
     scored_server evaluate(const placement_request& request, server_handle server,
--- a/carawayway/placement/server_state.hpp
+++ b/carawayway/placement/server_state.hpp
@@ -47,6 +47,8 @@
     base::duration probe_interval{};
     bool probe_in_progress = false;
 
+    base::time_point rests_until{}; // the server has asked this gateway to send nothing until then
+    bool has_rested = false;        // it has not answered well since it asked
     base::time_point cold_until{};
     std::deque<base::time_point> recent_cold_sends; // within the last second
 
--- a/carawayway/placement/server_table.cpp
+++ b/carawayway/placement/server_table.cpp
@@ -155,6 +155,17 @@
     return true;
 }
 
+void server_table::record_rest(server_state& server, base::duration rest, base::time_point now) {
+    server.rests_until = std::max(server.rests_until, now + rest);
+    server.has_rested = true;
+}
+
+bool server_table::record_leaving(server_state& server) {
+    const bool was_known = server.registration.intent == fleet::server_intent::leaving;
+    server.registration.intent = fleet::server_intent::leaving;
+    return !was_known;
+}
+
 void server_table::record_load_report(server_state& server, const load_report& report, base::time_point now) {
     const std::uint32_t total = report.running + report.waiting;
     server.others_in_flight = total > server.own_in_flight ? total - server.own_in_flight : 0;
@@ -169,7 +180,9 @@
     server.failure_rate += outcome_weight * ((good ? 0.0 : 1.0) - server.failure_rate);
     server.last_answer_at = now;
     server.consecutive_unanswered = 0;
-    if (!good) {
+    if (good) {
+        server.has_rested = false;
+    } else {
         server.last_failure_at = now;
     }
 }
@@ -232,7 +245,8 @@
     std::vector<server_handle> due;
     for (const auto& [id, server] : m_servers) {
         if (server->reachability == server_reachability::suspect && !server->probe_in_progress &&
-            server->next_probe_at <= now && server->registration.intent == fleet::server_intent::serving &&
+            server->next_probe_at <= now && server->rests_until <= now &&
+            server->registration.intent == fleet::server_intent::serving &&
             !m_evacuated_domains.contains(server->registration.failure_domain)) {
             server->probe_in_progress = true;
             due.push_back(server);
--- a/carawayway/placement/server_table.hpp
+++ b/carawayway/placement/server_table.hpp
@@ -79,6 +79,16 @@
     bool is_usable(const server_state& server) const;
     bool is_cold(const server_state& server, base::time_point now) const { return now < server.cold_until; }
 
+    // Whether the server has asked for rest that has not ended. After it, the server gets one request at a
+    // time until a good answer shows that it takes requests again.
+    static bool is_resting(const server_state& server, base::time_point now) {
+        return now < server.rests_until || (server.has_rested && server.own_in_flight > 0);
+    }
+    // Whether a request that was meant for the server may still be sent to it.
+    bool may_send(const server_state& server, base::time_point now) const {
+        return now >= server.rests_until && is_usable(server);
+    }
+
     // Counts one more request to a cold server if this gateway's part of the allowance permits it now.
     bool try_acquire_cold_send(server_state& server, base::time_point now);
     bool has_cold_allowance(server_state& server, base::time_point now);
@@ -87,6 +97,10 @@
     void record_request_end(server_state& server) {
         server.own_in_flight -= server.own_in_flight > 0 ? 1U : 0U;
     }
+    // Records that the server wants no requests of this gateway for this long.
+    void record_rest(server_state& server, base::duration rest, base::time_point now);
+    // Records that the server has said it is leaving. Returns whether that was not known.
+    bool record_leaving(server_state& server);
     void record_load_report(server_state& server, const load_report& report, base::time_point now);
     void record_answer(server_state& server, bool good, base::time_point now);
     // Records a request that ended without an answer, or whose connection could not be opened.
