Tests: Guard the takeover of permits and their order, and count only objects that prefer other servers

Two tests are new: a restarted gateway takes over its permits, and gateways of other regions claim late. permits_are_used_for_all_objects_under_load counted objects that have the limited server as their first choice as well, so that it did not show that the others use the permits; now it counts only those that prefer other servers, with the same bound of 5.

--- a/Tests/placement/request_rate_limits_test.cpp
+++ b/Tests/placement/request_rate_limits_test.cpp
@@ -371,6 +371,25 @@
     EXPECT_FALSE(m_limits.allows("i-1", start + lease_lifetime));
 }
 
+// Guards against permits that lie idle after a restart, until the lease of the process before it has ended.
+TEST_F(request_rate_limits_of_one_gateway, a_restarted_gateway_takes_over_its_permits) {
+    m_limits.put({"i-1", 5, "r", 0, "g", "earlier", 2.0, false}, 8, start);
+    const auto claims = m_limits.due_claims(m_map, start);
+    ASSERT_EQ(claims.size(), 1U);
+    EXPECT_EQ(claims.front().expected_revision, 8);
+    EXPECT_FALSE(m_limits.allows("i-1", start + 5s)) << "not before the store has taken the claim";
+}
+
+// Guards against permits that gateways with few requests for the server take from those of its region.
+TEST_F(request_rate_limits_of_one_gateway, gateways_of_other_regions_claim_late) {
+    gateway_map elsewhere{locality{"g", "b", "q", {{"a", "r"}, {"b", "q"}}}};
+    elsewhere.put({"other", "a", "r", {}, {}, {}}, start);
+    m_limits.record_named(m_server, 2.0, start);
+    EXPECT_EQ(m_limits.due_claims(elsewhere, start + 9s).size(), 0U);
+    EXPECT_EQ(m_limits.due_claims(elsewhere, start + 10s).size(), 1U);
+    EXPECT_EQ(m_limits.due_claims(m_map, start).size(), 1U) << "of the region";
+}
+
 // Guards against permits of servers that are gone, which are kept for ever.
 TEST_F(request_rate_limits_of_one_gateway, permits_of_a_server_that_is_gone_are_released) {
     hold_permit(2.0);
--- a/Tests/placement/server_selector_test.cpp
+++ b/Tests/placement/server_selector_test.cpp
@@ -135,16 +135,22 @@
 // few objects of the gateway have the limited server among their first choices.
 TEST_F(server_selector_test, permits_are_used_for_all_objects_under_load) {
     const auto limited = choose(7).server;
-    limit_with_permits(*limited, 5.0);
     for (const auto& server : m_servers.candidates("s")) {
         if (server != limited) {
             m_servers.record_load_report(*server, {2, 8, 2}, start);
         }
     }
-    int sent = 0;
-    for (std::uint64_t object = 1; object <= 40; ++object) {
-        sent += choose(object * 0x9e3779b97f4a7c15ULL).server == limited ? 1 : 0;
+    std::vector<std::uint64_t> objects; // that have other servers as their first choices
+    for (std::uint64_t object = 1; object <= 100; ++object) {
+        const auto hash = object * 0x9e3779b97f4a7c15ULL;
+        if (choose(hash).server != limited) {
+            objects.push_back(hash);
+        }
     }
+    ASSERT_GE(objects.size(), 20U);
+    limit_with_permits(*limited, 5.0);
+    const auto sent = std::count_if(objects.begin(), objects.end(),
+                                    [&](std::uint64_t object) { return choose(object).server == limited; });
     EXPECT_EQ(sent, 5) << "a second's worth";
 }
 
