Tests: Let servers rest in the soak, and tell a partitioned gateway of a leaving server

Change: the soak has servers that ask for rest, and checks what each gateway sends them within it, apart from gateways that were disrupted. A test of gateway processes learns from relayed answers that a server is leaving.

--- a/Tests/gateway_processes/rest_test.cpp
+++ b/Tests/gateway_processes/rest_test.cpp
@@ -84,5 +84,39 @@
     EXPECT_EQ(late, 0);
 }
 
+// Guards against a gateway that forgets what a server has told its callers through another gateway.
+TEST(rest_test, a_gateway_learns_from_relayed_answers_that_a_server_is_leaving) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
+                        gateway_fleet::default_gateway_count, {0});
+    const auto server = fleet.server_ids().front();
+    fleet.set_link_fault(link_fault::reset);
+    std::size_t sent = 0;
+    const auto send = [&] {
+        const auto object = std::to_string(sent++);
+        return fleet.send(0, "GET", "/read/" + object, object).status;
+    };
+    EXPECT_TRUE(test_support::wait_until([&] {
+        send();
+        return fleet.has_logged(0, "event=servers-unreachable");
+    }));
+    fleet.say_leaving(server);
+    EXPECT_TRUE(test_support::wait_until([&] {
+        send();
+        return fleet.has_logged(0, "event=server-leaving-named server=" + server);
+    }));
+    fleet.set_link_fault(link_fault::none);
+    EXPECT_TRUE(test_support::wait_until([&] { return fleet.has_logged(0, "event=servers-reachable"); }));
+    std::this_thread::sleep_for(time_to_leave);
+    const auto from = soak::clock::now();
+    for (int request = 0; request < 100; ++request) {
+        EXPECT_EQ(send(), 200U);
+    }
+    const auto arrivals = fleet.traffic().arrivals;
+    EXPECT_EQ(
+        std::count_if(arrivals.begin(), arrivals.end(),
+                      [&](const soak::arrival& item) { return item.server == server && item.at > from; }),
+        0);
+}
+
 } // namespace
 } // namespace carawayway::gateway_processes
--- a/Tests/soak/soak_checks.cpp
+++ b/Tests/soak/soak_checks.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds unread_request_time{200};
 // Requests that are sent within this time after a disruption of a gateway may still be affected by it.
 constexpr milliseconds disruption_margin{1500};
+// For which a server asks; a gateway that has restarted since does not know of it.
+constexpr milliseconds longest_rest{3000};
 constexpr std::size_t requests_before_check = 60;
 // By which a repeat may end later than the first send and the caller's deadline.
 constexpr milliseconds deadline_slack{500};
@@ -152,4 +154,24 @@
     }
 }
 
+void soak_run::check_rests() {
+    std::map<std::string, std::size_t> gateway_of_request;
+    for (const auto& request : m_record.requests) {
+        const auto& disruptions = m_gateways[request.gateway]->disruptions;
+        const bool is_excused =
+            std::any_of(disruptions.begin(), disruptions.end(), [&](const disruption& item) {
+                const bool has_ended = item.to != clock::time_point::max();
+                return request.ended >= item.from && (!has_ended || request.sent <= item.to + longest_rest);
+            });
+        if (!is_excused) {
+            gateway_of_request[request.request_id] = request.gateway;
+        }
+    }
+    const auto most = most_arrivals_within_rest(m_record.arrivals, gateway_of_request);
+    if (most > permitted_within_rest) {
+        add_violation(fmt::format("a server got {} requests from a gateway within a rest, allowed {}", most,
+                                  permitted_within_rest));
+    }
+}
+
 } // namespace carawayway::soak
--- a/Tests/soak/soak_run.cpp
+++ b/Tests/soak/soak_run.cpp
@@ -246,8 +246,16 @@
     schedule(length, [this, target] { run_on_loop([&] { target->name_request_limit(std::nullopt); }); });
 }
 
+void soak_run::let_server_rest() {
+    auto* const target = m_servers[m_random() % m_servers.size()].get();
+    const auto rest = random_delay(600, 3000);
+    run_on_loop([&] { target->ask_for_rest(rest); });
+    schedule(random_delay(200, 2500),
+             [this, target] { run_on_loop([&] { target->ask_for_rest(std::nullopt); }); });
+}
+
 void soak_run::inject_random_fault() {
-    switch (m_random() % 11) {
+    switch (m_random() % 12) {
     case 0:
         kill_gateway();
         break;
@@ -275,6 +283,9 @@
     case 8:
         name_server_limit();
         break;
+    case 9:
+        let_server_rest();
+        break;
     default:
         inject_server_fault();
         break;
@@ -316,6 +327,7 @@
         m_store.set_fault(store_fault::none);
         for (const auto& server : m_servers) {
             server->set_fault(server_fault::none);
+            server->ask_for_rest(std::nullopt);
         }
     });
 }
@@ -377,6 +389,7 @@
         check_requests();
         check_arrivals();
         check_rate_limits();
+        check_rests();
     });
     return m_violations;
 }
--- a/Tests/soak/soak_run.hpp
+++ b/Tests/soak/soak_run.hpp
@@ -4,6 +4,7 @@
 
 #include "Tests/soak/gateway_settings.hpp"
 #include "Tests/soak/rate_limit.hpp"
+#include "Tests/soak/rest_limit.hpp"
 #include "Tests/soak/run_record.hpp"
 #include "Tests/soak/server_stand_in.hpp"
 #include "Tests/soak/soak_caller.hpp"
@@ -93,6 +94,7 @@
     void inject_server_fault();
     void drain_server();
     void name_server_limit();
+    void let_server_rest();
 
     bool probe(const std::string& address, const std::string& target, unsigned status) const;
     void end_faults();
@@ -103,6 +105,8 @@
     void check_arrivals();
     // Checks the requests to servers that named a limit, apart from the time around disruptions of gateways.
     void check_rate_limits();
+    // Checks the requests to servers that asked for rest, apart from those of disrupted gateways.
+    void check_rests();
     void add_violation(std::string violation);
 
     soak_options m_options;
