--- a/Tests/gateway/server_liveness_test.cpp
+++ b/Tests/gateway/server_liveness_test.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
+#include <vector>
 
 namespace carawayway::gateway {
 namespace {
@@ -34,11 +36,12 @@
 
 // Guards against a partition that is assumed because one of several servers has ended.
 TEST_F(server_liveness_test, one_of_several_targets_that_accepts_a_connection_is_enough) {
-    const auto any_accepts = [this](std::vector<tcp::endpoint> addresses) {
+    const auto any_accepts = [this](const std::vector<tcp::endpoint>& addresses) {
         std::vector<connection_target> targets;
-        for (const auto& address : addresses) {
-            targets.push_back({address, std::chrono::seconds{5}});
-        }
+        std::transform(addresses.begin(), addresses.end(), std::back_inserter(targets),
+                       [](const tcp::endpoint& address) {
+                           return connection_target{address, std::chrono::seconds{5}};
+                       });
         m_context.restart();
         std::optional<bool> result;
         boost::asio::co_spawn(m_context, any_accepts_connection(m_context.get_executor(), targets),
--- a/Tests/gateway_processes/linked_servers.cpp
+++ b/Tests/gateway_processes/linked_servers.cpp
@@ -14,6 +14,7 @@
 
 std::vector<stand_ins::route_spec> routes_to(const std::map<std::string, std::string>& address_of_server) {
     std::vector<stand_ins::route_spec> routes;
+    routes.reserve(address_of_server.size());
     for (const auto& [server, address] : address_of_server) {
         routes.push_back({server,
                           {boost::asio::ip::make_address("127.1.4.1"), 0},
--- a/Tests/gateway_processes/partition_test.cpp
+++ b/Tests/gateway_processes/partition_test.cpp
@@ -78,6 +78,7 @@
 void send_while_adapting(gateway_fleet& fleet, const std::set<std::size_t>& partitioned) {
     const auto end = soak::clock::now() + time_to_adapt;
     std::vector<std::thread> senders;
+    senders.reserve(partitioned.size());
     for (const auto gateway : partitioned) {
         senders.emplace_back([&fleet, gateway, end] {
             for (std::size_t request = 0; soak::clock::now() < end; ++request) {
--- a/stand_ins/link/relay_route.cpp
+++ b/stand_ins/link/relay_route.cpp
@@ -173,9 +173,7 @@
         set_reachability(reachability::refused);
     } else if (m_unreachable) {
         set_reachability(reachability::unreachable);
-    } else if (m_refuse_new) {
-        set_reachability(reachability::refused);
-    } else if (m_target_refuses && m_mirror_refusal && !m_to_target.stalled) {
+    } else if (m_refuse_new || (m_target_refuses && m_mirror_refusal && !m_to_target.stalled)) {
         set_reachability(reachability::refused);
     } else {
         set_reachability(reachability::open);
