gateway: Keep idle relay connections longer than their senders, and fewer of them

Cause, found by reading: the relay address closed idle connections after the callers' idle timeout, which may be shorter than the time for which a gateway reuses one, so that a request could be lost in between; and 1,024 relay sessions beside 3,000 callers leave no descriptors for servers at a limit of 4,100. Change: 15 s, and 512 sessions.

--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -35,7 +35,9 @@
     // Limit for each of the lookup, readiness and metrics listeners.
     static constexpr std::size_t maximum_auxiliary_sessions = 256;
     // Connections of other gateways that relay requests. Idle ones stay open for reuse.
-    static constexpr std::size_t maximum_relay_sessions = 1024;
+    static constexpr std::size_t maximum_relay_sessions = 512;
+    // Longer than gateways keep an idle connection for reuse, whatever callers are allowed.
+    static constexpr base::duration relay_idle_timeout = std::chrono::seconds{15};
     // Headers that the relaying gateway adds to those of the caller, at most.
     static constexpr std::uint32_t relay_header_bytes = 1024;
 
@@ -176,6 +178,7 @@
             [this] {
                 auto limits = caller_limits();
                 limits.header_bytes += relay_header_bytes;
+                limits.idle_timeout = relay_idle_timeout;
                 return limits;
             });
     }
