gateway: Move the log lines of a request into a file of their own

Events, fields and their order are the same. The two steps of the check whether a server has ended are separate statements now, so that the reason stands at the second one.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -9,6 +9,7 @@
 #include "carawayway/gateway/error_response.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
 #include "carawayway/gateway/request_content.hpp"
+#include "carawayway/gateway/request_log.hpp"
 #include "carawayway/gateway/request_relay.hpp"
 #include "carawayway/gateway/server_attempt.hpp"
 #include "carawayway/gateway/server_liveness.hpp"
@@ -360,7 +361,7 @@
         if (result.outcome != exchange_outcome::not_connected) {
             ++m_attempt_count;
             m_may_have_executed = true;
-            log_lost_attempt(*sent, now);
+            m_log.write_lost_attempt(*sent->server, m_attempt_count, now - sent->chosen_at, now);
             if (sent->losses_when_sent.is_suspected()) {
                 check_server_end(sent, [self = this->shared_from_this(), outcome = result.outcome] {
                     self->continue_after(outcome, base::monotonic_now());
@@ -424,9 +425,10 @@
                                                         attempt_handle sent, std::function<void()> then) {
         const auto timeout = connect_timeout(self->round_trip_to(*sent->server));
         bool has_ended = co_await has_server_ended(self->m_state.executor, sent->address, timeout);
-        // Behind a partition, all servers seem to have ended.
-        has_ended = has_ended &&
-                    co_await self->m_state.contact.reaches_server_other_than(sent->server->registration.id);
+        if (has_ended) { // behind a partition, all servers seem to have ended
+            has_ended =
+                co_await self->m_state.contact.reaches_server_other_than(sent->server->registration.id);
+        }
         if (has_ended) {
             self->m_content.record_loss(sent->losses_when_sent, base::monotonic_now());
         }
@@ -438,29 +440,6 @@
         }
     }
 
-    // Lines with the same content and different request IDs show a request that is sent again and loses a
-    // server each time.
-    void log_lost_attempt(const attempt& sent, base::time_point now) {
-        m_state.log.write(base::log_level::info, "attempt-lost",
-                          {{"request_id", m_metadata.request_id},
-                           {"content", to_text(m_content.fingerprints().content)},
-                           {"variant", to_text(m_content.fingerprints().variant)},
-                           {"server", sent.server->registration.id},
-                           {"attempts", m_attempt_count},
-                           {"after_ms", base::to_milliseconds(now - sent.chosen_at)}},
-                          now);
-    }
-
-    void log_cleared_content(const placement::server_state& server, unsigned status, base::time_point now) {
-        m_state.log.write(base::log_level::info, "content-cleared",
-                          {{"request_id", m_metadata.request_id},
-                           {"content", to_text(m_content.fingerprints().content)},
-                           {"variant", to_text(m_content.fingerprints().variant)},
-                           {"server", server.registration.id},
-                           {"status", status}},
-                          now);
-    }
-
     void handle_response(const attempt& sent, exchange_result result, base::time_point now) {
         ++m_attempt_count;
         auto& server = *sent.server;
@@ -484,7 +463,7 @@
         // An error does not show that the content is harmless: the server may have failed before it got to
         // the part that ends servers, or run out of time.
         if (good && m_content.record_answer(now)) {
-            log_cleared_content(server, status, now);
+            m_log.write_cleared_content(server, status, now);
         }
         count_attempt(result.metadata.not_executed ? "refused" : good ? "good" : "failed");
         if (result.metadata.other_server) {
@@ -522,21 +501,7 @@
         auto& server = *sent.server;
         const bool queued = result.metadata.load && result.metadata.load->waiting > 0;
         m_state.affinity.record(m_object_hash, server.id_hash);
-        if (base::is_logged(base::log_level::debug)) {
-            base::log(
-                base::log_level::debug, "request-served",
-                {{"request_id", m_metadata.request_id},
-                 {"route", m_route->name},
-                 {"service", m_service},
-                 {"object", m_metadata.object},
-                 {"server", server.registration.id},
-                 {"domain", server.registration.failure_domain},
-                 {"held", sent.cache_state == placement::object_cache_state::cached},
-                 {"run_ms", base::to_milliseconds(result.run_time)},
-                 {"load",
-                  result.metadata.load ? result.metadata.load->running + result.metadata.load->waiting : 0},
-                 {"expected_ms", base::to_milliseconds(sent.expected_latency)}});
-        }
+        m_log.write_served(*m_route, m_service, server, sent.cache_state, result, sent.expected_latency);
         if (queued || m_state.servers.is_cold(server, now)) {
             return;
         }
@@ -626,16 +591,9 @@
         const auto& error = base::properties_of(kind);
         m_state.metrics.add("carawayway_gateway_refusals_total",
                             {{"service", m_service}, {"kind", std::string(error.name)}});
-        m_state.log.write(base::log_level::info, "request-given-up",
-                          {{"request_id", m_metadata.request_id},
-                           {"kind", error.name},
-                           {"route", m_route == nullptr ? std::string{} : m_route->name},
-                           {"configuration", m_routes ? m_routes->source().version : 0},
-                           {"attempts", m_attempt_count},
-                           {"server", m_tried_servers.empty() ? std::string{} : m_tried_servers.back()},
-                           {"after_ms", base::to_milliseconds(now - m_arrived)},
-                           {"retry_after_ms", base::to_milliseconds(retry_after)}},
-                          now);
+        m_log.write_given_up({error.name, m_route, m_routes ? m_routes->source().version : 0, m_attempt_count,
+                              m_tried_servers, now - m_arrived, retry_after},
+                             now);
         auto response = error_response(error, m_may_have_executed ? base::duration::zero() : retry_after);
         Platform::write_request_id(response, m_metadata.request_id);
         if (m_relayed) {
@@ -649,14 +607,8 @@
         m_hedge_timer.cancel();
         abort_attempts();
         if (m_tried_servers.size() > 1) {
-            m_state.log.write(base::log_level::info, "request-repeated",
-                              {{"request_id", m_metadata.request_id},
-                               {"status", response.result_int()},
-                               {"attempts", m_attempt_count},
-                               {"first_server", m_tried_servers.front()},
-                               {"server", m_tried_servers.back()},
-                               {"after_ms", base::to_milliseconds(now - m_arrived)}},
-                              now);
+            m_log.write_repeated(response.result_int(), m_attempt_count, m_tried_servers, now - m_arrived,
+                                 now);
         }
         remove_hop_by_hop_headers(response);
         remove_relay_headers(response);
@@ -697,6 +649,7 @@
     boost::asio::steady_timer m_hedge_timer;
     request_metadata m_metadata;
     request_content m_content{m_state.guard, m_request, m_metadata.object};
+    request_log m_log{m_state.log, m_metadata, m_content};
     std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
     const routing::route* m_route = nullptr;
     std::string m_service;
