gateway: Ask no further gateway for a request whose caller has left

Cause, found by reading: a booking that another gateway had when its caller left, and that this gateway then refused, was sent to the next gateway or server, although nobody waited for it. Change: the relay stays with the gateway that has the request, and a refusal ends it.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -96,6 +96,8 @@
             m_content.share_losses(base::monotonic_now());
             abandon_attempts();
             m_deadline_timer.cancel();
+        } else if (m_relay) {
+            m_relay->stop_trying();
         }
     }
 
@@ -192,7 +194,11 @@
         m_relay.reset();
         if (result.outcome == relay_outcome::refused) {
             m_is_relay_refused = true;
-            send_to_next_server();
+            if (m_caller_disconnected) {
+                respond_with_failure(base::error_kind::peer_refused, now);
+            } else {
+                send_to_next_server();
+            }
             return;
         }
         if (result.outcome == relay_outcome::lost) {
--- a/carawayway/gateway/request_relay.hpp
+++ b/carawayway/gateway/request_relay.hpp
@@ -79,6 +79,9 @@
         }
     }
 
+    // Leaves the request with the gateway that has it. If that one refuses, no other one is asked.
+    void stop_trying() { m_tries_others = false; }
+
     // Whether a gateway may have the request.
     bool was_sent() const { return m_exchange && m_exchange->was_sent(); }
 
@@ -143,7 +146,7 @@
         log_failure(peer, verdict, result.outcome, now);
         if (!has_refused) {
             complete({relay_outcome::lost, {}, {}});
-        } else if (!send_to_next_peer()) {
+        } else if (!m_tries_others || !send_to_next_peer()) {
             complete({relay_outcome::refused, {}, {}});
         }
     }
@@ -182,6 +185,7 @@
     completion_handler m_done;              // null after it ran, or when aborted
     std::shared_ptr<exchange> m_exchange;   // null while none is running
     std::vector<std::string> m_tried_peers; // names
+    bool m_tries_others = true;
 };
 
 } // namespace carawayway::gateway
