Tests: Partition gateways from the servers in the soak

One gateway of each failure domain reaches the servers over links, which are cut in the three ways of the tests of gateway processes, beside all other faults. The check of rests leaves these gateways out, since their requests may have come through others.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -54,7 +54,7 @@
         for (const auto& server : m_servers) {
             address_of_server[server->id()] = std::string(server->registration().at("address").as_string());
         }
-        m_links = std::make_unique<linked_servers>(m_context, m_store, address_of_server);
+        m_links = std::make_unique<soak::linked_servers>(m_context, m_store, address_of_server);
     });
     for (std::size_t index = 0; index < gateways; ++index) {
         auto made = std::make_unique<gateway>();
@@ -189,7 +189,7 @@
     });
 }
 
-void gateway_fleet::set_link_fault(link_fault fault) {
+void gateway_fleet::set_link_fault(soak::link_fault fault) {
     m_links->set_fault(fault);
 }
 
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -2,9 +2,9 @@
 // request under a crashing path, and another incarnation takes its place some seconds later.
 #pragma once
 
-#include "Tests/gateway_processes/linked_servers.hpp"
 #include "Tests/soak/gateway_settings.hpp"
 #include "Tests/soak/http_server.hpp"
+#include "Tests/soak/linked_servers.hpp"
 #include "Tests/soak/rest_limit.hpp"
 #include "Tests/soak/retry_limit.hpp"
 #include "Tests/soak/run_record.hpp"
@@ -74,7 +74,7 @@
     // The store comes back from a copy of this long ago.
     void restore_store(std::chrono::milliseconds age);
     void set_server_fault(soak::server_fault fault);
-    void set_link_fault(link_fault fault);
+    void set_link_fault(soak::link_fault fault);
     // Kills one gateway, which does not start again.
     void kill_gateway(std::size_t index);
 
@@ -136,7 +136,7 @@
     std::string m_crashing_prefix;
     soak::server_stand_in::end_kind m_end_kind;
     std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
-    std::unique_ptr<linked_servers> m_links;
+    std::unique_ptr<soak::linked_servers> m_links;
     std::size_t m_ended_servers = 0;
     std::mutex m_sent_mutex;
     std::vector<soak::clock::time_point> m_sent; // times of the requests of callers; under m_sent_mutex
--- a/Tests/gateway_processes/linked_servers.cpp
+++ b/Tests/soak/linked_servers.cpp
@@ -1,12 +1,12 @@
 // Relays calls to the store and rewrites the registrations of servers in the answers.
-#include "Tests/gateway_processes/linked_servers.hpp"
+#include "Tests/soak/linked_servers.hpp"
 
 #include "carawayway/json/base64.hpp"
 #include "stand_ins/support/address.hpp"
 
 #include <boost/json.hpp>
 
-namespace carawayway::gateway_processes {
+namespace carawayway::soak {
 
 namespace {
 
@@ -26,11 +26,10 @@
 
 } // namespace
 
-linked_servers::linked_servers(boost::asio::io_context& context, soak::store_stand_in& store,
+linked_servers::linked_servers(boost::asio::io_context& context, store_stand_in& store,
                                const std::map<std::string, std::string>& address_of_server)
     : m_store(store), m_links(routes_to(address_of_server)),
-      m_view(context, "127.1.1.1",
-             [this](soak::http_request request) { return handle(std::move(request)); }) {
+      m_view(context, "127.1.1.1", [this](http_request request) { return handle(std::move(request)); }) {
     for (const auto& [server, address] : address_of_server) {
         m_link_of_address[address] = m_links.address(server);
     }
@@ -44,8 +43,7 @@
     m_links.control(json::serialize(message));
 }
 
-boost::asio::awaitable<std::optional<soak::http_response>>
-linked_servers::handle(soak::http_request request) {
+boost::asio::awaitable<std::optional<http_response>> linked_servers::handle(http_request request) {
     auto response = co_await m_store.handle(std::move(request));
     if (response && response->result_int() == 200) {
         replace_addresses(*response);
@@ -53,7 +51,7 @@
     co_return response;
 }
 
-void linked_servers::replace_addresses(soak::http_response& response) const {
+void linked_servers::replace_addresses(http_response& response) const {
     auto document = json::parse(response.body());
     for (const auto* const list : {"items", "events"}) {
         auto* const records = document.as_object().if_contains(list);
@@ -78,4 +76,4 @@
     response.prepare_payload();
 }
 
-} // namespace carawayway::gateway_processes
+} // namespace carawayway::soak
--- a/Tests/gateway_processes/linked_servers.hpp
+++ b/Tests/soak/linked_servers.hpp
@@ -12,7 +12,7 @@
 #include <memory>
 #include <string>
 
-namespace carawayway::gateway_processes {
+namespace carawayway::soak {
 
 enum class link_fault : std::uint8_t {
     none,
@@ -26,7 +26,7 @@
 public:
     // `address_of_server` has the IP:port of each server by ID. `store` must outlive this object, and be used
     // on the event loop of `context`.
-    linked_servers(boost::asio::io_context& context, soak::store_stand_in& store,
+    linked_servers(boost::asio::io_context& context, store_stand_in& store,
                    const std::map<std::string, std::string>& address_of_server);
 
     // IP:port of the view of the store.
@@ -35,14 +35,14 @@
     void set_fault(link_fault fault);
 
 private:
-    boost::asio::awaitable<std::optional<soak::http_response>> handle(soak::http_request request);
+    boost::asio::awaitable<std::optional<http_response>> handle(http_request request);
     // Replaces the addresses of servers in the items or events of an answer of the store.
-    void replace_addresses(soak::http_response& response) const;
+    void replace_addresses(http_response& response) const;
 
-    soak::store_stand_in& m_store;
+    store_stand_in& m_store;
     stand_ins::link_relay m_links;
     std::map<std::string, std::string> m_link_of_address; // by the server's own address
-    soak::http_server m_view;
+    http_server m_view;
 };
 
-} // namespace carawayway::gateway_processes
+} // namespace carawayway::soak
--- a/Tests/soak/soak_checks.cpp
+++ b/Tests/soak/soak_checks.cpp
@@ -159,6 +159,7 @@
     for (const auto& request : m_record.requests) {
         const auto& disruptions = m_gateways[request.gateway]->disruptions;
         const bool is_excused =
+            m_gateways[request.gateway]->is_behind_links ||
             std::any_of(disruptions.begin(), disruptions.end(), [&](const disruption& item) {
                 const bool has_ended = item.to != clock::time_point::max();
                 return request.ended >= item.from && (!has_ended || request.sent <= item.to + longest_rest);
--- a/Tests/soak/soak_run.cpp
+++ b/Tests/soak/soak_run.cpp
@@ -65,15 +65,17 @@
     m_violations.push_back(std::move(violation));
 }
 
-void soak_run::add_gateway(const std::string& name, const std::string& domain) {
+void soak_run::add_gateway(const std::string& name, const std::string& domain,
+                           const std::string& store_address) {
     auto made = std::make_unique<gateway>();
     made->name = name;
     made->domain = domain;
     m_ports.push_back(std::make_unique<gateway_ports>());
     made->caller_address = m_ports.back()->callers();
     made->readiness_address = m_ports.back()->readiness();
-    m_folder.write(name + ".ini", gateway_settings(name, domain, *m_ports.back(), m_store.address(),
-                                                   retries_of_all_gateways));
+    m_folder.write(name + ".ini",
+                   gateway_settings(name, domain, *m_ports.back(), store_address, retries_of_all_gateways));
+    made->is_behind_links = store_address != m_store.address();
     made->settings = m_folder.path() + "/" + name + ".ini";
     m_gateways.push_back(std::move(made));
 }
@@ -254,8 +256,15 @@
              [this, target] { run_on_loop([&] { target->ask_for_rest(std::nullopt); }); });
 }
 
+// One gateway of each domain loses the servers; callers, the store and the others reach it.
+void soak_run::partition_from_servers() {
+    constexpr std::array faults{link_fault::reset, link_fault::hang, link_fault::refuse_new};
+    m_links->set_fault(faults.at(m_random() % faults.size()));
+    schedule(random_delay(500, 5000), [this] { m_links->set_fault(link_fault::none); });
+}
+
 void soak_run::inject_random_fault() {
-    switch (m_random() % 12) {
+    switch (m_random() % 13) {
     case 0:
         kill_gateway();
         break;
@@ -286,6 +295,9 @@
     case 9:
         let_server_rest();
         break;
+    case 10:
+        partition_from_servers();
+        break;
     default:
         inject_server_fault();
         break;
@@ -339,14 +351,19 @@
             m_servers.push_back(std::make_unique<server_stand_in>(
                 m_context, fmt::format("i-{}-{}", domain, index), domain, m_record, m_random()));
         }
-        add_gateway(fmt::format("{}-1", domain), domain);
-        add_gateway(fmt::format("{}-2", domain), domain);
     }
     run_on_loop([this] {
+        std::map<std::string, std::string> address_of_server;
         for (const auto& server : m_servers) {
             m_store.put("servers/" + server->id(), server->registration());
+            address_of_server[server->id()] = std::string(server->registration().at("address").as_string());
         }
+        m_links = std::make_unique<linked_servers>(m_context, m_store, address_of_server);
     });
+    for (const auto* const domain : {"a1", "b1"}) {
+        add_gateway(fmt::format("{}-1", domain), domain, m_links->store_address());
+        add_gateway(fmt::format("{}-2", domain), domain, m_store.address());
+    }
     publish_configuration();
     for (const auto& item : m_gateways) {
         addresses.push_back(endpoint_of(item->caller_address));
--- a/Tests/soak/soak_run.hpp
+++ b/Tests/soak/soak_run.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Tests/soak/gateway_settings.hpp"
+#include "Tests/soak/linked_servers.hpp"
 #include "Tests/soak/rate_limit.hpp"
 #include "Tests/soak/rest_limit.hpp"
 #include "Tests/soak/run_record.hpp"
@@ -63,6 +64,7 @@
         std::unique_ptr<test_support::child_process> process;
         process_state state = process_state::ended;
         int start_count = 0;
+        bool is_behind_links = false; // reaches the servers only over m_links
         std::vector<disruption> disruptions;
     };
     struct scheduled_action {
@@ -72,7 +74,7 @@
         bool operator<(const scheduled_action& other) const { return when > other.when; }
     };
 
-    void add_gateway(const std::string& name, const std::string& domain);
+    void add_gateway(const std::string& name, const std::string& domain, const std::string& store_address);
     void start_process(gateway& target);
     void wait_for_exit(gateway& target, int signal, start_state state_at_signal);
     // Returns nullptr if fewer than two gateways are running, so that one is always left.
@@ -95,6 +97,7 @@
     void drain_server();
     void name_server_limit();
     void let_server_rest();
+    void partition_from_servers();
 
     bool probe(const std::string& address, const std::string& target, unsigned status) const;
     void end_faults();
@@ -105,7 +108,8 @@
     void check_arrivals();
     // Checks the requests to servers that named a limit, apart from the time around disruptions of gateways.
     void check_rate_limits();
-    // Checks the requests to servers that asked for rest, apart from those of disrupted gateways.
+    // Checks the requests to servers that asked for rest, apart from those of disrupted gateways and of those
+    // behind links, whose requests may have come through other gateways.
     void check_rests();
     void add_violation(std::string violation);
 
@@ -117,6 +121,7 @@
     boost::asio::io_context m_context{1};
     store_stand_in m_store;
     std::vector<std::unique_ptr<server_stand_in>> m_servers;
+    std::unique_ptr<linked_servers> m_links;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::vector<std::unique_ptr<gateway>> m_gateways;
     std::priority_queue<scheduled_action> m_schedule;
