Tests: Always check the refusal while all servers rest

The test asserted 503 with Retry-After only if it got there before the first rest had ended, so that a slow machine skipped the check without a word.

--- a/Tests/gateway_processes/rest_test.cpp
+++ b/Tests/gateway_processes/rest_test.cpp
@@ -54,15 +54,11 @@
     for (const auto& server : fleet.server_ids()) {
         fleet.ask_for_rest(server, rest);
     }
-    const auto asked_at = soak::clock::now();
     {
         const steady_load load(fleet);
         std::this_thread::sleep_for(rest - seconds{1});
     }
-    const auto answer = fleet.send(0, "POST", "/book/1");
-    if (soak::clock::now() < asked_at + rest) {
-        EXPECT_EQ(answer, (gateway_processes::answer{503, true}));
-    }
+    EXPECT_EQ(fleet.send(0, "POST", "/book/1"), (answer{503, true}));
     EXPECT_LE(fleet.most_arrivals_within_rest(), soak::permitted_within_rest);
     EXPECT_TRUE(fleet.has_logged(0, "kind=servers-resting"));
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
