Tests: Excuse only what a hanging link has just released

Nothing comes through a hanging link, so such repeats come through other gateways and must keep to the deadline. Now only arrivals within 200 ms after the release count as held back, and the release is the moment in which the fault really ended, also if another one replaced it.

--- a/Tests/soak/soak_checks.cpp
+++ b/Tests/soak/soak_checks.cpp
@@ -110,8 +110,8 @@
 
 bool soak_run::is_held_back(const arrival& item, const caller_request& request) const {
     return m_gateways[request.gateway]->is_behind_links &&
-           std::any_of(m_hanging_links.begin(), m_hanging_links.end(), [&item](const time_interval& phase) {
-               return item.at >= phase.from && item.at <= phase.to + link_release_time;
+           std::any_of(m_link_releases.begin(), m_link_releases.end(), [&item](clock::time_point released) {
+               return item.at >= released && item.at <= released + link_release_time;
            });
 }
 
--- a/Tests/soak/soak_run.cpp
+++ b/Tests/soak/soak_run.cpp
@@ -261,11 +261,17 @@
     constexpr std::array faults{link_fault::reset, link_fault::hang, link_fault::refuse_new};
     const auto fault = faults.at(m_random() % faults.size());
     const auto length = random_delay(500, 5000);
-    m_links->set_fault(fault);
-    if (fault == link_fault::hang) {
-        m_hanging_links.push_back({clock::now(), clock::now() + length});
+    set_link_fault(fault);
+    schedule(length, [this] { set_link_fault(link_fault::none); });
+}
+
+void soak_run::set_link_fault(link_fault fault) {
+    const bool was_hanging = m_link_fault == link_fault::hang;
+    m_link_fault = fault;
+    if (was_hanging && fault != link_fault::hang) {
+        m_link_releases.push_back(clock::now());
     }
-    schedule(length, [this] { m_links->set_fault(link_fault::none); });
+    m_links->set_fault(fault);
 }
 
 void soak_run::inject_random_fault() {
--- a/Tests/soak/soak_run.hpp
+++ b/Tests/soak/soak_run.hpp
@@ -98,6 +98,7 @@
     void name_server_limit();
     void let_server_rest();
     void partition_from_servers();
+    void set_link_fault(link_fault fault);
 
     bool probe(const std::string& address, const std::string& target, unsigned status) const;
     void end_faults();
@@ -106,7 +107,7 @@
     void check_requests();
     // Checks that servers receive no more repeats, and no more time for a request, than the platform permits.
     void check_arrivals();
-    // Whether a link has held back this arrival, so that it was sent earlier.
+    // Whether a hanging link has held back this arrival until it was released, so that it was sent earlier.
     bool is_held_back(const arrival& item, const caller_request& request) const;
     // Checks the requests to servers that named a limit, apart from the time around disruptions of gateways.
     void check_rate_limits();
@@ -130,7 +131,8 @@
     std::uint64_t m_configuration_version = 0;
     std::size_t m_drained_servers = 0;
     std::vector<rate_limit_phase> m_rate_limits;
-    std::vector<time_interval> m_hanging_links; // when the links held back what was sent
+    link_fault m_link_fault = link_fault::none;
+    std::vector<clock::time_point> m_link_releases; // when hanging links delivered what they had held back
     std::vector<std::string> m_violations;
     std::thread m_loop_thread;
 };
