gateway: Log the requests that a planned stop leaves without a response

Change: the line stop-ends counts requests without a response, of them those taken after the signal and those behind others.

--- a/carawayway/gateway/caller_session.cpp
+++ b/carawayway/gateway/caller_session.cpp
@@ -62,6 +62,21 @@
     }
 }
 
+unanswered_requests& unanswered_requests::operator+=(const unanswered_requests& other) {
+    total += other.total;
+    taken_after_stop += other.taken_after_stop;
+    behind_others += other.behind_others;
+    return *this;
+}
+
+unanswered_requests caller_session::unanswered() const {
+    unanswered_requests result;
+    for (const auto& item : m_pending_requests) {
+        result += {1, item->is_taken_after_stop ? 1U : 0U, item == m_pending_requests.front() ? 0U : 1U};
+    }
+    return result;
+}
+
 boost::asio::awaitable<void> caller_session::run(std::shared_ptr<caller_session> self) {
     while (!self->m_closed && !self->m_closing) {
         if (self->m_pending_requests.size() >= maximum_pipelined_requests) {
@@ -194,6 +209,7 @@
     item->keep_alive = request.keep_alive();
     item->is_head = request.method() == http::verb::head;
     item->version = request.version();
+    item->is_taken_after_stop = m_stopping;
     m_pending_requests.push_back(item);
     const auto self = shared_from_this();
     item->cancel = m_handler(std::move(request), arrived, [self, item](http_response response) {
--- a/carawayway/gateway/caller_session.hpp
+++ b/carawayway/gateway/caller_session.hpp
@@ -32,6 +32,16 @@
     bool operator==(const session_limits&) const = default;
 };
 
+// Requests of callers that have no complete response yet.
+struct unanswered_requests {
+    std::size_t total = 0;
+    std::size_t taken_after_stop = 0; // of `total`, read after the stop began
+    std::size_t behind_others = 0;    // of `total`, not the first of their connection
+
+    unanswered_requests& operator+=(const unanswered_requests& other);
+    bool operator==(const unanswered_requests&) const = default;
+};
+
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     // Requests of one connection that may be in progress at once; the session stops reading at this number.
@@ -48,6 +58,8 @@
     // Closes the connection if no request is in progress, unread or about to arrive on a new connection.
     void close_if_idle();
 
+    unanswered_requests unanswered() const;
+
     bool is_idle() const { return m_pending_requests.empty() && !m_reading_request; }
 
 private:
@@ -56,6 +68,7 @@
         cancel_callback cancel;
         bool keep_alive = true; // as requested by the caller
         bool is_head = false;
+        bool is_taken_after_stop = false;
         unsigned version = 11;
     };
 
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -469,6 +469,7 @@
         }
         const bool done = since >= accept_time_after_stop && sessions == 0;
         if (done || since >= m_state.bounds.stop_grace - stop_margin) {
+            log_unanswered();
             m_context.stop();
             return;
         }
@@ -480,6 +481,17 @@
         });
     }
 
+    void log_unanswered() const {
+        unanswered_requests left;
+        for (const auto* const listener : request_listeners()) {
+            left += listener->unanswered();
+        }
+        base::log(left.total == 0 ? base::log_level::info : base::log_level::warning, "stop-ends",
+                  {{"unanswered", left.total},
+                   {"taken_after_stop", left.taken_after_stop},
+                   {"behind_others", left.behind_others}});
+    }
+
     config::gateway_settings m_settings;
     reload_function m_reload;
     std::string m_relay_key;              // that other gateways present with the requests that they relay
--- a/carawayway/gateway/session_listener.cpp
+++ b/carawayway/gateway/session_listener.cpp
@@ -57,6 +57,14 @@
     m_acceptor->close(ignored);
 }
 
+unanswered_requests session_listener::unanswered() const {
+    unanswered_requests result;
+    for (const auto& session : m_shared->sessions) {
+        result += session->unanswered();
+    }
+    return result;
+}
+
 // The kernel has completed these connections, and resets them when the listener closes.
 void session_listener::accept_waiting() {
     boost::system::error_code error;
--- a/carawayway/gateway/session_listener.hpp
+++ b/carawayway/gateway/session_listener.hpp
@@ -21,6 +21,7 @@
     // Stops accepting connections. Those that wait to be accepted still get a session.
     void close();
 
+    unanswered_requests unanswered() const;
     std::size_t size() const { return m_shared->sessions.size(); }
 
 private:
