--- a/Tests/gateway/caller_session_test.cpp
+++ b/Tests/gateway/caller_session_test.cpp
@@ -177,5 +177,22 @@
     EXPECT_TRUE(m_disconnected);
 }
 
+// Guards against a stopping gateway that goes on taking requests from a connection that always has one in
+// progress.
+TEST_F(caller_session_test, stop_takes_no_request_behind_those_in_progress) {
+    send(get("/1") + get("/2"));
+    run_until([this] { return m_handled_requests.size() == 2; });
+    m_listener->close_after_responses();
+    send(get("/3"));
+    m_context.run_for(std::chrono::milliseconds{50}); // for the session to read it if it would
+    m_handled_requests[0]->respond(response_with("first"));
+    EXPECT_THAT(receive_until("first"), testing::Not(HasSubstr("Connection: close")));
+    m_handled_requests[1]->respond(response_with("second"));
+    EXPECT_THAT(receive_until("second"), HasSubstr("Connection: close"));
+    receive_until("nothing more");
+    EXPECT_TRUE(m_disconnected);
+    EXPECT_EQ(m_handled_requests.size(), 2U);
+}
+
 } // namespace
 } // namespace carawayway::gateway
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -199,10 +199,13 @@
     process.wait();
 }
 
+void gateway_fleet::begin_stop(std::size_t index) {
+    m_gateways.at(index)->process->send_signal(SIGTERM);
+}
+
 std::optional<int> gateway_fleet::stop_gateway(std::size_t index) {
-    auto& process = *m_gateways.at(index)->process;
-    process.send_signal(SIGTERM);
-    return process.wait();
+    begin_stop(index);
+    return m_gateways.at(index)->process->wait();
 }
 
 void gateway_fleet::pause_gateway(std::size_t index) {
@@ -299,6 +302,16 @@
     return most;
 }
 
+std::size_t gateway_fleet::executed_of(const std::vector<std::string>& request_ids) {
+    std::size_t count = 0;
+    run_on_loop([&] {
+        count = static_cast<std::size_t>(
+            std::count_if(request_ids.begin(), request_ids.end(),
+                          [this](const auto& id) { return m_record.executions.contains(id); }));
+    });
+    return count;
+}
+
 std::size_t gateway_fleet::executed_refused_bookings() {
     std::size_t count = 0;
     run_on_loop([&] {
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -65,6 +65,13 @@
     answer send(std::size_t index, const std::string& method, const std::string& path,
                 const std::string& object = usual_object);
 
+    // The address at which a gateway takes requests of callers.
+    std::string caller_address(std::size_t index) const { return m_gateways.at(index)->ports.callers(); }
+
+    // Records a new request to this gateway and returns it, with "Connection: close".
+    soak::http_request make_request(std::size_t gateway_index, const std::string& method,
+                                    const std::string& path, const std::string& object);
+
     // Sends a request to a gateway and closes the connection without waiting for the response.
     void send_and_leave(std::size_t index, const std::string& method, const std::string& path);
 
@@ -81,7 +88,9 @@
     void set_link_fault(soak::link_fault fault);
     // Kills one gateway, which does not start again.
     void kill_gateway(std::size_t index);
-    // Asks a gateway to end, as for planned work, and returns its exit code.
+    // Asks a gateway to end, as for planned work.
+    void begin_stop(std::size_t index);
+    // The same, and returns its exit code.
     std::optional<int> stop_gateway(std::size_t index);
     // Stops the process of a gateway as it is, and lets it go on.
     void pause_gateway(std::size_t index);
@@ -114,6 +123,8 @@
     std::size_t ended_servers();
     // How often servers began to execute the same request that is not idempotent, at most.
     std::size_t most_executions_of_bookings();
+    // How many of these requests a server began to execute.
+    std::size_t executed_of(const std::vector<std::string>& request_ids);
     // Requests that are not idempotent and were executed, though their callers were told that they were not.
     std::size_t executed_refused_bookings();
     // The most requests of one gateway that reached one server within a rest for which it had asked.
@@ -132,9 +143,6 @@
         int start_count = 0;
     };
 
-    // Records a new request to this gateway.
-    soak::http_request make_request(std::size_t gateway_index, const std::string& method,
-                                    const std::string& path, const std::string& object);
     answer send_to(const std::string& address, std::size_t gateway_index, const std::string& method,
                    const std::string& path, const std::string& object);
     soak::server_stand_in& server_of(const std::string& id); // on the event loop
--- a/Tests/gateway_processes/stop_test.cpp
+++ b/Tests/gateway_processes/stop_test.cpp
@@ -1,9 +1,12 @@
 // A planned stop of a gateway while callers go on sending.
 #include "Tests/gateway_processes/gateway_fleet.hpp"
+#include "Tests/gateway_processes/pipelining_caller.hpp"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -44,5 +47,55 @@
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
 }
 
+// Guards against look-ups that a stopping gateway goes on taking from a connection that always has one in
+// progress, and that are cut off when the process ends.
+TEST(stop_test, pipelined_requests_that_servers_got_are_answered) {
+    constexpr std::chrono::milliseconds interval{30}; // shorter than servers take
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    fleet.set_server_fault(soak::server_fault::slow);
+    std::vector<std::future<pipelined_requests>> connections;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+        connections.push_back(std::async(std::launch::async, [&fleet, caller] {
+            return send_until_closed(fleet, stopped_gateway, interval,
+                                     "/read/" + std::to_string(caller) + "/");
+        }));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+    EXPECT_EQ(fleet.stop_gateway(stopped_gateway), 0);
+    for (auto& connection : connections) {
+        const auto requests = connection.get();
+        EXPECT_GT(requests.answered, 0U);
+        EXPECT_TRUE(requests.was_close_announced);
+        EXPECT_EQ(fleet.executed_of(requests.unanswered), 0U) << "of " << requests.unanswered.size();
+    }
+}
+
+// Guards against requests that are taken so late in a stop that they cannot end before the process does, and
+// whose connections are closed without a response.
+TEST(stop_test, requests_that_servers_do_not_answer_end_before_the_process) {
+    // The timeout of the routes is longer than what is left of the grace time then.
+    constexpr std::chrono::milliseconds late_in_the_stop{2850};
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    fleet.begin_stop(stopped_gateway);
+    std::this_thread::sleep_for(late_in_the_stop);
+    fleet.set_server_fault(soak::server_fault::hang_after_execution);
+    std::vector<std::future<answer>> answers;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+        answers.push_back(std::async(std::launch::async, [&fleet, caller] {
+            const auto object = std::to_string(caller);
+            const bool is_lookup = caller % 2 == 0;
+            return fleet.send(stopped_gateway, is_lookup ? "GET" : "POST",
+                              (is_lookup ? "/read/" : "/book/") + object, object);
+        }));
+    }
+    for (auto& item : answers) {
+        const auto received = item.get();
+        EXPECT_TRUE(received.was_connected);
+        EXPECT_THAT(received.status, testing::AnyOf(503U, 504U));
+    }
+    EXPECT_LE(fleet.most_executions_of_bookings(), 1U);
+    EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
+}
+
 } // namespace
 } // namespace carawayway::gateway_processes
