gateway: Take no requests in a stop that the process cannot answer

Cause: a stopping gateway closed a connection after a response only if no other request was in progress or being read. Callers that pipeline always have one, so their connections stayed in use up to the end of the process; and no request knew how much time the process had left, so that a first request could be cut off as well. Ruled out as the only cause: new connections (accepted up to 3 s only) and requests of the first 3 s (sent at 3.7, 4.0 and 4.3 s). Change: from the signal on nothing is taken behind requests in progress, whose last response closes the connection; stop_schedule bounds attempts, deadlines and admission by the end of the process; requests without a response get one before it. Why it works: the last request of each connection is known at the signal or is its next one, and has until the end of the process.

--- a/Tests/gateway/caller_session_test.cpp
+++ b/Tests/gateway/caller_session_test.cpp
@@ -29,7 +29,8 @@
                 item->target = std::string(request.target());
                 item->respond = std::move(respond);
                 m_handled_requests.push_back(item);
-                return [item] { item->cancelled = true; };
+                return request_control{[item] { item->cancelled = true; },
+                                       [item] { item->respond(response_with("expired")); }};
             },
             [] {
                 return session_limits{4096, 4096, std::chrono::seconds{3}, std::chrono::seconds{15}};
@@ -194,5 +195,21 @@
     EXPECT_EQ(m_handled_requests.size(), 2U);
 }
 
+// Guards against connections that are closed without a response when the process ends.
+TEST_F(caller_session_test, requests_that_expire_are_answered_in_order) {
+    send(get("/1") + get("/2") + get("/3"));
+    run_until([this] { return m_handled_requests.size() == 3; });
+    m_listener->close_after_responses();
+    m_handled_requests[1]->respond(response_with("second"));
+    EXPECT_EQ(m_listener->unanswered(), (unanswered_requests{3, 0, 2}));
+    m_listener->expire_requests();
+    receive_until("nothing more");
+    EXPECT_TRUE(m_disconnected);
+    const auto second = m_received.find("second");
+    EXPECT_LT(m_received.find("expired"), second);
+    EXPECT_GT(m_received.rfind("expired"), second);
+    EXPECT_GT(m_received.find("Connection: close"), second);
+}
+
 } // namespace
 } // namespace carawayway::gateway
--- a/carawayway/gateway/caller_session.cpp
+++ b/carawayway/gateway/caller_session.cpp
@@ -56,6 +56,16 @@
     m_stopping = true;
 }
 
+void caller_session::expire_requests() {
+    const auto requests = m_pending_requests; // a copy, since responses may change the original
+    for (const auto& item : requests) {
+        if (item->control.expire) {
+            const auto expire = std::move(item->control.expire);
+            expire();
+        }
+    }
+}
+
 void caller_session::close_if_idle() {
     if (is_idle() && !m_writing && !expects_request()) {
         close();
@@ -137,6 +147,13 @@
     return is_new || (m_socket.available(error) > 0 && !error);
 }
 
+// A request that is not taken is read and discarded: the caller sends it again, as it came behind a response
+// that closes the connection.
+bool caller_session::takes_another_request() const {
+    const bool is_last_being_written = m_writing && m_pending_requests.size() == 1;
+    return !m_closing && (!m_stopping || m_pending_requests.empty() || is_last_being_written);
+}
+
 boost::asio::awaitable<bool> caller_session::read_some() {
     boost::system::error_code error;
     const std::size_t count = co_await m_socket.async_read_some(
@@ -160,8 +177,7 @@
                 co_return read_result::closed;
             }
         }
-        if (m_closing) {
-            // The request arrived after the closing response was started; the caller has to send it again.
+        if (!takes_another_request()) {
             co_return read_result::rejected;
         }
         m_last_activity = base::monotonic_now();
@@ -212,7 +228,7 @@
     item->is_taken_after_stop = m_stopping;
     m_pending_requests.push_back(item);
     const auto self = shared_from_this();
-    item->cancel = m_handler(std::move(request), arrived, [self, item](http_response response) {
+    item->control = m_handler(std::move(request), arrived, [self, item](http_response response) {
         self->queue_response(item, std::move(response));
     });
 }
@@ -226,7 +242,7 @@
 }
 
 void caller_session::queue_response(const std::shared_ptr<pending_request>& item, http_response response) {
-    item->cancel = nullptr;
+    item->control = {};
     item->response = std::move(response);
     write_next();
 }
@@ -238,8 +254,7 @@
     }
     pending_request& front = *m_pending_requests.front();
     m_writing = std::make_shared<http_response>(std::move(*front.response));
-    const bool is_last = m_pending_requests.size() == 1 && !m_reading_request;
-    const bool closes = !front.keep_alive || (m_stopping && is_last);
+    const bool closes = !front.keep_alive || (m_stopping && m_pending_requests.size() == 1);
     m_writing->version(front.version);
     m_writing->keep_alive(!closes);
     if (!front.is_head) {
@@ -286,8 +301,8 @@
     m_watchdog.cancel();
     m_pipeline_space.cancel();
     for (const auto& item : m_pending_requests) {
-        if (item->cancel) {
-            const auto cancel = std::move(item->cancel);
+        if (item->control.cancel) {
+            const auto cancel = std::move(item->control.cancel);
             cancel();
         }
     }
--- a/carawayway/gateway/caller_session.hpp
+++ b/carawayway/gateway/caller_session.hpp
@@ -17,11 +17,16 @@
 namespace carawayway::gateway {
 
 using response_callback = std::function<void(http_response)>;
-using cancel_callback = std::function<void()>;
+
+// Ends a request that has no response yet. At most one of both is called.
+struct request_control {
+    std::function<void()> cancel; // the caller has disconnected
+    std::function<void()> expire; // this process ends: responds before it returns
+};
+
 // Starts to handle a request received at the given time. The response callback is called once, after the
-// handler has returned. If the caller disconnects first, the session calls the returned callback to cancel
-// the request.
-using request_handler = std::function<cancel_callback(http_request, base::time_point, response_callback)>;
+// handler has returned.
+using request_handler = std::function<request_control(http_request, base::time_point, response_callback)>;
 
 struct session_limits {
     std::uint32_t header_bytes = 0;
@@ -53,8 +58,11 @@
 
     void start();
 
-    // Closes the connection after the last response in progress, which carries "Connection: close".
+    // Takes no request behind those in progress, and closes the connection after the response to the last
+    // one, which carries "Connection: close". Without one in progress the next request is the last.
     void close_after_responses();
+    // Ends all requests in progress with the responses that are left for them.
+    void expire_requests();
     // Closes the connection if no request is in progress, unread or about to arrive on a new connection.
     void close_if_idle();
 
@@ -65,7 +73,7 @@
 private:
     struct pending_request {
         std::optional<http_response> response;
-        cancel_callback cancel;
+        request_control control;
         bool keep_alive = true; // as requested by the caller
         bool is_head = false;
         bool is_taken_after_stop = false;
@@ -79,6 +87,7 @@
     boost::asio::awaitable<bool> read_some();
     boost::asio::awaitable<void> watch_for_disconnect();
     bool has_caller_left();
+    bool takes_another_request() const;
     bool expects_request();
     boost::asio::awaitable<bool> send_continue_if_expected(http::request_parser<http::string_body>& parser);
     void dispatch(http_request request, base::time_point arrived);
@@ -103,7 +112,7 @@
     base::time_point m_request_started{}; // arrival of the first byte of the current request
     bool m_reading_request = false;
     bool m_has_read_request = false; // at least one
-    bool m_stopping = false;         // close after the last response in progress
+    bool m_stopping = false;         // the response to the last request in progress closes the connection
     bool m_closing = false; // the closing response is being written or was written; no request is read
     bool m_closed = false;
 };
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -73,6 +73,10 @@
         }
         const auto allowed = std::min(m_metadata.time_left.value_or(m_route->timeout), m_route->timeout);
         m_deadline = m_arrived + allowed;
+        if (m_state.stop && !m_state.stop->takes(base::monotonic_now(), m_deadline)) {
+            post_error_response(base::error_kind::stopping, m_retry_after);
+            return;
+        }
         m_time_spent_in_earlier_attempts =
             m_metadata.time_left
                 ? m_state.time_spent_in_earlier_attempts(m_route->name, *m_metadata.time_left)
@@ -106,6 +110,15 @@
         }
     }
 
+    // Called when this process ends. Responds at once.
+    void expire() {
+        m_may_have_executed = m_may_have_executed || any_attempt_sent();
+        abandon_attempts();
+        respond_with_failure(m_may_have_executed ? base::error_kind::deadline_exceeded
+                                                 : base::error_kind::stopping,
+                             base::monotonic_now());
+    }
+
 private:
     // A server that has told a caller of this gateway that it is leaving gets nothing more from it, also
     // after contact has returned. A rest concerns the other gateway alone.
@@ -119,6 +132,11 @@
         }
     }
 
+    // When the response to an attempt is of no use any more.
+    base::time_point attempts_end() const {
+        return m_state.stop ? std::min(m_deadline, m_state.stop->requests_end) : m_deadline;
+    }
+
     bool is_idempotent() const {
         return m_route != nullptr && m_route->semantics == routing::request_semantics::idempotent;
     }
@@ -166,7 +184,7 @@
         relay_order order{m_request,
                           m_metadata.request_id,
                           m_arrived,
-                          m_deadline,
+                          attempts_end(),
                           m_route->semantics,
                           m_route->allowed_regions,
                           {{}, m_attempt_count, !m_is_counted, m_routes->source().version}};
@@ -220,7 +238,7 @@
         return {*m_route,
                 m_service,
                 m_object_hash,
-                m_deadline - now,
+                attempts_end() - now,
                 m_arrived + m_route->target_latency - m_time_spent_in_earlier_attempts - now,
                 m_tried_servers,
                 !m_metadata.object.empty()};
@@ -247,13 +265,13 @@
         const auto& server = *sent->server;
         m_state.servers.record_request_start(*sent->server);
         const exchange_limits limits{
-            std::min<base::duration>(m_deadline - now, connect_timeout(round_trip_to(server))),
+            std::min<base::duration>(attempts_end() - now, connect_timeout(round_trip_to(server))),
             maximum_idle_time(m_route->semantics, sent->losses_when_sent),
             gateway_state::maximum_response_bytes};
         auto request = std::make_shared<http_request>(m_request);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
             m_state.executor, m_state.connections, m_state.responses, server.registration.id, *address,
-            limits, server_call<Platform>{m_deadline, m_state.servers, sent->server});
+            limits, server_call<Platform>{attempts_end(), m_state.servers, sent->server});
         m_running_attempts.push_back(sent);
         sent->exchange->start(std::move(request), m_metadata.request_id,
                               [self = this->shared_from_this(), sent](exchange_result result) {
@@ -529,7 +547,9 @@
             respond_with_failure(base::error_kind::servers_resting, now);
             return;
         case placement::refusal::too_late:
-            respond_with_failure(base::error_kind::deadline_unreachable, now);
+            respond_with_failure(attempts_end() < m_deadline ? base::error_kind::stopping
+                                                             : base::error_kind::deadline_unreachable,
+                                 now);
             return;
         default:
             respond_with_failure(base::error_kind::no_server_available, now);
@@ -576,7 +596,9 @@
 
     void respond_with_error(base::error_kind kind, base::duration retry_after, base::time_point now) {
         // The gateway that has sent the request tries another one.
-        if (m_relayed && kind == base::error_kind::no_server_available && m_state.contact.is_lost()) {
+        const bool is_partitioned =
+            kind == base::error_kind::no_server_available && m_state.contact.is_lost();
+        if (m_relayed && (is_partitioned || kind == base::error_kind::stopping)) {
             kind = base::error_kind::peer_refused;
         }
         m_deadline_timer.cancel();
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -6,6 +6,7 @@
 #include "carawayway/gateway/crash_notices.hpp"
 #include "carawayway/gateway/forwarded_request.hpp"
 #include "carawayway/gateway/permit_session.hpp"
+#include "carawayway/gateway/planned_stop.hpp"
 #include "carawayway/gateway/quarantine_publisher.hpp"
 #include "carawayway/gateway/record_applier.hpp"
 #include "carawayway/gateway/session_listener.hpp"
@@ -28,10 +29,6 @@
 class gateway_instance {
 public:
     static constexpr base::duration tick_interval = std::chrono::milliseconds{250};
-    // After SIGTERM callers move to other gateways; until they have, they may still open new connections.
-    static constexpr base::duration accept_time_after_stop = std::chrono::milliseconds{3000};
-    // The process exits this long before the platform kills it.
-    static constexpr base::duration stop_margin = std::chrono::milliseconds{400};
     // Limit for each of the lookup, readiness and metrics listeners.
     static constexpr std::size_t maximum_auxiliary_sessions = 256;
     // Connections of other gateways that relay requests. Idle ones stay open for reuse.
@@ -74,7 +71,7 @@
                   m_permit_session.reset();
               },
               [this] { return peer_addresses(); }, [this] { return leader_address(); }),
-          m_tick_timer(m_context), m_stop_timer(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
+          m_tick_timer(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
 
     // Runs until a signal stops the gateway. Throws boost::system::system_error if an address cannot be
     // bound.
@@ -219,29 +216,33 @@
                                                  response_callback respond) {
                 boost::asio::post(m_context, [handler, request = std::move(request),
                                               respond = std::move(respond)] { respond(handler(request)); });
-                return cancel_callback{};
+                return request_control{};
             },
             [this] { return caller_limits(); }));
     }
 
-    cancel_callback forward(http_request request, base::time_point arrived, response_callback respond) {
+    static request_control start(const std::shared_ptr<forwarded_request<Platform>>& request) {
+        request->start();
+        return {[request] { request->cancel(); }, [request] { request->expire(); }};
+    }
+
+    request_control forward(http_request request, base::time_point arrived, response_callback respond) {
         auto forwarded = std::make_shared<forwarded_request<Platform>>(
             m_state, std::move(request), m_state.pauses.earliest_arrival(arrived), std::move(respond));
-        forwarded->start();
-        return [forwarded] { forwarded->cancel(); };
+        return start(forwarded);
     }
 
     // Takes a request of another gateway, as long as this one has room for it.
-    cancel_callback forward_relayed(http_request request, base::time_point arrived,
+    request_control forward_relayed(http_request request, base::time_point arrived,
                                     response_callback respond) {
         const auto call = read_relayed_call(request);
         if (!has_relay_key(request, m_relay_key) || !call) {
             refuse_relayed(base::error_kind::unauthorized, request, std::move(respond));
-            return [] {};
+            return {};
         }
         if (m_relayed_requests >= m_settings.relayed_requests) {
             refuse_relayed(base::error_kind::peer_refused, request, std::move(respond));
-            return [] {};
+            return {};
         }
         ++m_relayed_requests;
         m_state.metrics.add("carawayway_gateway_relayed_requests_total", {{"end", "taken"}});
@@ -250,8 +251,7 @@
             m_state, std::move(request), m_state.pauses.earliest_arrival(arrived),
             [place, respond = std::move(respond)](http_response response) { respond(std::move(response)); },
             call);
-        forwarded->start();
-        return [forwarded] { forwarded->cancel(); };
+        return start(forwarded);
     }
 
     void refuse_relayed(base::error_kind kind, const http_request& request, response_callback respond) {
@@ -269,7 +269,7 @@
                           });
     }
 
-    bool is_ready() const { return !m_stopping && m_state.routes() && m_state.servers.size() > 0; }
+    bool is_ready() const { return !m_state.stop && m_state.routes() && m_state.servers.size() > 0; }
 
     http_response readiness_response(const http_request& request) const {
         if (!Platform::is_readiness(request.target())) {
@@ -442,54 +442,16 @@
         return listeners;
     }
 
-    // Reports not ready at once, keeps serving requests that still arrive, and ends the process when no
-    // caller is connected or the grace period is over.
+    // Reports not ready at once, and keeps serving requests that still arrive and can end in time.
     void stop() {
-        m_stopping = true;
-        m_stop_started_at = base::monotonic_now();
+        const auto schedule = stop_schedule::after_signal(base::monotonic_now(), m_state.bounds.stop_grace);
+        m_state.stop = schedule;
         base::log(base::log_level::info, "stopping", {{"sessions", m_caller_listener->size()}});
         m_store_session.deregister();
         m_permit_session.stop();
-        for (auto* const listener : request_listeners()) {
-            listener->close_after_responses();
-        }
-        check_stop();
-    }
-
-    void check_stop() {
-        static constexpr base::duration check_interval = std::chrono::milliseconds{50};
-        const auto since = base::monotonic_now() - m_stop_started_at;
-        std::size_t sessions = 0;
-        for (auto* const listener : request_listeners()) {
-            if (since >= accept_time_after_stop) {
-                listener->close();
-                listener->close_idle();
-            }
-            sessions += listener->size();
-        }
-        const bool done = since >= accept_time_after_stop && sessions == 0;
-        if (done || since >= m_state.bounds.stop_grace - stop_margin) {
-            log_unanswered();
-            m_context.stop();
-            return;
-        }
-        m_stop_timer.expires_after(check_interval);
-        m_stop_timer.async_wait([this](boost::system::error_code error) {
-            if (!error) {
-                check_stop();
-            }
-        });
-    }
-
-    void log_unanswered() const {
-        unanswered_requests left;
-        for (const auto* const listener : request_listeners()) {
-            left += listener->unanswered();
-        }
-        base::log(left.total == 0 ? base::log_level::info : base::log_level::warning, "stop-ends",
-                  {{"unanswered", left.total},
-                   {"taken_after_stop", left.taken_after_stop},
-                   {"behind_others", left.behind_others}});
+        m_planned_stop = std::make_unique<planned_stop>(m_context.get_executor(), request_listeners(),
+                                                        [this] { m_context.stop(); });
+        m_planned_stop->start(schedule);
     }
 
     config::gateway_settings m_settings;
@@ -509,11 +471,9 @@
     std::unique_ptr<replication_server> m_replication_server;
     std::unique_ptr<crash_notices> m_crash_notices; // null without an address for notices
     boost::asio::steady_timer m_tick_timer;
-    boost::asio::steady_timer m_stop_timer;
     boost::asio::signal_set m_signals;
     base::time_point m_next_retry_log{};
-    bool m_stopping = false;
-    base::time_point m_stop_started_at{};
+    std::unique_ptr<planned_stop> m_planned_stop; // null before the signal
 };
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include "carawayway/gateway/rate_limited_log.hpp"
 #include "carawayway/gateway/response_memory.hpp"
 #include "carawayway/gateway/service_retries.hpp"
+#include "carawayway/gateway/stop_schedule.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
 #include "carawayway/placement/relay_peers.hpp"
@@ -20,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -94,6 +96,7 @@
     content_guard guard;
     rate_limited_log log;
     pause_detector pauses;             // of this process
+    std::optional<stop_schedule> stop; // while the process is being stopped
     bool checks_silent_server = false; // whether a server that let a deadline pass is being checked
 
 private:
--- a/carawayway/gateway/session_listener.cpp
+++ b/carawayway/gateway/session_listener.cpp
@@ -48,6 +48,13 @@
     }
 }
 
+void session_listener::expire_requests() {
+    const auto sessions = m_shared->sessions; // a copy, since a session may end
+    for (const auto& session : sessions) {
+        session->expire_requests();
+    }
+}
+
 void session_listener::close() {
     if (!m_acceptor->is_open()) {
         return;
--- a/carawayway/gateway/session_listener.hpp
+++ b/carawayway/gateway/session_listener.hpp
@@ -18,6 +18,7 @@
 
     void close_after_responses(); // for current and future sessions
     void close_idle();
+    void expire_requests(); // in progress
     // Stops accepting connections. Those that wait to be accepted still get a session.
     void close();
 
