gateway: Retry relayed requests that a stopping gateway gives up, and admit with a margin

A relayed request that ended with the process of the other gateway came back as its final 504, though the first gateway could have tried another one, as it did when the connection was cut: the verdict is peer-lost now and counts as lost. Admission without regard to the deadline ended 3 s after the signal was handled, while callers count from when it was sent: it ends 200 ms earlier. Margins follow grace times under 3.2 s. A refusal without a known Retry-After names the shortest one. The verdict has no test of its own.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -114,9 +114,8 @@
     void expire() {
         m_may_have_executed = m_may_have_executed || any_attempt_sent();
         abandon_attempts();
-        respond_with_failure(m_may_have_executed ? base::error_kind::deadline_exceeded
-                                                 : base::error_kind::stopping,
-                             base::monotonic_now());
+        const auto lost = m_relayed ? base::error_kind::peer_lost : base::error_kind::deadline_exceeded;
+        respond_with_failure(m_may_have_executed ? lost : base::error_kind::stopping, base::monotonic_now());
     }
 
 private:
@@ -535,7 +534,8 @@
     }
 
     void fail_unplaced(const placement::placement_result& placed, base::time_point now) {
-        m_retry_after = placed.retry_after;
+        const bool is_known = placed.retry_after > base::duration::zero();
+        m_retry_after = is_known ? placed.retry_after : placement::server_selector::minimum_retry_after;
         switch (placed.reason) {
         case placement::refusal::overload:
             respond_with_failure(base::error_kind::overloaded, now);
--- a/carawayway/gateway/request_relay.hpp
+++ b/carawayway/gateway/request_relay.hpp
@@ -136,8 +136,9 @@
         const auto verdict = is_answered ? read_relay_verdict(result.response) : relay_verdict{};
         const bool has_refused =
             result.outcome == exchange_outcome::not_connected || is_refusal(verdict.failure);
-        count(is_answered && !has_refused ? "answered" : has_refused ? "refused" : "lost");
-        if (is_answered && !has_refused) {
+        const bool has_lost = verdict.failure == base::error_kind::peer_lost; // as the other gateway stopped
+        count(has_refused ? "refused" : is_answered && !has_lost ? "answered" : "lost");
+        if (is_answered && !has_refused && !has_lost) {
             remove_relay_headers(result.response);
             complete({relay_outcome::answered, std::move(result.response), verdict});
             return;
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -56,7 +56,7 @@
 // A request to a backend server.
 template <platform_protocol Platform>
 struct server_call {
-    base::time_point deadline{}; // of the caller
+    base::time_point deadline{}; // of the caller, or the end of this process
     const placement::server_table& servers;
     placement::server_handle receiver;
 
--- a/carawayway/gateway/stop_schedule.hpp
+++ b/carawayway/gateway/stop_schedule.hpp
@@ -10,11 +10,13 @@
 struct stop_schedule {
     // Callers move to other gateways during this time; until they have, they may still open new connections.
     static constexpr base::duration longest_accept_time = std::chrono::milliseconds{3000};
+    // From the end of the admission of all requests until connections are no longer accepted. Covers the
+    // delay with which the signal is noticed: the platform counts from when it sent it.
+    static constexpr base::duration admission_margin = std::chrono::milliseconds{200};
     // Requests in progress end this long before the platform kills the process.
-    static constexpr base::duration response_margin = std::chrono::milliseconds{400};
-    // The process exits this long before the platform kills it.
-    static constexpr base::duration exit_margin = std::chrono::milliseconds{200};
+    static constexpr base::duration longest_response_margin = std::chrono::milliseconds{400};
 
+    base::time_point admits_until{};  // requests that may not end in time
     base::time_point accepts_until{}; // new connections
     base::time_point requests_end{};  // requests without a response get their last one
     base::time_point process_ends{};
@@ -23,14 +25,17 @@
 
     // `grace` is the time from the signal until the platform kills the process.
     static stop_schedule after_signal(base::time_point signalled_at, base::duration grace) {
-        return {signalled_at + std::min(longest_accept_time, grace / 2),
-                signalled_at + grace - response_margin, signalled_at + grace - exit_margin};
+        const auto accept_time = std::min(longest_accept_time, grace / 2);
+        const auto response_margin = std::min(longest_response_margin, grace / 8);
+        return {signalled_at + accept_time - std::min(admission_margin, accept_time),
+                signalled_at + accept_time, signalled_at + grace - response_margin,
+                signalled_at + grace - response_margin / 2};
     }
 
     // Whether a request that arrives now and has until `deadline` is taken. Late in the stop only those are
     // that end in time whatever their server does.
     bool takes(base::time_point now, base::time_point deadline) const {
-        return now < accepts_until || deadline <= requests_end;
+        return now < admits_until || deadline <= requests_end;
     }
 };
 
