platform: Refuse registrations of servers with numbers out of range

A registration with slots was taken for one with a single slot, one with slots for one without slots, and a coldLeftMs of 1e300 overflowed the conversion to a time. A `born` that could not be read counted as missing. Such a record comes from another writer and names no server to use.

Deeply nested records were refused before, too: the parser stops at a depth of 32.

--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -5,6 +5,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace platform {
 namespace {
 
@@ -60,6 +63,47 @@
     }
 }
 
+std::string nested_arrays(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string record_with(std::string_view replaced, std::string_view replacement) {
+    std::string text(complete_record);
+    text.replace(text.find(replaced), replaced.size(), replacement);
+    return text;
+}
+
+// Guards against a parser that exhausts the stack, or takes a part of such a record for a server.
+TEST(server_record, is_refused_when_deeply_nested) {
+    for (const std::size_t depth : {100UL, 100'000UL, 1'000'000UL}) {
+        EXPECT_FALSE(protocol::read_server("i-1", nested_arrays(depth)).has_value()) << depth;
+        EXPECT_FALSE(protocol::read_server("i-1", record_with("4", nested_arrays(depth))).has_value())
+            << depth;
+    }
+}
+
+// Guards against numbers that are cut to a smaller type, or to times that overflow.
+TEST(server_record, is_refused_with_numbers_out_of_range) {
+    const std::vector<std::string> too_large{"4294967296",          "4294967297", "9007199254740992",
+                                             "9223372036854775808", "1e30",       "1e400",
+                                             "1e99999999999",       "1e300"};
+    for (const auto& number : too_large) {
+        for (const std::string_view field : {"\"slots\":6", "\"coldLeftMs\":1500"}) {
+            const auto name = field.substr(0, field.find(':') + 1);
+            const auto record = record_with(field, std::string(name) + number);
+            EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+        }
+    }
+    for (const std::string_view slots : {"-1", "0", "1.5", "65536", "-1e400"}) {
+        const auto record = record_with("\"slots\":6", "\"slots\":" + std::string(slots));
+        EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+    }
+    for (const std::string_view born : {"1e30", "1e400", "-1e400", "18446744073709551616", "1.5"}) {
+        const auto record = record_with("1790000000123", born);
+        EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+    }
+}
+
 constexpr std::string_view configuration_text =
     R"({"version":"0000001a","services":[{"name":"s","healthPath":"/h","maxConns":360,"coldStartS":3.0,)"
     R"("coldPerS":14.0}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,)"
