--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -104,6 +104,17 @@
     }
 }
 
+// Guards against taking a record of another writer for that of a server that leaves some fields out.
+TEST(server_record, is_refused_when_a_field_has_another_type) {
+    for (const auto& record : {record_with("1790000000123", "\"1790000000123\""), record_with("\"v1\"", "1"),
+                               record_with("\"seq\":4", "\"seq\":\"4\""), record_with("1500", "\"1500\""),
+                               record_with("1500", "null"), record_with("\"z\"", "[\"z\"]")}) {
+        EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+    }
+    EXPECT_TRUE(protocol::read_server("i-1", record_with(",\"seq\":4", "")).has_value());
+    EXPECT_TRUE(protocol::read_server("i-1", record_with("\"version\":\"v1\",", "")).has_value());
+}
+
 constexpr std::string_view configuration_text =
     R"({"version":"0000001a","services":[{"name":"s","healthPath":"/h","maxConns":360,"coldStartS":3.0,)"
     R"("coldPerS":14.0}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,)"
