--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -115,6 +115,19 @@
     EXPECT_TRUE(protocol::read_server("i-1", record_with("\"version\":\"v1\",", "")).has_value());
 }
 
+// Guards against the ID of another writer's record ending the header that names the server, so that the
+// remainder becomes a header or a request.
+TEST(server_record, is_refused_under_an_id_that_no_header_can_carry) {
+    using namespace std::string_view_literals;
+    for (const std::string_view id : {""sv, " "sv, "i-1 "sv, " i-1"sv, "i\r\nDeadline-Ms: 1"sv, "i\n"sv,
+                                      "i\0"sv, "i\t"sv, "i\x7f"sv, "i-\xff"sv}) {
+        EXPECT_FALSE(protocol::read_server(id, complete_record).has_value()) << id;
+    }
+    for (const std::string_view id : {"i-1", "i_1.b:7/x~", "7"}) {
+        EXPECT_TRUE(protocol::read_server(id, complete_record).has_value()) << id;
+    }
+}
+
 constexpr std::string_view configuration_text =
     R"({"version":"0000001a","services":[{"name":"s","healthPath":"/h","maxConns":360,"coldStartS":3.0,)"
     R"("coldPerS":14.0}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,)"
