gateway: Refuse registrations of servers whose address no server can have

A record of another writer with a port out of range, port 0, a host name or no address was put among the servers, so that requests could be placed there, and it counted as a server when the gateway reported whether it was ready.

An unusable registration is now logged as `server-registration-invalid`, and `server-gone` only follows if the server was known.

--- a/Tests/gateway/record_applier_test.cpp
+++ b/Tests/gateway/record_applier_test.cpp
@@ -19,6 +19,12 @@
     return {std::move(key), std::move(value), {1, 0}, false};
 }
 
+std::string server_record(std::string_view address) {
+    return fmt::format(
+        R"({{"address":"{}","info":{{"service":"s","zone":"a","slots":6}},"status":{{"state":"ready","coldLeftMs":0}}}})",
+        address);
+}
+
 class record_applier_test : public testing::Test {
 protected:
     // Applies good entries with a bad one in each ten, which `bad_values` are used for in turn.
@@ -61,6 +67,48 @@
     EXPECT_EQ(m_state.servers.size(), entries - entries / bad_one_in);
 }
 
+// Guards against requests to an address that no server can have, and against a gateway that counts such a
+// record as a server.
+TEST_F(record_applier_test, a_server_without_a_usable_address_is_not_used) {
+    using namespace std::string_view_literals;
+    for (const auto address : {
+             ""sv,
+             ":"sv,
+             ":80"sv,
+             "10.0.0.1"sv,
+             "10.0.0.1:"sv,
+             "10.0.0.1:0"sv,
+             "10.0.0.1:65536"sv,
+             "10.0.0.1:99999999999"sv,
+             "10.0.0.1:-1"sv,
+             "10.0.0.1:+80"sv,
+             "10.0.0.1: 80"sv,
+             "10.0.0.1:80 "sv,
+             "10.0.0.1:8e1"sv,
+             "10.0.0.1:0x50"sv,
+             "10.0.0.256:80"sv,
+             "server.example:80"sv,
+             "http://10.0.0.1:80"sv,
+             "[::1:80"sv,
+             "0.0.0.0:80"sv,
+             "[::]:80"sv,
+             "255.255.255.255:80"sv,
+             "224.0.0.1:80"sv,
+             "[ff02::1]:80"sv,
+             R"([fe80::1%\r\nDeadline-Ms: 1]:80)"sv,
+             R"(10.0.0.1\u0000:80)"sv,
+         }) {
+        m_applier.apply({record("servers/i", server_record(address))}, removal_certainty::confirmed, start);
+        EXPECT_EQ(m_state.servers.size(), 0U) << address;
+    }
+    std::size_t index = 0;
+    for (const auto address : {"10.0.0.1:1"sv, "10.0.0.1:65535"sv, "127.0.0.1:80"sv, "[2001:db8::1]:80"sv}) {
+        m_applier.apply({record(fmt::format("servers/i-{}", ++index), server_record(address))},
+                        removal_certainty::confirmed, start);
+        EXPECT_EQ(m_state.servers.size(), index) << address;
+    }
+}
+
 // Guards against gateways that are not known to the others because one of them wrote something else.
 TEST_F(record_applier_test, bad_gateways_cost_nothing_but_themselves) {
     const std::array bad_values{"", "[]", "{}", R"({"domain":"a","region":"r","callers":7,"peers":"p:1"})"};
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -6,6 +6,7 @@
 #include "carawayway/gateway/content_fingerprint.hpp"
 #include "carawayway/gateway/gateway_state.hpp"
 #include "carawayway/gateway/removal_certainty.hpp"
+#include "carawayway/net/endpoint.hpp"
 
 #include <functional>
 #include <set>
@@ -80,8 +81,10 @@
             return;
         }
         const auto registration = Platform::read_server(id, record.value);
-        if (!registration) {
+        if (!registration || !net::parse_remote_endpoint(registration->address)) {
             // Without a valid registration the server cannot receive requests.
+            base::log(base::log_level::warning, "server-registration-invalid",
+                      {{"server", id}, {"revision", record.revision}});
             remove_server(id, "registration invalid", record.revision);
             return;
         }
@@ -95,6 +98,9 @@
     }
 
     void remove_server(const std::string& id, std::string_view reason, fleet::store_revision revision) {
+        if (!m_state.servers.find(id)) {
+            return;
+        }
         m_state.servers.erase(id);
         m_state.connections.close_all(id);
         base::log(base::log_level::info, "server-gone",
--- a/carawayway/net/endpoint.cpp
+++ b/carawayway/net/endpoint.cpp
@@ -1,14 +1,31 @@
 // Parses IP:port.
 #include "carawayway/net/endpoint.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <string_view>
 
 namespace carawayway::net {
 
+namespace {
+
+bool is_visible(std::string_view text) {
+    return std::all_of(text.begin(), text.end(),
+                       [](char character) { return character > ' ' && character <= '~'; });
+}
+
+bool names_one_host(const boost::asio::ip::address& address) {
+    const bool is_broadcast = address.is_v4() && address.to_v4() == boost::asio::ip::address_v4::broadcast();
+    return !address.is_unspecified() && !address.is_multicast() && !is_broadcast;
+}
+
+} // namespace
+
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
     const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
+    // The parser of addresses stops at a null character, and takes any text as the scope of an IPv6 address.
+    if (colon == std::string::npos || !is_visible(address)) {
         return std::nullopt;
     }
     std::string host = address.substr(0, colon);
@@ -26,4 +43,10 @@
     return boost::asio::ip::tcp::endpoint(parsed, port);
 }
 
+std::optional<boost::asio::ip::tcp::endpoint> parse_remote_endpoint(const std::string& address) {
+    const auto parsed = parse_endpoint(address);
+    const bool is_usable = parsed && parsed->port() != 0 && names_one_host(parsed->address());
+    return is_usable ? parsed : std::nullopt;
+}
+
 } // namespace carawayway::net
