platform: Read answers of the store in which a key is not UTF-8

Keys may have any bytes. One key of another writer that is not UTF-8 made every listing unreadable, and every watch after its change: the gateway listed the store again without end and learned of no later change.

--- a/Tests/platform/store_calls_test.cpp
+++ b/Tests/platform/store_calls_test.cpp
@@ -4,6 +4,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace platform {
 namespace {
 
@@ -54,6 +57,21 @@
     EXPECT_THAT(page.items, testing::ElementsAre(fleet::store_record{"servers/a", "", 2, false}));
 }
 
+// Guards against one key of another writer making the whole listing or watch unreadable, time and again.
+TEST(store_responses, a_key_that_is_not_utf8_costs_only_itself) {
+    const std::string items = "[{\"key\":\"servers/\xff\xfe\",\"value\":\"\",\"rev\":2},"
+                              "{\"key\":\"servers/a\",\"value\":\"bm9kZS0x\",\"rev\":3}],\"currentRev\":3}";
+    const std::vector<fleet::store_record> records{{"servers/\xff\xfe", "", 2, false},
+                                                   {"servers/a", "node-1", 3, false}};
+    const auto page = protocol::read_page(200, "{\"items\":" + items);
+    EXPECT_EQ(page.status, store_status::done);
+    EXPECT_EQ(page.items, records);
+    const auto events = protocol::read_events(200, "{\"events\":" + items);
+    EXPECT_EQ(events.status, store_status::done);
+    EXPECT_EQ(events.items, records);
+    EXPECT_EQ(protocol::list_call("servers/\xff\xfe").target, "/kv-range?prefix=&after=servers/%FF%FE");
+}
+
 TEST(store_responses, each_status_is_recognized) {
     EXPECT_EQ(protocol::read_status(200), store_status::done);
     EXPECT_EQ(protocol::read_status(404), store_status::missing);
