Tests: Show gateways that live on among odd records in the store

Four gateway processes serve callers while another writer leaves deeply nested values, numbers and ports out of range, unreadable bytes and odd keys under all prefixes, twice, and before a new listing. They must follow later changes and use none of these records.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -248,6 +248,10 @@
     });
 }
 
+void gateway_fleet::write_to_store(const std::string& key, const std::string& value) {
+    run_on_loop([&] { m_store.put_bytes(key, value); });
+}
+
 std::vector<std::string> gateway_fleet::server_ids() {
     std::vector<std::string> ids;
     run_on_loop([&] {
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -108,6 +108,9 @@
     // Removes the registrations of all servers from the store, as when they are silent for too long.
     void deregister_servers();
 
+    // Writes any value to the store, as another writer.
+    void write_to_store(const std::string& key, const std::string& value);
+
     // Starts one more server, and returns its ID.
     std::string start_server();
 
--- a/Tests/soak/store_stand_in.cpp
+++ b/Tests/soak/store_stand_in.cpp
@@ -71,7 +71,11 @@
 }
 
 void store_stand_in::put(const std::string& key, const json::object& value) {
-    const auto encoded = carawayway::json::base64_encode(json::serialize(value));
+    put_bytes(key, json::serialize(value));
+}
+
+void store_stand_in::put_bytes(const std::string& key, const std::string& value) {
+    const auto encoded = carawayway::json::base64_encode(value);
     m_external_writes[key] = encoded;
     write(key, encoded, 0);
 }
--- a/Tests/soak/store_stand_in.hpp
+++ b/Tests/soak/store_stand_in.hpp
@@ -38,6 +38,7 @@
 
     // Writes a value on behalf of operators or servers. The value is stored in base64.
     void put(const std::string& key, const boost::json::object& value);
+    void put_bytes(const std::string& key, const std::string& value);
     void erase(const std::string& key);
 
     // Replaces the contents by those of `age` ago, or the oldest copy. Revisions are given out again, leases
