gateway: Refuse registrations of gateways whose addresses nothing can connect to

Look-ups named the address for callers as it stood in the record, also with a port out of range, port 0 or no address at all, and a gateway without a usable address for other gateways could become the leader to follow. A registration that the others can use stays in force when such a record replaces it.

--- a/Tests/gateway/record_applier_test.cpp
+++ b/Tests/gateway/record_applier_test.cpp
@@ -123,5 +123,22 @@
     EXPECT_EQ(m_state.servers.gateways().all().size(), entries - entries / bad_one_in);
 }
 
+// Guards against look-ups that name an address to which no caller can connect.
+TEST_F(record_applier_test, a_gateway_without_usable_addresses_is_not_used) {
+    const auto apply_gateway = [this](std::string_view callers, std::string_view peers) {
+        m_applier.apply({record("carawayway/gateways/e",
+                                fmt::format(R"({{"domain":"a","region":"r","callers":"{}","peers":"{}"}})",
+                                            callers, peers))},
+                        removal_certainty::confirmed, start);
+        return m_state.servers.gateways().all().size();
+    };
+    for (const auto* const address :
+         {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "gateway.example:80", "0.0.0.0:80"}) {
+        EXPECT_EQ(apply_gateway(address, "10.0.0.2:1"), 0U) << address;
+        EXPECT_EQ(apply_gateway("10.0.0.1:1", address), 0U) << address;
+    }
+    EXPECT_EQ(apply_gateway("10.0.0.1:1", "10.0.0.2:1"), 1U);
+}
+
 } // namespace
 } // namespace carawayway::gateway
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -156,7 +156,8 @@
         }
         m_missing_gateways.erase(name);
         const auto registration = Platform::read_gateway(name, record.value);
-        if (!registration) {
+        if (!registration || !net::parse_remote_endpoint(registration->caller_address) ||
+            !net::parse_remote_endpoint(registration->peer_address)) {
             base::log(base::log_level::warning, "gateway-registration-invalid", {{"gateway", name}});
             return;
         }
