--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -181,6 +181,26 @@
     EXPECT_THAT(read->unknown_semantics, testing::ElementsAre("replayable"));
 }
 
+// Guards against times whose sum with the present time overflows.
+TEST(configuration, times_out_of_range_are_limited) {
+    const std::string complete(configuration_text);
+    for (const std::string_view time : {"1e14", "1e300", "9223372036854775807"}) {
+        std::string text = complete;
+        for (const std::string_view field : {R"("coldStartS":3.0)", R"("timeoutMs":2500)",
+                                             R"("targetLatencyMs":400)", R"("idleTimeoutMs":400)"}) {
+            const auto name = field.substr(0, field.find(':') + 1);
+            text.replace(text.find(field), field.size(), std::string(name) + std::string(time));
+        }
+        const auto read = protocol::read_configuration(text);
+        ASSERT_TRUE(read.has_value()) << time;
+        const auto& route = read->hosts.front().routes.front();
+        for (const auto value : {read->services.front().cold_start, route.timeout, route.target_latency,
+                                 read->limits.idle_timeout}) {
+            EXPECT_EQ(value, base::duration{24h}) << time;
+        }
+    }
+}
+
 // Guards against losing routes when only a part of the configuration can be parsed.
 TEST(configuration, is_refused_entirely_when_a_part_is_invalid) {
     const std::string complete(configuration_text);
