--- a/Tests/platform/headers_test.cpp
+++ b/Tests/platform/headers_test.cpp
@@ -20,6 +20,28 @@
     EXPECT_EQ(metadata.time_left, base::duration{2500ms});
 }
 
+// Guards against times whose sum with the present time overflows, and against taking a text that is no time
+// for one.
+TEST(times_in_milliseconds, are_limited_and_numbers) {
+    for (const auto& [text, time] :
+         std::vector<std::pair<std::string, std::optional<base::duration>>>{{"1.5", 1500us},
+                                                                            {"-20", -20ms},
+                                                                            {"1e14", 24h},
+                                                                            {"1e300", 24h},
+                                                                            {"-1e300", -24h},
+                                                                            {"inf", {}},
+                                                                            {"nan", {}},
+                                                                            {"1e400", {}},
+                                                                            {"soon", {}}}) {
+        gateway::http::fields headers;
+        headers.set("Deadline-Ms", text);
+        headers.set("Cold-Ms", text);
+        EXPECT_EQ(protocol::read_call(headers).time_left, time) << text;
+        EXPECT_EQ(protocol::read_health(200, headers, "i-1").cold_left, time.value_or(base::duration{}))
+            << text;
+    }
+}
+
 TEST(read_call, works_without_headers) {
     const auto metadata = protocol::read_call({});
     EXPECT_EQ(metadata, gateway::request_metadata{});
