--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -5,6 +5,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace platform {
 namespace {
 
@@ -60,6 +63,71 @@
     }
 }
 
+std::string nested_arrays(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string record_with(std::string_view replaced, std::string_view replacement) {
+    std::string text(complete_record);
+    text.replace(text.find(replaced), replaced.size(), replacement);
+    return text;
+}
+
+// Guards against a parser that exhausts the stack, or takes a part of such a record for a server.
+TEST(server_record, is_refused_when_deeply_nested) {
+    for (const std::size_t depth : {100UL, 100'000UL, 1'000'000UL}) {
+        EXPECT_FALSE(protocol::read_server("i-1", nested_arrays(depth)).has_value()) << depth;
+        EXPECT_FALSE(protocol::read_server("i-1", record_with("4", nested_arrays(depth))).has_value())
+            << depth;
+    }
+}
+
+// Guards against numbers that are cut to a smaller type, or to times that overflow.
+TEST(server_record, is_refused_with_numbers_out_of_range) {
+    const std::vector<std::string> too_large{"4294967296",          "4294967297", "9007199254740992",
+                                             "9223372036854775808", "1e30",       "1e400",
+                                             "1e99999999999",       "1e300"};
+    for (const auto& number : too_large) {
+        for (const std::string_view field : {"\"slots\":6", "\"coldLeftMs\":1500"}) {
+            const auto name = field.substr(0, field.find(':') + 1);
+            const auto record = record_with(field, std::string(name) + number);
+            EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+        }
+    }
+    for (const std::string_view slots : {"-1", "0", "1.5", "65536", "-1e400"}) {
+        const auto record = record_with("\"slots\":6", "\"slots\":" + std::string(slots));
+        EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+    }
+    for (const std::string_view born : {"1e30", "1e400", "-1e400", "18446744073709551616", "1.5"}) {
+        const auto record = record_with("1790000000123", born);
+        EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+    }
+}
+
+// Guards against taking a record of another writer for that of a server that leaves some fields out.
+TEST(server_record, is_refused_when_a_field_has_another_type) {
+    for (const auto& record : {record_with("1790000000123", "\"1790000000123\""), record_with("\"v1\"", "1"),
+                               record_with("\"seq\":4", "\"seq\":\"4\""), record_with("1500", "\"1500\""),
+                               record_with("1500", "null"), record_with("\"z\"", "[\"z\"]")}) {
+        EXPECT_FALSE(protocol::read_server("i-1", record).has_value()) << record;
+    }
+    EXPECT_TRUE(protocol::read_server("i-1", record_with(",\"seq\":4", "")).has_value());
+    EXPECT_TRUE(protocol::read_server("i-1", record_with("\"version\":\"v1\",", "")).has_value());
+}
+
+// Guards against the ID of another writer's record ending the header that names the server, so that the
+// remainder becomes a header or a request.
+TEST(server_record, is_refused_under_an_id_that_no_header_can_carry) {
+    using namespace std::string_view_literals;
+    for (const std::string_view id : {""sv, " "sv, "i-1 "sv, " i-1"sv, "i\r\nDeadline-Ms: 1"sv, "i\n"sv,
+                                      "i\0"sv, "i\t"sv, "i\x7f"sv, "i-\xff"sv}) {
+        EXPECT_FALSE(protocol::read_server(id, complete_record).has_value()) << id;
+    }
+    for (const std::string_view id : {"i-1", "i_1.b:7/x~", "7"}) {
+        EXPECT_TRUE(protocol::read_server(id, complete_record).has_value()) << id;
+    }
+}
+
 constexpr std::string_view configuration_text =
     R"({"version":"0000001a","services":[{"name":"s","healthPath":"/h","maxConns":360,"coldStartS":3.0,)"
     R"("coldPerS":14.0}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,)"
@@ -113,6 +181,26 @@
     EXPECT_THAT(read->unknown_semantics, testing::ElementsAre("replayable"));
 }
 
+// Guards against times whose sum with the present time overflows.
+TEST(configuration, times_out_of_range_are_limited) {
+    const std::string complete(configuration_text);
+    for (const std::string_view time : {"1e14", "1e300", "9223372036854775807"}) {
+        std::string text = complete;
+        for (const std::string_view field : {R"("coldStartS":3.0)", R"("timeoutMs":2500)",
+                                             R"("targetLatencyMs":400)", R"("idleTimeoutMs":400)"}) {
+            const auto name = field.substr(0, field.find(':') + 1);
+            text.replace(text.find(field), field.size(), std::string(name) + std::string(time));
+        }
+        const auto read = protocol::read_configuration(text);
+        ASSERT_TRUE(read.has_value()) << time;
+        const auto& route = read->hosts.front().routes.front();
+        for (const auto value : {read->services.front().cold_start, route.timeout, route.target_latency,
+                                 read->limits.idle_timeout}) {
+            EXPECT_EQ(value, base::duration{24h}) << time;
+        }
+    }
+}
+
 // Guards against losing routes when only a part of the configuration can be parsed.
 TEST(configuration, is_refused_entirely_when_a_part_is_invalid) {
     const std::string complete(configuration_text);
