gateway: Give up on two responses that run together into one head

A faulty server may write part of an extra response and then the response to the request at hand. When the part ends within the reason phrase or a field's value, the parser saw one head: status and Not-Executed of the extra response, with Request-Id, signature and body of the other one. The ID matched. A request that the server had executed was read as refused: after 421 or Not-Executed it went to a second server, or the caller got 503; after a copy of a 200, an error became a success.

A head with a status line in its reason phrase or in a field now counts as broken: the connection is closed, and the request may have been executed.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -27,9 +27,14 @@
     // Starts a server that writes one of `responses` per request, and closes the connection after the last.
     void serve(std::vector<std::string> responses) {
         m_responses = std::move(responses);
+        accept_next();
+    }
+
+    void accept_next() {
         m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
             if (!error) {
                 m_peer = std::move(socket);
+                accept_next();
                 respond_next();
             }
         });
@@ -54,6 +59,19 @@
                                });
     }
 
+    // The outcome of a request with this ID on a connection that has carried one other request with its
+    // response. The server writes `bytes` and closes the connection.
+    exchange_result send_on_kept_connection(const std::string& request_id, const std::string& bytes) {
+        m_pool.clear();
+        m_responses.clear();
+        m_peer.close();
+        m_responses = {response_with("earlier", "first"), bytes};
+        EXPECT_EQ(send("earlier").outcome, exchange_outcome::answered);
+        auto result = send(request_id);
+        EXPECT_TRUE(result.reused_connection);
+        return result;
+    }
+
     static constexpr std::chrono::milliseconds time_left{5000}; // until the deadline of a request
 
     // Runs the event loop only after `delay`.
@@ -80,6 +98,12 @@
                "\r\nResponse-Stamp: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // `id_field` is the line with the request ID, or empty.
+    static std::string refusal_with(const std::string& status_line, const std::string& id_field) {
+        return "HTTP/1.1 " + status_line + "\r\n" + id_field +
+               "Not-Executed: 1\r\nServer-Load: 12,3,8\r\nContent-Length: 0\r\n\r\n";
+    }
+
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     tcp::socket m_peer{m_context};
@@ -125,6 +149,44 @@
     EXPECT_EQ(send("a").outcome, exchange_outcome::broken);
 }
 
+// Guards against reading a copy of an earlier refusal that breaks off, and the answer behind it, as one.
+TEST_F(server_exchange_test, a_refusal_that_breaks_off_before_an_answer_does_not_refuse_the_request) {
+    serve({});
+    for (const std::string status : {"503 Service Unavailable", "421 Misdirected Request"}) {
+        for (const std::string id_field : {"Request-Id: earlier\r\n", ""}) {
+            const auto copy = refusal_with(status, id_field);
+            for (std::size_t size = 1; size < copy.size(); ++size) {
+                const auto begin = copy.substr(0, size);
+                EXPECT_NE(send_on_kept_connection("a", begin + response_with("a", "own")).outcome,
+                          exchange_outcome::answered)
+                    << begin;
+            }
+        }
+    }
+}
+
+// Guards against the same for any other answer that breaks off before the own one.
+TEST_F(server_exchange_test, an_answer_that_breaks_off_before_an_answer_does_not_replace_it) {
+    serve({});
+    const auto extra = response_with("earlier", "body");
+    const std::string own = "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: a\r\n"
+                            "Response-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t size = 1; size < extra.size(); ++size) {
+        const auto begin = extra.substr(0, size);
+        EXPECT_NE(send_on_kept_connection("a", begin + own).outcome, exchange_outcome::answered) << begin;
+    }
+}
+
+// Guards against giving up an answer for text in it that only resembles a second answer.
+TEST_F(server_exchange_test, an_answer_may_name_the_protocol) {
+    for (const std::string fields : {"Via: HTTP/1.1 cache-7\r\n", "Upgrade: HTTP/1.1\r\n",
+                                     "Server: HTTP/1.1  200\r\n", "X: HTTP/1. 200\r\n"}) {
+        serve(
+            {"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + fields + "Content-Length: 15\r\n\r\nHTTP/1.1 200 OK"});
+        EXPECT_EQ(send("a").outcome, exchange_outcome::answered) << fields;
+    }
+}
+
 // Guards against reporting "not executed" for a request that the server may have executed.
 TEST_F(server_exchange_test, connection_closed_after_request_is_unanswered) {
     serve({""});
--- a/carawayway/gateway/message_headers.cpp
+++ b/carawayway/gateway/message_headers.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -13,6 +14,23 @@
 // Keeps times within the range of base::duration.
 constexpr double longest_retry_after_seconds = 86'400.0;
 
+bool has_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t code_position = version.size() + 2; // behind the minor version and a space
+    constexpr std::size_t code_digits = 3;
+    const auto is_digit = [](char character) { return character >= '0' && character <= '9'; };
+    for (auto begin = text.find(version); begin != std::string_view::npos;
+         begin = text.find(version, begin + 1)) {
+        const auto line = text.substr(begin);
+        if (line.size() >= code_position + code_digits && is_digit(line[version.size()]) &&
+            line[code_position - 1] == ' ' &&
+            std::all_of(line.begin() + code_position, line.begin() + code_position + code_digits, is_digit)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 void remove_hop_by_hop_headers(http::fields& headers) {
@@ -76,4 +94,10 @@
     return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
 }
 
+bool contains_status_line(const http_response& response) {
+    return has_status_line(response.reason()) ||
+           std::any_of(response.begin(), response.end(),
+                       [](const auto& header) { return has_status_line(header.value()); });
+}
+
 } // namespace carawayway::gateway
--- a/carawayway/gateway/message_headers.hpp
+++ b/carawayway/gateway/message_headers.hpp
@@ -14,4 +14,8 @@
 // The time in Retry-After, if it is given in seconds.
 std::optional<base::duration> retry_after_in(const http::fields& headers);
 
+// Whether the head has a status line within. A response that breaks off within a line of its head makes one
+// head with the response behind it, and the status and the fields of this head belong to different requests.
+bool contains_status_line(const http_response& response);
+
 } // namespace carawayway::gateway
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -26,7 +26,7 @@
     not_connected, // nothing was sent
     withheld,      // nothing was sent, since the receiver no longer takes requests
     unanswered,    // the request was sent, and the connection closed before any byte of a response
-    broken,        // the request was sent, and the response is incomplete or not HTTP
+    broken,        // the request was sent, and the response is incomplete, run together or not HTTP
 };
 
 struct exchange_result {
@@ -182,6 +182,9 @@
                 co_return;
             }
             result.response = parser.release();
+            if (contains_status_line(result.response)) {
+                break;
+            }
             result.metadata = Platform::read_answer(result.response.result_int(), result.response);
             const bool informational = result.response.result_int() < 200;
             if (!informational && result.metadata.request_id == m_request_id) {
