gateway: Send requests without ID over connections of their own

Servers refuse a request without Request-Id with a response that has none either. On a kept connection, such a refusal, when it is repeated late, matched the next request without ID, whatever the server did with that.

A request without ID now gets a new connection, which is closed after the response. Proper callers send an ID with each request.

The new test failed before: the connection went back to the pool and was used for the next request without ID.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -187,6 +187,16 @@
     }
 }
 
+// Guards against taking the answer to another request for that to one without an ID.
+TEST_F(server_exchange_test, a_request_without_id_shares_its_connection_with_no_other) {
+    serve({refusal_with("400 Bad Request", ""), response_with("", "own"), "none"});
+    EXPECT_TRUE(send("").metadata.not_executed);
+    EXPECT_EQ(m_pool.size(), 0U);
+    const auto next = send("");
+    EXPECT_EQ(next.response.body(), "own");
+    EXPECT_FALSE(next.reused_connection);
+}
+
 // Guards against reporting "not executed" for a request that the server may have executed.
 TEST_F(server_exchange_test, connection_closed_after_request_is_unanswered) {
     serve({""});
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -112,7 +112,9 @@
     }
 
     boost::asio::awaitable<void> exchange(exchange_result& result) {
-        m_connection = m_pool.take(m_server, m_limits.maximum_idle_time, base::monotonic_now());
+        if (!m_request_id.empty()) {
+            m_connection = m_pool.take(m_server, m_limits.maximum_idle_time, base::monotonic_now());
+        }
         result.reused_connection = m_connection != nullptr;
         if (!m_connection) {
             const bool connected = co_await connect(result);
@@ -215,10 +217,11 @@
     }
 
     // Returns the connection to the pool if it can be reused. Bytes after the response would be taken for the
-    // next one, and a request that is still being written would be mixed with the next.
+    // next one, and a request that is still being written would be mixed with the next. Without an
+    // ID, a late response to one request cannot be told from that to the next one.
     void release_connection(const http_response& response) {
         const bool reusable = response.keep_alive() && !response.need_eof() && !m_writing &&
-                              !m_write_failed && m_connection->buffer.size() == 0;
+                              !m_write_failed && m_connection->buffer.size() == 0 && !m_request_id.empty();
         if (!reusable) {
             close();
             return;
