gateway: Close connections on which a server is out of step

After a response to another request, the connection went back to the pool. A server that has repeated one response may repeat others, in whole or in part, and each of them reaches the request that is sent next.

The request at hand still gets its own response from the connection, which is then closed.

The new test failed before: the connection was used for the next request.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -197,6 +197,17 @@
     EXPECT_FALSE(next.reused_connection);
 }
 
+// Guards against the further use of a connection whose server is out of step with the requests.
+TEST_F(server_exchange_test, a_connection_with_a_response_to_another_request_is_not_used_again) {
+    serve(
+        {response_with("earlier", "extra") + response_with("a", "own"), response_with("b", "next"), "none"});
+    EXPECT_EQ(send("a").response.body(), "own");
+    EXPECT_EQ(m_pool.size(), 0U);
+    const auto next = send("b");
+    EXPECT_EQ(next.response.body(), "next");
+    EXPECT_FALSE(next.reused_connection);
+}
+
 // Guards against reporting "not executed" for a request that the server may have executed.
 TEST_F(server_exchange_test, connection_closed_after_request_is_unanswered) {
     serve({""});
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -197,6 +197,7 @@
             if (!result.response.keep_alive() || result.response.need_eof()) {
                 break;
             }
+            m_is_out_of_step = m_is_out_of_step || !informational;
         }
         result.outcome = exchange_outcome::broken;
         close();
@@ -221,7 +222,8 @@
     // ID, a late response to one request cannot be told from that to the next one.
     void release_connection(const http_response& response) {
         const bool reusable = response.keep_alive() && !response.need_eof() && !m_writing &&
-                              !m_write_failed && m_connection->buffer.size() == 0 && !m_request_id.empty();
+                              !m_write_failed && m_connection->buffer.size() == 0 && !m_request_id.empty() &&
+                              !m_is_out_of_step;
         if (!reusable) {
             close();
             return;
@@ -254,6 +256,7 @@
     bool m_sent = false;
     bool m_writing = false;
     bool m_write_failed = false;
+    bool m_is_out_of_step = false; // the server has sent a response to another request
     bool m_aborted = false;
 };
 
