Tests: Cover repeated refusals and responses that end early

Copies of an earlier refusal, with an old ID, an empty one or none, before a response or in its place; bytes that wait on a pooled connection; and responses of servers and relaying gateways that end, by a close or a reset, after each of their bytes: with a length, with chunks, without either, behind a 100 or behind an extra response.

These tests passed without a change of the gateway.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -1,4 +1,5 @@
 // Tests of a single exchange with servers that respond correctly, more than once, incompletely or not at all.
+#include "carawayway/gateway/request_relay.hpp"
 #include "carawayway/gateway/server_exchange.hpp"
 #include "platform/protocol.hpp"
 
@@ -52,13 +53,26 @@
                                    m_responses.erase(m_responses.begin());
                                    boost::asio::write(m_peer, boost::asio::buffer(response));
                                    if (m_responses.empty()) {
-                                       m_peer.close();
+                                       end_connection();
                                        return;
                                    }
                                    respond_next();
                                });
     }
 
+    void end_connection() {
+        if (m_resets) {
+            m_peer.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        m_peer.close();
+    }
+
+    // Runs the event loop until it has nothing to do at once.
+    void deliver() {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        m_context.poll();
+    }
+
     // The outcome of a request with this ID on a connection that has carried one other request with its
     // response. The server writes `bytes` and closes the connection.
     exchange_result send_on_kept_connection(const std::string& request_id, const std::string& bytes) {
@@ -76,13 +90,23 @@
 
     // Runs the event loop only after `delay`.
     exchange_result send(const std::string& request_id, std::chrono::milliseconds delay = {}) {
+        if (m_sends_to_gateway) {
+            return send_call(peer_call{{}, "key", base::monotonic_now(), {}}, request_id, delay);
+        }
+        return send_call(
+            server_call<platform::protocol>{base::monotonic_now() + time_left, m_servers, m_server},
+            request_id, delay);
+    }
+
+    template <exchange_call Call>
+    exchange_result send_call(Call call, const std::string& request_id, std::chrono::milliseconds delay) {
         auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
         request->set(http::field::host, "h");
         request->prepare_payload();
         const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U};
-        const server_call<platform::protocol> call{base::monotonic_now() + time_left, m_servers, m_server};
-        auto sent = std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1",
-                                               m_acceptor.local_endpoint(), limits, call);
+        auto sent = std::make_shared<server_exchange<platform::protocol, Call>>(
+            m_context.get_executor(), m_pool, m_memory, "i-1", m_acceptor.local_endpoint(), limits,
+            std::move(call));
         std::optional<exchange_result> result;
         sent->start(request, request_id,
                     [&result](exchange_result completed) { result = std::move(completed); });
@@ -115,6 +139,8 @@
     std::array<char, 4096> m_chunk{};
     std::string m_last_request;
     int m_requests = 0;
+    bool m_resets = false;           // connections are reset, not closed
+    bool m_sends_to_gateway = false; // as relayed requests
 };
 
 TEST_F(server_exchange_test, reuses_connection) {
@@ -208,6 +234,97 @@
     EXPECT_FALSE(next.reused_connection);
 }
 
+// Guards against a refusal of an earlier request, repeated late, that is taken for that of a request which
+// the server executes.
+TEST_F(server_exchange_test, a_repeated_refusal_of_an_earlier_request_is_no_answer) {
+    serve({});
+    for (const std::string status :
+         {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "400 Bad Request"}) {
+        for (const std::string id_field : {"Request-Id: earlier\r\n", "Request-Id: \r\n", ""}) {
+            const auto copy = refusal_with(status, id_field);
+            for (const int copies : {1, 2, 3}) {
+                std::string bytes;
+                for (int index = 0; index < copies; ++index) {
+                    bytes += copy;
+                }
+                const auto answered = send_on_kept_connection("a", bytes + response_with("a", "own"));
+                EXPECT_EQ(answered.outcome, exchange_outcome::answered) << copy;
+                EXPECT_EQ(answered.response.body(), "own") << copy;
+                EXPECT_FALSE(answered.metadata.not_executed) << copy;
+                EXPECT_NE(send_on_kept_connection("a", bytes).outcome, exchange_outcome::answered) << copy;
+            }
+        }
+    }
+}
+
+// Guards against a request that is sent on a connection on which bytes wait that belong to no request.
+TEST_F(server_exchange_test, a_connection_with_unread_bytes_is_not_used_again) {
+    for (const auto& bytes : {refusal_with("503 Service Unavailable", "Request-Id: a\r\n"),
+                              refusal_with("503 Service Unavailable", ""), std::string("HTTP/1.1 50")}) {
+        serve({response_with("a", "one"), response_with("b", "two"), "none"});
+        EXPECT_EQ(send("a").outcome, exchange_outcome::answered);
+        boost::asio::write(m_peer, boost::asio::buffer(bytes));
+        deliver();
+        const auto next = send("b");
+        EXPECT_EQ(next.response.body(), "two") << bytes;
+        EXPECT_FALSE(next.reused_connection) << bytes;
+        m_pool.clear();
+    }
+}
+
+// Guards against an answer that ends within its head and is taken for one without a body.
+TEST_F(server_exchange_test, an_answer_that_ends_early_is_no_answer) {
+    serve({});
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n";
+    const std::string with_chunks =
+        head + "Transfer-Encoding: chunked\r\n\r\nA;x=1\r\n0123456789\r\n0\r\nTrailer-Field: 1\r\n\r\n";
+    const std::string with_length = head + "Content-Length: 12\r\n\r\n012345678901";
+    const std::string without_body = head + "Content-Length: 0\r\n\r\n";
+    const std::string continued = "HTTP/1.1 100 Continue\r\n\r\n" + with_length;
+    const std::string behind_extra = response_with("earlier", "body") + with_length;
+    for (const bool resets : {false, true}) {
+        m_resets = resets;
+        for (const auto& whole : {with_chunks, with_length, without_body, continued, behind_extra}) {
+            for (std::size_t size = 1; size < whole.size(); ++size) {
+                const auto cut = whole.substr(0, size);
+                EXPECT_NE(send_on_kept_connection("a", cut).outcome, exchange_outcome::answered) << cut;
+            }
+        }
+    }
+    m_resets = false;
+    for (const auto& whole : {with_chunks, with_length, without_body, continued, behind_extra}) {
+        EXPECT_EQ(send_on_kept_connection("a", whole).outcome, exchange_outcome::answered) << whole;
+    }
+}
+
+// Guards against taking an answer without a length for whole when its connection does not end in order.
+TEST_F(server_exchange_test, an_answer_without_length_ends_with_its_connection) {
+    serve({});
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n";
+    const auto whole = send_on_kept_connection("a", head + "\r\nbody");
+    EXPECT_EQ(whole.outcome, exchange_outcome::answered);
+    EXPECT_EQ(whole.response.body(), "body");
+    for (std::size_t size = 1; size < head.size() + 2; ++size) {
+        const auto cut = (head + "\r\n").substr(0, size);
+        EXPECT_NE(send_on_kept_connection("a", cut).outcome, exchange_outcome::answered) << cut;
+    }
+    m_resets = true;
+    EXPECT_NE(send_on_kept_connection("a", head + "\r\nbody").outcome, exchange_outcome::answered);
+    EXPECT_NE(send_on_kept_connection("a", head + "\r\n").outcome, exchange_outcome::answered);
+}
+
+// Guards against the same for the answers of gateways that relay requests.
+TEST_F(server_exchange_test, a_relayed_answer_that_ends_early_is_no_answer) {
+    m_sends_to_gateway = true;
+    serve({});
+    const auto whole = response_with("a", "a body of some length");
+    for (std::size_t size = 1; size < whole.size(); ++size) {
+        const auto cut = whole.substr(0, size);
+        EXPECT_NE(send_on_kept_connection("a", cut).outcome, exchange_outcome::answered) << cut;
+    }
+    EXPECT_EQ(send_on_kept_connection("a", whole).outcome, exchange_outcome::answered);
+}
+
 // Guards against reporting "not executed" for a request that the server may have executed.
 TEST_F(server_exchange_test, connection_closed_after_request_is_unanswered) {
     serve({""});
