Tests: Repeat rejections on kept connections under load

Servers of the stand-in reject every third booking and write that rejection, whole or in part, once more before later answers. Bookings run at most once, and none that ran is refused.

--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -317,7 +317,18 @@
     run_on_loop([&] {
         const std::scoped_lock lock(m_sent_mutex);
         for (const auto& [request_id, status] : m_bookings) {
-            count += status == 503 && !m_record.executions[request_id].empty() ? 1 : 0;
+            const bool says_not_executed = status == 408 || status == 421 || status == 429 || status == 503;
+            count += says_not_executed && !m_record.executions[request_id].empty() ? 1 : 0;
+        }
+    });
+    return count;
+}
+
+std::size_t gateway_fleet::repeated_refusals() {
+    std::size_t count = 0;
+    run_on_loop([&] {
+        for (const auto& server : m_servers) {
+            count += static_cast<std::size_t>(server->repeated_refusals());
         }
     });
     return count;
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -127,6 +127,8 @@
     std::size_t executed_of(const std::vector<std::string>& request_ids);
     // Requests that are not idempotent and were executed, though their callers were told that they were not.
     std::size_t executed_refused_bookings();
+    // Rejections that servers have repeated, whole or in part.
+    std::size_t repeated_refusals();
     // The most requests of one gateway that reached one server within a rest for which it had asked.
     std::size_t most_arrivals_within_rest();
     // What the servers received and the callers sent so far.
--- a/Tests/soak/http_server.cpp
+++ b/Tests/soak/http_server.cpp
@@ -55,17 +55,27 @@
     m_connections.insert(socket);
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
+    std::optional<http_response> last_failure;
     while (!error) {
         http_request request;
         co_await http::async_read(*socket, buffer, request, redirect_error(use_awaitable, error));
         if (error) {
             break;
         }
+        if (last_failure && m_extra_bytes) {
+            const auto bytes = m_extra_bytes(*last_failure);
+            co_await boost::asio::async_write(*socket, boost::asio::buffer(bytes),
+                                              redirect_error(use_awaitable, error));
+        }
         auto answer = co_await m_handler(std::move(request));
         if (!answer) {
             reset(*socket);
             break;
         }
+        if (http::to_status_class(answer->result()) == http::status_class::client_error ||
+            http::to_status_class(answer->result()) == http::status_class::server_error) {
+            last_failure = answer;
+        }
         const bool is_endless = answer->need_eof();
         co_await http::async_write(*socket, *answer, redirect_error(use_awaitable, error));
         while (is_endless && !error) {
--- a/Tests/soak/http_server.hpp
+++ b/Tests/soak/http_server.hpp
@@ -27,6 +27,11 @@
 public:
     http_server(boost::asio::io_context& context, const std::string& host, http_handler handler);
 
+    // Returns the bytes that are written before the response to a request, or none. `last_failure` is the
+    // last response with an error status on the same connection.
+    using extra_bytes = std::function<std::string(const http_response& last_failure)>;
+    void write_before_responses(extra_bytes bytes) { m_extra_bytes = std::move(bytes); }
+
     // HOST:PORT. Call it only while connections are accepted.
     std::string address() const;
 
@@ -43,6 +48,7 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     http_handler m_handler;
+    extra_bytes m_extra_bytes;             // null: none
     std::set<shared_socket> m_connections; // open ones
 };
 
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -1,6 +1,12 @@
 // Executes requests for a random time, applies the injected fault and records each execution.
 #include "Tests/soak/server_stand_in.hpp"
 
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <sstream>
+
 namespace carawayway::soak {
 
 namespace {
@@ -13,13 +19,27 @@
 constexpr int minimum_execution_ms = 5;
 constexpr int maximum_execution_ms = 60;
 constexpr int slow_factor = 8;
+constexpr int requests_per_refusal = 3;
 
 } // namespace
 
 server_stand_in::server_stand_in(boost::asio::io_context& context, std::string id, std::string domain,
                                  run_record& record, std::uint32_t seed)
     : m_id(std::move(id)), m_domain(std::move(domain)), m_record(record), m_random(seed),
-      m_listener(context, "127.1.2.1", [this](http_request request) { return handle(std::move(request)); }) {}
+      m_listener(context, "127.1.2.1", [this](http_request request) { return handle(std::move(request)); }) {
+    m_listener.write_before_responses([this](const http_response& refusal) { return copy_of(refusal); });
+}
+
+std::string server_stand_in::copy_of(const http_response& refusal) {
+    if (m_fault != server_fault::repeated_refusals) {
+        return {};
+    }
+    std::ostringstream text;
+    text << refusal;
+    const auto whole = text.str();
+    const std::array sizes{whole.size(), whole.find("\r\n"), whole.find("\r\n", whole.find("Server-Load"))};
+    return whole.substr(0, sizes.at(m_repeated_refusals++ % sizes.size()));
+}
 
 boost::json::object server_stand_in::registration() const {
     return {
@@ -79,6 +99,11 @@
     if (fault == server_fault::load_shedding || m_running >= slots + queue_capacity) {
         co_return refused(503);
     }
+    if (fault == server_fault::repeated_refusals && m_refusable++ % requests_per_refusal == 0) {
+        auto answer = refused(503);
+        answer.set("Server-Load", fmt::format("{},{},{}", slots, queue_capacity, slots));
+        co_return answer;
+    }
     m_record.executions[id].push_back({m_id, clock::now()});
     if (fault == server_fault::endless_answer) {
         auto answer = answer_to(request, 200, {});
--- a/Tests/soak/server_stand_in.hpp
+++ b/Tests/soak/server_stand_in.hpp
@@ -24,6 +24,8 @@
     endless_answer,   // sends a body without end when it begins to execute a request
     error_answer,     // answers 500 when it begins to execute a request
     wrong_request_id, // sets the request ID of another request in the response
+    // rejects some requests as full, and repeats rejections, whole or in part, before later answers
+    repeated_refusals,
 };
 
 class server_stand_in {
@@ -53,11 +55,16 @@
         m_on_end = std::move(on_end);
     }
 
+    // Rejections that were repeated, whole or in part.
+    int repeated_refusals() const { return m_repeated_refusals; }
+
     // The value that the server registers under its key in the store.
     boost::json::object registration() const;
 
 private:
     boost::asio::awaitable<std::optional<http_response>> handle(http_request request);
+    // What repeats a rejection on a connection.
+    std::string copy_of(const http_response& refusal);
     http_response answer_to(const http_request& request, unsigned status, std::string body) const;
 
     std::string m_id;
@@ -69,7 +76,9 @@
     bool m_says_leaving = false;
     std::optional<double> m_request_limit;
     std::optional<std::chrono::milliseconds> m_rest;
-    int m_running = 0; // executions in progress
+    int m_running = 0;   // executions in progress
+    int m_refusable = 0; // requests that could be rejected while refusals are repeated
+    int m_repeated_refusals = 0;
     request_predicate m_crashes = [](const http_request&) { return false; };
     end_kind m_end_kind = end_kind::reset_connections;
     std::function<void()> m_on_end;
