gateway: Forward no status of a refusal without the server's word

Only Not-Executed, or 421, states that a server did not run a request. Callers take 408, 429 and 503 for the same promise. Such an answer without Not-Executed, as a server in trouble or a garbled head may make it, was forwarded as it came, also for a request that the server had executed.

It now counts as an answer that is not intact: an idempotent request may go to another server, and any other ends with 502.

--- a/Tests/gateway_processes/refusal_test.cpp
+++ b/Tests/gateway_processes/refusal_test.cpp
@@ -46,5 +46,18 @@
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
 }
 
+// Guards against a status that promises callers that a booking was not executed, without the server's word.
+TEST(refusal_test, the_status_of_a_rejection_alone_does_not_reach_callers) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
+                        1);
+    fleet.set_server_fault(soak::server_fault::unmarked_refusals);
+    for (int booking = 0; booking < 12; ++booking) {
+        const auto object = std::to_string(booking);
+        fleet.send(0, "POST", "/book/" + object, object);
+    }
+    EXPECT_EQ(fleet.most_executions_of_bookings(), 1U);
+    EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
+}
+
 } // namespace
 } // namespace carawayway::gateway_processes
--- a/Tests/platform/headers_test.cpp
+++ b/Tests/platform/headers_test.cpp
@@ -48,6 +48,16 @@
     EXPECT_FALSE(protocol::read_answer(503, headers).other_server);
 }
 
+// Guards against a status that promises callers more than the server has said.
+TEST(read_answer, knows_which_statuses_read_as_refusals) {
+    for (const unsigned status : {408U, 421U, 429U, 503U}) {
+        EXPECT_TRUE(protocol::read_answer(status, {}).has_refusal_status) << status;
+    }
+    for (const unsigned status : {200U, 400U, 404U, 413U, 500U, 502U, 504U}) {
+        EXPECT_FALSE(protocol::read_answer(status, {}).has_refusal_status) << status;
+    }
+}
+
 TEST(read_answer, reads_for_how_long_a_server_asks_for_rest) {
     gateway::http::fields headers;
     EXPECT_FALSE(protocol::read_answer(503, headers).asks_for_rest);
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -20,6 +20,7 @@
 constexpr int maximum_execution_ms = 60;
 constexpr int slow_factor = 8;
 constexpr int requests_per_refusal = 3;
+constexpr std::array unmarked_statuses{408U, 429U, 503U};
 
 } // namespace
 
@@ -116,6 +117,12 @@
         answer.set("Response-Stamp", "s");
         co_return answer;
     }
+    if (fault == server_fault::unmarked_refusals) {
+        auto answer =
+            answer_to(request, unmarked_statuses.at(m_unmarked_refusals++ % unmarked_statuses.size()), {});
+        answer.set("Response-Stamp", "s");
+        co_return answer;
+    }
     if (m_crashes(request)) {
         m_on_end();
         if (m_end_kind == end_kind::silence) {
--- a/Tests/soak/server_stand_in.hpp
+++ b/Tests/soak/server_stand_in.hpp
@@ -26,6 +26,7 @@
     wrong_request_id, // sets the request ID of another request in the response
     // rejects some requests as full, and repeats rejections, whole or in part, before later answers
     repeated_refusals,
+    unmarked_refusals, // answers with the status of a rejection, and nothing else of one, after execution
 };
 
 class server_stand_in {
@@ -79,6 +80,7 @@
     int m_running = 0;   // executions in progress
     int m_refusable = 0; // requests that could be rejected while refusals are repeated
     int m_repeated_refusals = 0;
+    int m_unmarked_refusals = 0;
     request_predicate m_crashes = [](const http_request&) { return false; };
     end_kind m_end_kind = end_kind::reset_connections;
     std::function<void()> m_on_end;
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -459,8 +459,9 @@
         auto& server = *sent.server;
         const unsigned status = result.response.result_int();
         const bool success = status >= 200 && status < 300;
-        const bool intact =
-            !success || (result.metadata.has_signature && !result.metadata.has_content_encoding);
+        const bool is_unmarked_refusal = result.metadata.has_refusal_status && !result.metadata.not_executed;
+        const bool intact = success ? result.metadata.has_signature && !result.metadata.has_content_encoding
+                                    : !is_unmarked_refusal;
         const bool good = !result.metadata.not_executed && status < 500 && intact;
         if (result.metadata.load) {
             m_state.servers.record_load_report(server, *result.metadata.load, now);
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -35,6 +35,7 @@
 struct response_metadata {
     std::string request_id; // of the request that is answered
     bool not_executed = false;
+    bool has_refusal_status = false;   // callers take the status to mean that the request was not executed
     bool other_server = false;         // the address now belongs to another server
     bool has_signature = false;        // the response carries the signature of the server
     bool has_content_encoding = false; // the body was altered on the way from the server
