--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -1,4 +1,5 @@
 // Tests of a single exchange with servers that respond correctly, more than once, incompletely or not at all.
+#include "carawayway/gateway/request_relay.hpp"
 #include "carawayway/gateway/server_exchange.hpp"
 #include "platform/protocol.hpp"
 
@@ -27,9 +28,14 @@
     // Starts a server that writes one of `responses` per request, and closes the connection after the last.
     void serve(std::vector<std::string> responses) {
         m_responses = std::move(responses);
+        accept_next();
+    }
+
+    void accept_next() {
         m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
             if (!error) {
                 m_peer = std::move(socket);
+                accept_next();
                 respond_next();
             }
         });
@@ -47,24 +53,60 @@
                                    m_responses.erase(m_responses.begin());
                                    boost::asio::write(m_peer, boost::asio::buffer(response));
                                    if (m_responses.empty()) {
-                                       m_peer.close();
+                                       end_connection();
                                        return;
                                    }
                                    respond_next();
                                });
     }
 
+    void end_connection() {
+        if (m_resets) {
+            m_peer.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        m_peer.close();
+    }
+
+    // Runs the event loop until it has nothing to do at once.
+    void deliver() {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        m_context.poll();
+    }
+
+    // The outcome of a request with this ID on a connection that has carried one other request with its
+    // response. The server writes `bytes` and closes the connection.
+    exchange_result send_on_kept_connection(const std::string& request_id, const std::string& bytes) {
+        m_pool.clear();
+        m_responses.clear();
+        m_peer.close();
+        m_responses = {response_with("earlier", "first"), bytes};
+        EXPECT_EQ(send("earlier").outcome, exchange_outcome::answered);
+        auto result = send(request_id);
+        EXPECT_TRUE(result.reused_connection);
+        return result;
+    }
+
     static constexpr std::chrono::milliseconds time_left{5000}; // until the deadline of a request
 
     // Runs the event loop only after `delay`.
     exchange_result send(const std::string& request_id, std::chrono::milliseconds delay = {}) {
+        if (m_sends_to_gateway) {
+            return send_call(peer_call{{}, "key", base::monotonic_now(), {}}, request_id, delay);
+        }
+        return send_call(
+            server_call<platform::protocol>{base::monotonic_now() + time_left, m_servers, m_server},
+            request_id, delay);
+    }
+
+    template <exchange_call Call>
+    exchange_result send_call(Call call, const std::string& request_id, std::chrono::milliseconds delay) {
         auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
         request->set(http::field::host, "h");
         request->prepare_payload();
         const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U};
-        const server_call<platform::protocol> call{base::monotonic_now() + time_left, m_servers, m_server};
-        auto sent = std::make_shared<exchange>(m_context.get_executor(), m_pool, m_memory, "i-1",
-                                               m_acceptor.local_endpoint(), limits, call);
+        auto sent = std::make_shared<server_exchange<platform::protocol, Call>>(
+            m_context.get_executor(), m_pool, m_memory, "i-1", m_acceptor.local_endpoint(), limits,
+            std::move(call));
         std::optional<exchange_result> result;
         sent->start(request, request_id,
                     [&result](exchange_result completed) { result = std::move(completed); });
@@ -80,6 +122,12 @@
                "\r\nResponse-Stamp: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // `id_field` is the line with the request ID, or empty.
+    static std::string refusal_with(const std::string& status_line, const std::string& id_field) {
+        return "HTTP/1.1 " + status_line + "\r\n" + id_field +
+               "Not-Executed: 1\r\nServer-Load: 12,3,8\r\nContent-Length: 0\r\n\r\n";
+    }
+
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     tcp::socket m_peer{m_context};
@@ -91,6 +139,8 @@
     std::array<char, 4096> m_chunk{};
     std::string m_last_request;
     int m_requests = 0;
+    bool m_resets = false;           // connections are reset, not closed
+    bool m_sends_to_gateway = false; // as relayed requests
 };
 
 TEST_F(server_exchange_test, reuses_connection) {
@@ -125,6 +175,156 @@
     EXPECT_EQ(send("a").outcome, exchange_outcome::broken);
 }
 
+// Guards against reading a copy of an earlier refusal that breaks off, and the answer behind it, as one.
+TEST_F(server_exchange_test, a_refusal_that_breaks_off_before_an_answer_does_not_refuse_the_request) {
+    serve({});
+    for (const std::string status : {"503 Service Unavailable", "421 Misdirected Request"}) {
+        for (const std::string id_field : {"Request-Id: earlier\r\n", ""}) {
+            const auto copy = refusal_with(status, id_field);
+            for (std::size_t size = 1; size < copy.size(); ++size) {
+                const auto begin = copy.substr(0, size);
+                EXPECT_NE(send_on_kept_connection("a", begin + response_with("a", "own")).outcome,
+                          exchange_outcome::answered)
+                    << begin;
+            }
+        }
+    }
+}
+
+// Guards against the same for any other answer that breaks off before the own one.
+TEST_F(server_exchange_test, an_answer_that_breaks_off_before_an_answer_does_not_replace_it) {
+    serve({});
+    const auto extra = response_with("earlier", "body");
+    const std::string own = "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: a\r\n"
+                            "Response-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t size = 1; size < extra.size(); ++size) {
+        const auto begin = extra.substr(0, size);
+        EXPECT_NE(send_on_kept_connection("a", begin + own).outcome, exchange_outcome::answered) << begin;
+    }
+}
+
+// Guards against giving up an answer for text in it that only resembles a second answer.
+TEST_F(server_exchange_test, an_answer_may_name_the_protocol) {
+    for (const std::string fields : {"Via: HTTP/1.1 cache-7\r\n", "Upgrade: HTTP/1.1\r\n",
+                                     "Server: HTTP/1.1  200\r\n", "X: HTTP/1. 200\r\n"}) {
+        serve(
+            {"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + fields + "Content-Length: 15\r\n\r\nHTTP/1.1 200 OK"});
+        EXPECT_EQ(send("a").outcome, exchange_outcome::answered) << fields;
+    }
+}
+
+// Guards against taking the answer to another request for that to one without an ID.
+TEST_F(server_exchange_test, a_request_without_id_shares_its_connection_with_no_other) {
+    serve({refusal_with("400 Bad Request", ""), response_with("", "own"), "none"});
+    EXPECT_TRUE(send("").metadata.not_executed);
+    EXPECT_EQ(m_pool.size(), 0U);
+    const auto next = send("");
+    EXPECT_EQ(next.response.body(), "own");
+    EXPECT_FALSE(next.reused_connection);
+}
+
+// Guards against the further use of a connection whose server is out of step with the requests.
+TEST_F(server_exchange_test, a_connection_with_a_response_to_another_request_is_not_used_again) {
+    serve(
+        {response_with("earlier", "extra") + response_with("a", "own"), response_with("b", "next"), "none"});
+    EXPECT_EQ(send("a").response.body(), "own");
+    EXPECT_EQ(m_pool.size(), 0U);
+    const auto next = send("b");
+    EXPECT_EQ(next.response.body(), "next");
+    EXPECT_FALSE(next.reused_connection);
+}
+
+// Guards against a refusal of an earlier request, repeated late, that is taken for that of a request which
+// the server executes.
+TEST_F(server_exchange_test, a_repeated_refusal_of_an_earlier_request_is_no_answer) {
+    serve({});
+    for (const std::string status :
+         {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "400 Bad Request"}) {
+        for (const std::string id_field : {"Request-Id: earlier\r\n", "Request-Id: \r\n", ""}) {
+            const auto copy = refusal_with(status, id_field);
+            for (const int copies : {1, 2, 3}) {
+                std::string bytes;
+                for (int index = 0; index < copies; ++index) {
+                    bytes += copy;
+                }
+                const auto answered = send_on_kept_connection("a", bytes + response_with("a", "own"));
+                EXPECT_EQ(answered.outcome, exchange_outcome::answered) << copy;
+                EXPECT_EQ(answered.response.body(), "own") << copy;
+                EXPECT_FALSE(answered.metadata.not_executed) << copy;
+                EXPECT_NE(send_on_kept_connection("a", bytes).outcome, exchange_outcome::answered) << copy;
+            }
+        }
+    }
+}
+
+// Guards against a request that is sent on a connection on which bytes wait that belong to no request.
+TEST_F(server_exchange_test, a_connection_with_unread_bytes_is_not_used_again) {
+    for (const auto& bytes : {refusal_with("503 Service Unavailable", "Request-Id: a\r\n"),
+                              refusal_with("503 Service Unavailable", ""), std::string("HTTP/1.1 50")}) {
+        serve({response_with("a", "one"), response_with("b", "two"), "none"});
+        EXPECT_EQ(send("a").outcome, exchange_outcome::answered);
+        boost::asio::write(m_peer, boost::asio::buffer(bytes));
+        deliver();
+        const auto next = send("b");
+        EXPECT_EQ(next.response.body(), "two") << bytes;
+        EXPECT_FALSE(next.reused_connection) << bytes;
+        m_pool.clear();
+    }
+}
+
+// Guards against an answer that ends within its head and is taken for one without a body.
+TEST_F(server_exchange_test, an_answer_that_ends_early_is_no_answer) {
+    serve({});
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n";
+    const std::string with_chunks =
+        head + "Transfer-Encoding: chunked\r\n\r\nA;x=1\r\n0123456789\r\n0\r\nTrailer-Field: 1\r\n\r\n";
+    const std::string with_length = head + "Content-Length: 12\r\n\r\n012345678901";
+    const std::string without_body = head + "Content-Length: 0\r\n\r\n";
+    const std::string continued = "HTTP/1.1 100 Continue\r\n\r\n" + with_length;
+    const std::string behind_extra = response_with("earlier", "body") + with_length;
+    for (const bool resets : {false, true}) {
+        m_resets = resets;
+        for (const auto& whole : {with_chunks, with_length, without_body, continued, behind_extra}) {
+            for (std::size_t size = 1; size < whole.size(); ++size) {
+                const auto cut = whole.substr(0, size);
+                EXPECT_NE(send_on_kept_connection("a", cut).outcome, exchange_outcome::answered) << cut;
+            }
+        }
+    }
+    m_resets = false;
+    for (const auto& whole : {with_chunks, with_length, without_body, continued, behind_extra}) {
+        EXPECT_EQ(send_on_kept_connection("a", whole).outcome, exchange_outcome::answered) << whole;
+    }
+}
+
+// Guards against taking an answer without a length for whole when its connection does not end in order.
+TEST_F(server_exchange_test, an_answer_without_length_ends_with_its_connection) {
+    serve({});
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n";
+    const auto whole = send_on_kept_connection("a", head + "\r\nbody");
+    EXPECT_EQ(whole.outcome, exchange_outcome::answered);
+    EXPECT_EQ(whole.response.body(), "body");
+    for (std::size_t size = 1; size < head.size() + 2; ++size) {
+        const auto cut = (head + "\r\n").substr(0, size);
+        EXPECT_NE(send_on_kept_connection("a", cut).outcome, exchange_outcome::answered) << cut;
+    }
+    m_resets = true;
+    EXPECT_NE(send_on_kept_connection("a", head + "\r\nbody").outcome, exchange_outcome::answered);
+    EXPECT_NE(send_on_kept_connection("a", head + "\r\n").outcome, exchange_outcome::answered);
+}
+
+// Guards against the same for the answers of gateways that relay requests.
+TEST_F(server_exchange_test, a_relayed_answer_that_ends_early_is_no_answer) {
+    m_sends_to_gateway = true;
+    serve({});
+    const auto whole = response_with("a", "a body of some length");
+    for (std::size_t size = 1; size < whole.size(); ++size) {
+        const auto cut = whole.substr(0, size);
+        EXPECT_NE(send_on_kept_connection("a", cut).outcome, exchange_outcome::answered) << cut;
+    }
+    EXPECT_EQ(send_on_kept_connection("a", whole).outcome, exchange_outcome::answered);
+}
+
 // Guards against reporting "not executed" for a request that the server may have executed.
 TEST_F(server_exchange_test, connection_closed_after_request_is_unanswered) {
     serve({""});
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -26,7 +26,7 @@
     not_connected, // nothing was sent
     withheld,      // nothing was sent, since the receiver no longer takes requests
     unanswered,    // the request was sent, and the connection closed before any byte of a response
-    broken,        // the request was sent, and the response is incomplete or not HTTP
+    broken,        // the request was sent, and the response is incomplete, run together or not HTTP
 };
 
 struct exchange_result {
@@ -112,7 +112,9 @@
     }
 
     boost::asio::awaitable<void> exchange(exchange_result& result) {
-        m_connection = m_pool.take(m_server, m_limits.maximum_idle_time, base::monotonic_now());
+        if (!m_request_id.empty()) {
+            m_connection = m_pool.take(m_server, m_limits.maximum_idle_time, base::monotonic_now());
+        }
         result.reused_connection = m_connection != nullptr;
         if (!m_connection) {
             const bool connected = co_await connect(result);
@@ -182,6 +184,9 @@
                 co_return;
             }
             result.response = parser.release();
+            if (contains_status_line(result.response)) {
+                break;
+            }
             result.metadata = Platform::read_answer(result.response.result_int(), result.response);
             const bool informational = result.response.result_int() < 200;
             if (!informational && result.metadata.request_id == m_request_id) {
@@ -192,6 +197,7 @@
             if (!result.response.keep_alive() || result.response.need_eof()) {
                 break;
             }
+            m_is_out_of_step = m_is_out_of_step || !informational;
         }
         result.outcome = exchange_outcome::broken;
         close();
@@ -212,10 +218,12 @@
     }
 
     // Returns the connection to the pool if it can be reused. Bytes after the response would be taken for the
-    // next one, and a request that is still being written would be mixed with the next.
+    // next one, and a request that is still being written would be mixed with the next. Without an
+    // ID, a late response to one request cannot be told from that to the next one.
     void release_connection(const http_response& response) {
         const bool reusable = response.keep_alive() && !response.need_eof() && !m_writing &&
-                              !m_write_failed && m_connection->buffer.size() == 0;
+                              !m_write_failed && m_connection->buffer.size() == 0 && !m_request_id.empty() &&
+                              !m_is_out_of_step;
         if (!reusable) {
             close();
             return;
@@ -248,6 +256,7 @@
     bool m_sent = false;
     bool m_writing = false;
     bool m_write_failed = false;
+    bool m_is_out_of_step = false; // the server has sent a response to another request
     bool m_aborted = false;
 };
 
