fleet: Reject a replication reply without a list of records

A gateway without the store takes a complete reply of another one for the contents of the store. A reply whose list of records it cannot see, as a later build could send it, was read as a complete and empty one: every server and gateway would have been marked as gone. All builds so far write the list. Such a reply now counts as none, so that another gateway is asked. The test failed before the change: the reply was decoded with no records and complete = true.

--- a/Tests/fleet/replication_codec_test.cpp
+++ b/Tests/fleet/replication_codec_test.cpp
@@ -1,5 +1,6 @@
 // Tests that replication messages survive encoding and decoding, and that other bytes are rejected.
 #include "carawayway/fleet/replication_codec.hpp"
+#include "carawayway/wire/relay_generated.h"
 
 #include <gtest/gtest.h>
 
@@ -33,6 +34,17 @@
     EXPECT_FALSE(decode_reply({}).has_value());
 }
 
+// Guards against a listing in another form that is taken for an empty store, which would remove everything.
+TEST(replication_codec, rejects_a_reply_without_a_list_of_records) {
+    flatbuffers::FlatBufferBuilder builder;
+    constexpr bool is_complete = true;
+    const auto reply = wire::relay::CreateFactReply(builder, 90, is_complete);
+    builder.Finish(wire::relay::CreateMessage(builder, wire::relay::Body::FactReply, reply.Union()));
+    const std::string payload(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    EXPECT_EQ(decode_reply(bytes_of(payload)), std::nullopt);
+    EXPECT_TRUE(decode_reply(bytes_of(encode(replication_reply{90, true, {}}))).has_value());
+}
+
 // Guards against reading beyond the end of a truncated message.
 TEST(replication_codec, rejects_a_truncated_message) {
     const std::string whole = encode(replication_reply{90, false, {{"servers/a", "value", 80, false}}});
--- a/carawayway/fleet/replication_codec.cpp
+++ b/carawayway/fleet/replication_codec.cpp
@@ -75,7 +75,8 @@
 std::optional<replication_reply> decode_reply(std::span<const std::byte> payload) {
     const auto* const message = verified_message(payload);
     const auto* const body = message == nullptr ? nullptr : message->body_as_FactReply();
-    if (body == nullptr) {
+    // Without a list, a complete reply would mean that the store is empty.
+    if (body == nullptr || body->facts() == nullptr) {
         return std::nullopt;
     }
     replication_reply reply{{body->revision(), body->era()},
@@ -83,10 +84,8 @@
                             {},
                             body->watches_store(),
                             std::chrono::milliseconds{body->undisturbed_ms()}};
-    if (const auto* const facts = body->facts()) {
-        for (const auto* const record : *facts) {
-            reply.records.push_back(read_record(*record));
-        }
+    for (const auto* const record : *body->facts()) {
+        reply.records.push_back(read_record(*record));
     }
     return reply;
 }
