Tests: Run gateways of two builds side by side

While machines are replaced, old and new builds serve one deployment, and nothing played that. mixed_builds_test runs gateways of this build and of the one in CARAWAYWAY_OTHER_PROGRAM (Meta/build-commit.sh; without it the same build) under callers with new, kept and pipelined connections: replaced one after the other, also over an outage of the store; half and half with leaders of either build; without the store behind a link; partitioned; with crash-causing requests and a limited server. It checks executions, refusals, the retry limit and requests that were executed and not answered, by build and kind of connection.

--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -47,11 +48,13 @@
     static constexpr const char* crashing_booking = "/book/crash/";
 
     // Starts everything, and returns when the gateways are ready. The gateways of `behind_links` reach the
-    // servers that run now only over links that set_link_fault() can cut.
+    // servers that run now only over links that set_link_fault() can cut. `programs` has the gateways that
+    // run another program than the one built here.
     explicit gateway_fleet(
         std::string crashing_prefix,
         soak::server_stand_in::end_kind end_kind = soak::server_stand_in::end_kind::reset_connections,
-        std::size_t gateways = default_gateway_count, const std::set<std::size_t>& behind_links = {});
+        std::size_t gateways = default_gateway_count, const std::set<std::size_t>& behind_links = {},
+        const std::map<std::size_t, std::string>& programs = {});
     gateway_fleet(const gateway_fleet&) = delete;
     gateway_fleet(gateway_fleet&&) = delete;
     gateway_fleet& operator=(const gateway_fleet&) = delete;
@@ -78,8 +81,9 @@
     // Sends a request to the address at which this gateway takes requests of other gateways.
     answer send_to_relay_address(std::size_t index, const std::string& path);
 
-    // Kills all gateways at the same moment, starts them again and waits until they are ready.
-    void restart_all_gateways();
+    // Kills all gateways at the same moment, starts them again, if wished with this program, and waits until
+    // they are ready.
+    void restart_all_gateways(const std::optional<std::string>& program = std::nullopt);
 
     void set_store_fault(soak::store_fault fault);
     // The store comes back from a copy of this long ago.
@@ -92,6 +96,10 @@
     void begin_stop(std::size_t index);
     // The same, and returns its exit code.
     std::optional<int> stop_gateway(std::size_t index);
+    // Starts a gateway that has ended with this program, and waits until it is ready.
+    void start_gateway(std::size_t index, const std::string& program);
+    // The program that the gateway runs, or ran last. May be called on any thread.
+    std::string program_of(std::size_t index);
     // Stops the process of a gateway as it is, and lets it go on.
     void pause_gateway(std::size_t index);
     void resume_gateway(std::size_t index);
@@ -111,6 +119,16 @@
     // Starts one more server, and returns its ID.
     std::string start_server();
 
+    // Adds a route under `prefix` to the configuration, as its next version.
+    void add_route(const std::string& prefix);
+    // Whether the store answers the gateways of `behind_links`.
+    void set_store_link(soak::store_link link);
+
+    // Records the status of the answer to a request that make_request() has made. 0: there was none.
+    void record_status(const soak::http_request& request, unsigned status);
+
+    // Names of the events of this kind in the logs of the process that runs now.
+    std::set<std::string> logged_events(std::size_t index, std::string_view level) const;
     // Whether the log of this gateway has a line with this text.
     bool has_logged(std::size_t index, std::string_view text) const;
 
@@ -137,6 +155,7 @@
 private:
     struct gateway {
         std::string name;
+        std::string program; // changed under m_sent_mutex
         soak::gateway_ports ports;
         std::string settings;
         std::unique_ptr<test_support::child_process> process;
@@ -151,11 +170,16 @@
     void add_server(const std::string& domain);
     void replace_ended_server(const soak::server_stand_in& server, const std::string& domain);
     void start_gateways();
+    void start_process(gateway& item) const;
+    // Without the keys that another program does not know: those in CARAWAYWAY_OTHER_LACKS_KEYS, with commas.
+    std::string settings_for(const gateway& item) const;
+    void expect_is_ready(std::size_t index);
 
     boost::asio::io_context m_context;
     soak::run_record m_record;
     soak::store_stand_in m_store;
     test_support::temporary_folder m_folder;
+    std::vector<std::string> m_added_prefixes; // of routes
     std::string m_crashing_prefix;
     soak::server_stand_in::end_kind m_end_kind;
     std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
--- a/Tests/gateway_processes/pipelining_caller.hpp
+++ b/Tests/gateway_processes/pipelining_caller.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,9 @@
 };
 
 // Sends a look-up each `interval` on one connection, whether those before were answered or not, until the
-// gateway closes it.
-pipelined_requests send_until_closed(gateway_fleet& fleet, std::size_t gateway,
-                                     std::chrono::milliseconds interval, const std::string& path);
+// gateway closes it. A request for which `is_last` is true asks the gateway to do so.
+pipelined_requests send_until_closed(
+    gateway_fleet& fleet, std::size_t gateway, std::chrono::milliseconds interval, const std::string& path,
+    const std::function<bool()>& is_last = [] { return false; });
 
 } // namespace carawayway::gateway_processes
--- a/Tests/soak/linked_servers.cpp
+++ b/Tests/soak/linked_servers.cpp
@@ -44,6 +44,9 @@
 }
 
 boost::asio::awaitable<std::optional<http_response>> linked_servers::handle(http_request request) {
+    if (m_store_link == store_link::unavailable) {
+        co_return http_response{boost::beast::http::status::service_unavailable, request.version()};
+    }
     auto response = co_await m_store.handle(std::move(request));
     if (response && response->result_int() == 200) {
         replace_addresses(*response);
--- a/Tests/soak/linked_servers.hpp
+++ b/Tests/soak/linked_servers.hpp
@@ -21,6 +21,9 @@
     refuse_new, // open connections live on, and new ones are refused
 };
 
+// Whether the view of the store answers.
+enum class store_link : std::uint8_t { open, unavailable };
+
 // Gateways that use this view of the store reach servers only through the links; all others are not affected.
 class linked_servers {
 public:
@@ -33,6 +36,8 @@
     std::string store_address() const { return m_view.address(); }
     // Applies to the links of all servers. May be called on any thread.
     void set_fault(link_fault fault);
+    // Call it on the event loop.
+    void set_store_link(store_link link) { m_store_link = link; }
 
 private:
     boost::asio::awaitable<std::optional<http_response>> handle(http_request request);
@@ -42,6 +47,7 @@
     store_stand_in& m_store;
     stand_ins::link_relay m_links;
     std::map<std::string, std::string> m_link_of_address; // by the server's own address
+    store_link m_store_link = store_link::open;
     http_server m_view;
 };
 
