Tests: Name what partitioned gateways of two builds serve, and read unknown fields

The partition test of two builds counts what it served instead of one failure for each request; records of all kept commits are read with a field that no build knows. docs/platform.md has what was seen with: 14 of 16 passed, and the two tests with a partition failed, since gateways relay requests only since (80 of 80 requests of both directions refused, none of them had run); and the readers that take unreadable records for gone. kept_messages_tests: 18 passed; with both partition tests pass.

--- a/Tests/gateway_processes/mixed_builds_test.cpp
+++ b/Tests/gateway_processes/mixed_builds_test.cpp
@@ -23,6 +23,7 @@
 // From the beginning of a partition until callers must be served again.
 constexpr milliseconds time_to_adapt{3000};
 constexpr std::size_t servers_until_known = 3;
+constexpr std::size_t requests_of_each = 40; // partitioned gateway
 // One gateway of each failure domain. Which of them leads its domain follows from the names, so that each
 // build leads one domain.
 const std::set<std::size_t> one_of_each_domain{0, 1};
@@ -200,14 +201,17 @@
     std::this_thread::sleep_for(time_to_adapt);
     for (const std::size_t gateway : one_of_each_domain) {
         EXPECT_TRUE(fleet->has_logged(gateway, "event=servers-unreachable"));
-        for (std::size_t request = 0; request < 40; ++request) {
+        std::size_t served = 0;
+        for (std::size_t request = 0; request < requests_of_each; ++request) {
             const auto object = std::to_string(request);
-            EXPECT_EQ(fleet
-                          ->send(gateway, request % 2 == 0 ? "GET" : "POST",
-                                 (request % 2 == 0 ? "/read/" : "/book/") + object, object)
-                          .status,
-                      200U);
+            const bool is_lookup = request % 2 == 0;
+            served += fleet->send(gateway, is_lookup ? "GET" : "POST",
+                                  (is_lookup ? "/read/" : "/book/") + object, object)
+                                  .status == 200
+                          ? 1
+                          : 0;
         }
+        EXPECT_EQ(served, requests_of_each) << "gateway " << gateway << " of " << fleet->program_of(gateway);
     }
     expect_rules_hold(*fleet, callers.end());
 }
--- a/Tests/kept_messages/kept_messages_test.cpp
+++ b/Tests/kept_messages/kept_messages_test.cpp
@@ -154,6 +154,24 @@
               (gateway::relay_verdict{base::error_kind::peer_refused, ""}));
 }
 
+// The record with a field that no build knows.
+std::string with_unknown_field(const std::string& value) {
+    auto record = boost::json::parse(value).as_object();
+    record["ofALaterBuild"] = boost::json::object{{"level", 7}};
+    return boost::json::serialize(record);
+}
+
+// Guards against gateways of a later build, and permits that they hold, which are not known for a field that
+// they add.
+TEST_P(kept_messages_test, records_with_unknown_fields_are_read) {
+    const auto registration = record("registration");
+    EXPECT_EQ(protocol::read_gateway("g", with_unknown_field(registration.value)),
+              protocol::read_gateway("g", registration.value));
+    const auto permit = record("permit");
+    EXPECT_EQ(protocol::read_permit({"i-1", 3}, with_unknown_field(permit.value)),
+              protocol::read_permit({"i-1", 3}, permit.value));
+}
+
 INSTANTIATE_TEST_SUITE_P(commits, kept_messages_test,
                          testing::Values(kept_commit{"e2dbd52", false, false},
                                          kept_commit{"fd893f1", true, false},
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -187,6 +187,8 @@
             base::log(base::log_level::warning, "permit-invalid",
                       {{"permit", name}, {"revision", record.revision}});
         }
+        // FIXME: A permit that cannot be read counts as removed, so that this gateway claims it again and
+        // again. The store refuses the claim while the key exists.
         if (key) {
             m_state.servers.rate_limits().erase(key->server, key->number, record.revision, now);
         }
