gateway: Tell build and agreement level in registrations, metric, log and version

Change: base::build_name() (commit at configuration), fleet::agreement_level; both in the registration (unknown values count as level 0), in the lines started and gateway-registered, in carawayway_gateway_builds and in 'carawayway version'. No decision uses the level yet. The metric and the subcommand have no test.

--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -292,6 +292,9 @@
             R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81","notices":"10.0.0.1:82","relays":"10.0.0.1:83","relayKey":"key","linkMegabits":200,"processorShare":0.5})"),
         own);
     EXPECT_EQ(protocol::read_gateway("g", written_value(call.body)), own);
+    auto later = own;
+    later.build = {"0123abc", 2};
+    EXPECT_EQ(protocol::read_gateway("g", written_value(protocol::register_call(later, 42).body)), later);
     const auto without_notices = protocol::read_gateway(
         "g", R"({"domain":"z","region":"r","callers":"10.0.0.1:80","peers":"10.0.0.1:81"})");
     ASSERT_TRUE(without_notices.has_value());
--- a/carawayway/cli/main.cpp
+++ b/carawayway/cli/main.cpp
@@ -1,7 +1,9 @@
 // The program carawayway and its subcommands.
+#include "carawayway/base/build.hpp"
 #include "carawayway/cli/arguments.hpp"
 #include "carawayway/config/check_file.hpp"
 #include "carawayway/config/key_table.hpp"
+#include "carawayway/fleet/agreement_level.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -22,6 +24,16 @@
     return carawayway::config::run_check(positional.front(), stdout);
 }
 
+int run_version(const std::vector<std::string>& positional) {
+    if (!positional.empty()) {
+        fmt::print(stderr, "carawayway version: no argument is expected\n");
+        return carawayway::cli::to_int(carawayway::cli::exit_code::bad_input);
+    }
+    fmt::print("carawayway {}, agreement level {}\n", carawayway::base::build_name(),
+               carawayway::fleet::agreement_level);
+    return carawayway::cli::to_int(carawayway::cli::exit_code::done);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -34,6 +46,7 @@
          {"settings"},
          run_gateway},
         {"check", "Checks a settings or policy file.", "FILE", {"key_reference"}, run_check},
+        {"version", "Prints the build and the level of its agreements.", "", {}, run_version},
         {"lookup",
          "Asks an entry instance which entry instances a caller should use.",
          "--service NAME [flags]",
--- a/carawayway/fleet/registrations.hpp
+++ b/carawayway/fleet/registrations.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/base/time.hpp"
+#include "carawayway/fleet/agreement_level.hpp"
 
 #include <cstdint>
 #include <string>
@@ -34,6 +35,14 @@
     bool operator==(const machine_capacity&) const = default;
 };
 
+// The program that a gateway runs. Gateways of older versions do not tell.
+struct gateway_build {
+    std::string name;                         // empty: unknown
+    std::uint32_t level = no_agreement_level; // of its agreements without messages
+
+    bool operator==(const gateway_build&) const = default;
+};
+
 // Registration of a gateway.
 struct gateway_registration {
     std::string name;
@@ -45,6 +54,7 @@
     std::string relay_address{}; // IP:port for requests of other gateways; empty if it takes none
     std::string relay_key{};     // that such a request must present
     machine_capacity machine{};
+    gateway_build build{};
 
     bool operator==(const gateway_registration&) const = default;
 };
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -1,6 +1,7 @@
 // One gateway process: listeners, store session, health probes and shutdown, on one thread.
 #pragma once
 
+#include "carawayway/base/build.hpp"
 #include "carawayway/config/gateway_settings.hpp"
 #include "carawayway/config/value_text.hpp"
 #include "carawayway/gateway/crash_notices.hpp"
@@ -19,6 +20,7 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -84,7 +86,9 @@
         base::log(base::log_level::info, "started",
                   {{"gateway", m_settings.name},
                    {"domain", m_settings.failure_domain},
-                   {"region", m_settings.region}});
+                   {"region", m_settings.region},
+                   {"build", base::build_name()},
+                   {"level", fleet::agreement_level}});
         log_limits();
         m_context.run();
         base::log(base::log_level::info, "stopped", {{"gateway", m_settings.name}});
@@ -117,7 +121,8 @@
                 text_of(m_settings.notice_address),
                 text_of(m_settings.relay_address),
                 m_relay_key,
-                {m_settings.link_megabits, m_settings.processor_share}};
+                {m_settings.link_megabits, m_settings.processor_share},
+                {std::string(base::build_name()), fleet::agreement_level}};
     }
 
     static std::string text_of(const std::optional<config::socket_address>& address) {
@@ -299,13 +304,27 @@
         return response;
     }
 
-    http_response metrics_response() const {
+    http_response metrics_response() {
+        count_builds();
         http_response response{http::status::ok, 11};
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.body() = m_state.metrics.to_prometheus();
         return response;
     }
 
+    void count_builds() {
+        static constexpr const char* family = "carawayway_gateway_builds";
+        std::map<std::pair<std::string, std::uint32_t>, std::size_t> gateways;
+        for (const auto& [name, registration] : m_state.servers.gateways().all()) {
+            ++gateways[{registration.build.name, registration.build.level}];
+        }
+        m_state.metrics.clear(family);
+        for (const auto& [build, count] : gateways) {
+            m_state.metrics.set(family, {{"build", build.first}, {"level", std::to_string(build.second)}},
+                                static_cast<double>(count));
+        }
+    }
+
     std::vector<boost::asio::ip::tcp::endpoint> peer_addresses() const {
         std::vector<boost::asio::ip::tcp::endpoint> addresses;
         for (const auto& [name, registration] : m_state.servers.gateways().all()) {
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -42,6 +42,8 @@
                     "Requests sent through another gateway, by how it ended.");
     metrics.declare("carawayway_gateway_pauses_total", metrics::metric_type::counter,
                     "Times that the process stood still.");
+    metrics.declare("carawayway_gateway_builds", metrics::metric_type::gauge,
+                    "Known gateways by the build that they run");
     metrics.declare("carawayway_gateway_relayed_requests_total", metrics::metric_type::counter,
                     "Requests of other gateways, by whether they were taken.");
     service_retries::declare_metrics(metrics);
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -162,9 +162,12 @@
             return;
         }
         m_state.servers.gateways().put(*registration, now);
-        base::log(
-            base::log_level::info, "gateway-registered",
-            {{"gateway", name}, {"domain", registration->failure_domain}, {"revision", record.revision}});
+        base::log(base::log_level::info, "gateway-registered",
+                  {{"gateway", name},
+                   {"domain", registration->failure_domain},
+                   {"build", registration->build.name},
+                   {"level", registration->build.level},
+                   {"revision", record.revision}});
     }
 
     // A key that disappears ends nothing: the store may have dropped its lease during an outage. Each gateway
