--- a/Tests/gateway_processes/stop_test.cpp
+++ b/Tests/gateway_processes/stop_test.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t stopped_gateway = 0;
 constexpr std::size_t callers = 16;
+constexpr std::chrono::milliseconds pipelining_interval{30}; // shorter than servers take
 
 // Guards against requests on new connections that are closed unread, because the listener closes while they
 // wait to be accepted or their sessions count as idle.
@@ -50,13 +51,12 @@
 // Guards against look-ups that a stopping gateway goes on taking from a connection that always has one in
 // progress, and that are cut off when the process ends.
 TEST(stop_test, pipelined_requests_that_servers_got_are_answered) {
-    constexpr std::chrono::milliseconds interval{30}; // shorter than servers take
     gateway_fleet fleet(gateway_fleet::crashing_booking);
     fleet.set_server_fault(soak::server_fault::slow);
     std::vector<std::future<pipelined_requests>> connections;
     for (std::size_t caller = 0; caller < callers; ++caller) {
         connections.push_back(std::async(std::launch::async, [&fleet, caller] {
-            return send_until_closed(fleet, stopped_gateway, interval,
+            return send_until_closed(fleet, stopped_gateway, pipelining_interval,
                                      "/read/" + std::to_string(caller) + "/");
         }));
     }
