review: Show that an endless trailer ends a gateway

Seen: a server that sends a chunked answer whose trailer never ends makes a gateway read until it has more than the 260 MB of its machine, in 1.2 to 1.6 s. Its callers lose 13 to 27 requests from kept connections (LOST).

--- /dev/null
+++ b/review/stand_ins/http_server.hpp
@@ -0,0 +1,40 @@
+// HTTP/1.1 server of the stand-ins, on the event loop of the run.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace review {
+
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+
+// What a handler wants done with the connection of a request.
+struct reply {
+    std::optional<http_response> response; // none: nothing is answered
+    std::string raw_bytes;                 // written instead of a response
+    std::string endless_part;              // written behind it again and again, until the caller closes
+    double endless_bytes_per_second = 0.0;
+};
+
+using http_handler = std::function<boost::asio::awaitable<reply>(http_request)>;
+
+// Listens on a free port of 127.0.0.1 and returns HOST:PORT.
+std::string serve(boost::asio::io_context& context, http_handler handler);
+
+http_response make_response(unsigned status, std::string body = {});
+
+// Suspends the coroutine.
+boost::asio::awaitable<void> sleep_for(std::chrono::milliseconds length);
+
+} // namespace review
