--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,17 +11,16 @@
 constexpr milliseconds time_after{6000};
 constexpr std::size_t part_bytes = 256U << 10U;
 constexpr std::size_t most_lost = 3;
-constexpr milliseconds trouble_interval{3000};
-constexpr milliseconds longest_request{3000};
+constexpr int answers_at_once = 2;
+constexpr milliseconds longest_request{3500};
 
-// Bytes that are no answer, without end, in the part of a chunked body behind its last chunk. The machine's
-// link carries one such answer at a time.
-reply endless_answer(const http_request& request) {
+// Bytes that are no answer, without end, in the part of a chunked body behind its last chunk.
+reply endless_answer(const http_request& request, std::shared_ptr<review::link> over) {
     reply answer;
     answer.raw_bytes = "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request["Request-Id"]) +
                        "\r\nResponse-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ";
     answer.endless_part = std::string(part_bytes, 'x');
-    answer.endless_bytes_per_second = link_bytes_per_second;
+    answer.over = std::move(over);
     return answer;
 }
 
@@ -36,15 +35,21 @@
     start_traffic(system, {}, is_over);
     co_await sleep_for(quiet_time);
     if (has_trouble) {
-        const auto last = std::make_shared<clock::time_point>();
-        system.log().line("trouble begins: one server of six sends an answer without end every 3 s");
-        system.server_at(0).set_trouble([last](const http_request& request) -> std::optional<reply> {
-            if (clock::now() < *last + trouble_interval) {
-                return std::nullopt;
-            }
-            *last = clock::now();
-            return endless_answer(request);
-        });
+        system.log().line("trouble begins: one server of six sends two answers without end");
+        const auto over = std::make_shared<review::link>(review::link{link_bytes_per_second, {}});
+        const auto& first = system.gateway_at(0).name();
+        const auto sent = std::make_shared<int>(0);
+        system.server_at(0).set_trouble(
+            [&system, &first, over, sent](const http_request& request) -> std::optional<reply> {
+                const auto end = system.ends().find(std::string(request["Request-Id"]));
+                const bool is_of_first = end != system.ends().end() && end->second.gateway == first;
+                const bool is_booking = request.method() == http::verb::post;
+                if (!is_of_first || !is_booking || *sent == answers_at_once) {
+                    return std::nullopt;
+                }
+                ++*sent;
+                return endless_answer(request, over);
+            });
     }
     co_await sleep_for(trouble_time);
     system.server_at(0).set_trouble(nullptr);
--- a/review/stand_ins/gateway.cpp
+++ b/review/stand_ins/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -91,6 +92,10 @@
     std::ofstream(settings_file) << settings();
     const auto log_file = m_folder + "/" + m_options.name + ".log";
     const auto boot = "CARAWAYWAY_BOOT=" + settings_file;
+    std::array<int, 2> program_runs{}; // closed when the child runs the program, or has ended
+    if (::pipe2(program_runs.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe could be opened");
+    }
     m_process = ::fork();
     if (m_process < 0) {
         throw std::runtime_error("no process could be started");
@@ -107,6 +112,12 @@
                  const_cast<char* const*>(environment.data()));
         ::_exit(127);
     }
+    // Until then the memory of the child is that of this process.
+    ::close(program_runs.back());
+    char byte = 0;
+    while (::read(program_runs.front(), &byte, 1) < 0 && errno == EINTR) {
+    }
+    ::close(program_runs.front());
     m_log.line("platform: " + m_options.name + " is started");
 }
 
--- a/review/stand_ins/http_server.hpp
+++ b/review/stand_ins/http_server.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -19,12 +20,18 @@
 using http_request = http::request<http::string_body>;
 using http_response = http::response<http::string_body>;
 
+// The link of a machine: what is sent over it at once shares its speed.
+struct link {
+    double bytes_per_second = 0.0;
+    std::chrono::steady_clock::time_point free_at; // when all that was sent so far is through
+};
+
 // What a handler wants done with the connection of a request.
 struct reply {
     std::optional<http_response> response; // none: nothing is answered
     std::string raw_bytes;                 // written instead of a response
     std::string endless_part;              // written behind it again and again, until the caller closes
-    double endless_bytes_per_second = 0.0;
+    std::shared_ptr<link> over;            // by which the endless parts go
 };
 
 using http_handler = std::function<boost::asio::awaitable<reply>(http_request)>;
