--- a/review/stand_ins/case_main.hpp
+++ b/review/stand_ins/case_main.hpp
@@ -33,6 +33,7 @@
     deployment system(options);
     case_outcome outcome;
     system.run(play(system, has_trouble, outcome));
+    system.write_requests();
     if (!outcome.has_run) {
         system.log().line("the case could not run");
         return 2;
--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace review {
@@ -144,6 +145,37 @@
                " MB; how often the process of each machine ended by itself:" + ends);
 }
 
+void deployment::write_requests() {
+    m_log.line("all requests, at the times at which they were sent:");
+    std::vector<std::pair<clock::time_point, std::string>> order;
+    for (const auto& [id, end] : m_ends) {
+        order.emplace_back(end.sent_at, id);
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto& [sent_at, id] : order) {
+        const auto& end = m_ends.at(id);
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(std::max(end.ended_at, sent_at) - sent_at).count();
+        std::string text = "sent " + id + " " + end.method + " to " + end.gateway;
+        if (!end.was_connected) {
+            text.append(", not connected");
+        } else {
+            text.append(end.is_on_kept_connection ? " on a kept connection" : " on a new connection");
+            text.append(end.status == 0 ? ", no answer" : ", answered " + std::to_string(end.status));
+            text.append(" after " + std::to_string(took) + " ms");
+        }
+        const auto runs = m_executions.executions.find(id);
+        if (runs == m_executions.executions.end()) {
+            text.append(", not run");
+        } else {
+            for (const auto& server_id : runs->second) {
+                text.append(", run by ").append(server_id);
+            }
+        }
+        m_log.line_at(sent_at, text);
+    }
+}
+
 void deployment::run(boost::asio::awaitable<void> whole_case) {
     boost::asio::co_spawn(m_context, std::move(whole_case), [this](const std::exception_ptr& failure) {
         m_context.stop();
--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -64,6 +64,9 @@
     const std::vector<unsigned>& own_ends() const { return m_own_ends; }
     // Writes into the record how much memory was used, and how often processes ended by themselves.
     void write_summary();
+    // Writes into the record each request: when it was sent and to whom, how it ended, and which servers ran
+    // it.
+    void write_requests();
 
     std::unique_ptr<caller> new_caller(std::size_t gateway);
 
--- a/review/stand_ins/record.hpp
+++ b/review/stand_ins/record.hpp
@@ -17,12 +17,14 @@
 public:
     explicit record(const std::string& file) : m_file(file, std::ios::trunc) {}
 
-    double seconds() const { return std::chrono::duration<double>(clock::now() - m_started).count(); }
+    void line(const std::string& text) { line_at(clock::now(), text); }
 
-    void line(const std::string& text) {
+    // A line about something that happened before.
+    void line_at(clock::time_point happened_at, const std::string& text) {
         const std::lock_guard lock(m_mutex);
         std::array<char, 32> time{};
-        std::snprintf(time.data(), time.size(), "%9.3f s  ", seconds());
+        std::snprintf(time.data(), time.size(), "%9.3f s  ",
+                      std::chrono::duration<double>(happened_at - m_started).count());
         m_file << time.data() << text << '\n';
         m_file.flush();
     }
