--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -93,6 +93,11 @@
         bool is_ready = false;
         for (int check = 0; check < ready_checks && !is_ready; ++check) {
             co_await sleep_for(ready_check);
+            if (m_gateways.at(index)->has_ended()) {
+                m_gateways.at(index)->choose_other_ports();
+                m_gateways.at(index)->start();
+                continue;
+            }
             caller probe(m_context, m_log, m_ends, "readiness", m_gateways.at(index)->readiness_port());
             call question;
             question.target = "/ready";
--- a/review/stand_ins/gateway.cpp
+++ b/review/stand_ins/gateway.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <csignal>
@@ -13,6 +12,7 @@
 #include <fstream>
 #include <memory>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -45,11 +45,12 @@
 // Ports that are free for TCP and UDP at this moment.
 std::vector<unsigned short> free_ports() {
     static std::mt19937 random{std::random_device{}()};
+    static std::set<unsigned short> chosen_before;
     std::vector<unsigned short> ports;
     while (ports.size() < port_count) {
         const auto port =
             static_cast<unsigned short>(std::uniform_int_distribution<int>{first_port, last_port}(random));
-        if (std::find(ports.begin(), ports.end(), port) == ports.end() && is_free(port)) {
+        if (chosen_before.insert(port).second && is_free(port)) {
             ports.push_back(port);
         }
     }
@@ -87,6 +88,10 @@
     return text;
 }
 
+void gateway_process::choose_other_ports() {
+    m_ports = free_ports();
+}
+
 void gateway_process::start() {
     const auto settings_file = m_folder + "/" + m_options.name + ".ini";
     std::ofstream(settings_file) << settings();
--- a/review/stand_ins/gateway.hpp
+++ b/review/stand_ins/gateway.hpp
@@ -34,6 +34,8 @@
     unsigned short readiness_port() const { return m_ports.at(1); }
 
     void start();
+    // For a process that has ended since another program has taken one of its ports.
+    void choose_other_ports();
     void send_signal(int number) const;
     void kill_and_wait();
     bool is_running() const { return m_process > 0; }
