gateway: Bound what a server sends around the body of its answer

Callers saw connections closed without an answer: all requests of a gateway were lost when its process was killed.

Cause: the memory of a response was checked by the size of its body. The parser waits for the whole line before a chunk, and for the whole trailer, and applies its limit of 8 KB to the head alone; what it waits for stood in a read buffer without a maximum.

Change: the read buffer of a connection to a server holds 32 KB at most and counts with the body, the extensions of all chunks of a message are limited to 8 KB, and a health check reads no more than that and a body of 64 KB. A pooled connection gives its buffer back.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -52,6 +52,10 @@
                                    const std::string response = m_responses.front();
                                    m_responses.erase(m_responses.begin());
                                    boost::asio::write(m_peer, boost::asio::buffer(response));
+                                   if (!m_endless_part.empty()) {
+                                       write_endlessly();
+                                       return;
+                                   }
                                    if (m_responses.empty()) {
                                        end_connection();
                                        return;
@@ -60,6 +64,19 @@
                                });
     }
 
+    // Writes `m_endless_part` until the connection is closed, but not for ever.
+    void write_endlessly() {
+        boost::asio::async_write(m_peer, boost::asio::buffer(m_endless_part),
+                                 [this](boost::system::error_code error, std::size_t size) {
+                                     m_endless_bytes += size;
+                                     if (error || m_endless_bytes >= most_endless_bytes) {
+                                         end_connection();
+                                         return;
+                                     }
+                                     write_endlessly();
+                                 });
+    }
+
     void end_connection() {
         if (m_resets) {
             m_peer.set_option(boost::asio::socket_base::linger(true, 0));
@@ -128,6 +145,10 @@
                "Not-Executed: 1\r\nServer-Load: 12,3,8\r\nContent-Length: 0\r\n\r\n";
     }
 
+    static constexpr std::size_t most_endless_bytes = 64U << 20U;
+    // What the kernel may hold of one connection, on both sides.
+    static constexpr std::size_t socket_buffer_bytes = 16U << 20U;
+
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     tcp::socket m_peer{m_context};
@@ -138,6 +159,8 @@
     std::vector<std::string> m_responses;
     std::array<char, 4096> m_chunk{};
     std::string m_last_request;
+    std::string m_endless_part; // follows the first response without end, if not empty
+    std::size_t m_endless_bytes = 0;
     int m_requests = 0;
     bool m_resets = false;           // connections are reset, not closed
     bool m_sends_to_gateway = false; // as relayed requests
@@ -354,6 +377,30 @@
     EXPECT_EQ(send("a").outcome, exchange_outcome::broken);
 }
 
+// Guards against a gateway that is killed because it buffers an answer that has ended its body and goes on.
+TEST_F(server_exchange_test, an_answer_whose_framing_never_ends_is_given_up) {
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string small_chunks = "1;x=" + std::string(1000, 'x') + "\r\nA\r\n";
+    const std::vector<std::pair<std::string, std::string>> answers{
+        {head + "0\r\nX: ", std::string(64U << 10U, 'x')},   // trailer
+        {head + "0\r\n", "X: 1\r\n"},                        // fields of the trailer
+        {head + "0;x=", std::string(64U << 10U, 'x')},       // extension of the last chunk
+        {head + "1;x=", std::string(64U << 10U, 'x')},       // extension of a chunk
+        {head, small_chunks},                                // extensions of many chunks
+        {head + "1\r\nA\r\n", std::string(64U << 10U, '0')}, // size of a chunk
+    };
+    for (const auto& [begin, part] : answers) {
+        m_pool.clear();
+        m_endless_bytes = 0;
+        m_endless_part = part;
+        serve({begin});
+        EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << begin;
+        EXPECT_LT(m_endless_bytes, socket_buffer_bytes) << begin;
+        m_peer.close();
+    }
+}
+
 // Guards against bodies that go on without end, each within its own limit.
 TEST_F(server_exchange_test, a_body_beyond_the_memory_of_all_responses_is_given_up) {
     m_memory = response_memory(1000);
--- a/Tests/soak/http_server.cpp
+++ b/Tests/soak/http_server.cpp
@@ -25,6 +25,25 @@
     socket.close(ignored_error);
 }
 
+// Returns when the peer has closed the connection.
+boost::asio::awaitable<boost::system::error_code> write_endlessly(boost::asio::ip::tcp::socket& socket,
+                                                                  http_response& response) {
+    static constexpr std::string_view begin_of_trailer = "0\r\nX: ";
+    static const std::string part(64U << 10U, 'x');
+    boost::system::error_code error;
+    http::response_serializer<http::string_body> serializer(response);
+    co_await http::async_write_header(socket, serializer, redirect_error(use_awaitable, error));
+    if (response.chunked() && !error) {
+        co_await boost::asio::async_write(socket, boost::asio::buffer(begin_of_trailer),
+                                          redirect_error(use_awaitable, error));
+    }
+    while (!error) {
+        co_await boost::asio::async_write(socket, boost::asio::buffer(part),
+                                          redirect_error(use_awaitable, error));
+    }
+    co_return error;
+}
+
 } // namespace
 
 http_server::http_server(boost::asio::io_context& context, const std::string& host, http_handler handler)
@@ -76,12 +95,10 @@
             http::to_status_class(answer->result()) == http::status_class::server_error) {
             last_failure = answer;
         }
-        const bool is_endless = answer->need_eof();
-        co_await http::async_write(*socket, *answer, redirect_error(use_awaitable, error));
-        while (is_endless && !error) {
-            static const std::string part(64U << 10U, 'x');
-            co_await boost::asio::async_write(*socket, boost::asio::buffer(part),
-                                              redirect_error(use_awaitable, error));
+        if (answer->need_eof() || answer->chunked()) {
+            error = co_await write_endlessly(*socket, *answer);
+        } else {
+            co_await http::async_write(*socket, *answer, redirect_error(use_awaitable, error));
         }
     }
     m_connections.erase(socket);
--- a/Tests/soak/http_server.hpp
+++ b/Tests/soak/http_server.hpp
@@ -20,7 +20,8 @@
 using http_response = http::response<http::string_body>;
 
 // Returns std::nullopt to reset the connection without a response. The body of a response that has neither a
-// length nor chunks goes on without end, until the peer closes the connection.
+// length nor chunks goes on without end, until the peer closes the connection, and so does the trailer of one
+// in chunks.
 using http_handler = std::function<boost::asio::awaitable<std::optional<http_response>>(http_request)>;
 
 class http_server {
--- a/Tests/soak/server_stand_in.cpp
+++ b/Tests/soak/server_stand_in.cpp
@@ -106,9 +106,10 @@
         co_return answer;
     }
     m_record.executions[id].push_back({m_id, clock::now()});
-    if (fault == server_fault::endless_answer) {
+    if (fault == server_fault::endless_answer || fault == server_fault::endless_trailer) {
         auto answer = answer_to(request, 200, {});
         answer.erase(http::field::content_length);
+        answer.chunked(fault == server_fault::endless_trailer);
         answer.set("Response-Stamp", "s");
         co_return answer;
     }
--- a/Tests/soak/server_stand_in.hpp
+++ b/Tests/soak/server_stand_in.hpp
@@ -22,6 +22,7 @@
     load_shedding, // rejects requests although slots are free
     slow,
     endless_answer,   // sends a body without end when it begins to execute a request
+    endless_trailer,  // the same in the trailer behind a body in chunks
     error_answer,     // answers 500 when it begins to execute a request
     wrong_request_id, // sets the request ID of another request in the response
     // rejects some requests as full, and repeats rejections, whole or in part, before later answers
--- a/carawayway/gateway/backend_pool.cpp
+++ b/carawayway/gateway/backend_pool.cpp
@@ -45,6 +45,7 @@
 void backend_pool::put(const std::string& server, std::unique_ptr<backend_connection> connection,
                        base::time_point now) {
     connection->last_used = now;
+    connection->buffer.shrink_to_fit();
     m_idle_connections[server].push_back(std::move(connection));
 }
 
--- a/carawayway/gateway/backend_pool.hpp
+++ b/carawayway/gateway/backend_pool.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/base/time.hpp"
+#include "carawayway/net/message_limits.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,7 +17,7 @@
     explicit backend_connection(boost::asio::ip::tcp::socket open) : socket(std::move(open)) {}
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{net::maximum_read_buffer_bytes};
     base::time_point last_used{};
     base::duration idle_timeout{}; // after which the server closes the connection
     bool reused = false;
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -13,6 +13,7 @@
 #include "carawayway/gateway/session_listener.hpp"
 #include "carawayway/gateway/store_session.hpp"
 #include "carawayway/net/endpoint.hpp"
+#include "carawayway/net/message_limits.hpp"
 #include "carawayway/placement/gateway_selection.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +38,7 @@
     static constexpr std::size_t maximum_relay_sessions = 512;
     // Longer than gateways keep an idle connection for reuse, whatever callers are allowed.
     static constexpr base::duration relay_idle_timeout = std::chrono::seconds{15};
+    static constexpr std::uint64_t maximum_health_body_bytes = 64U << 10U;
     // Headers that the relaying gateway adds to those of the caller, at most.
     static constexpr std::uint32_t relay_header_bytes = 1024;
 
@@ -406,11 +408,14 @@
         if (!error) {
             co_await http::async_write(stream, request, redirect_error(use_awaitable, error));
         }
-        http_response response;
-        boost::beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        net::chunk_extension_limit extension_limit(parser);
+        parser.body_limit(maximum_health_body_bytes);
+        boost::beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
         if (!error) {
-            co_await http::async_read(stream, buffer, response, redirect_error(use_awaitable, error));
+            co_await http::async_read(stream, buffer, parser, redirect_error(use_awaitable, error));
         }
+        const http_response response = parser.release();
         if (!error) {
             report = Platform::read_health(response.result_int(), response, server->registration.id);
             if (report.verdict != placement::health_check_result::other_server) {
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -6,6 +6,7 @@
 #include "carawayway/gateway/message_headers.hpp"
 #include "carawayway/gateway/response_memory.hpp"
 #include "carawayway/gateway/wire_types.hpp"
+#include "carawayway/net/message_limits.hpp"
 #include "carawayway/net/socket_options.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -171,6 +172,7 @@
     boost::asio::awaitable<void> read_response(exchange_result& result) {
         for (int skipped = 0; skipped <= maximum_skipped_responses; ++skipped) {
             http::response_parser<http::string_body> parser;
+            net::chunk_extension_limit extension_limit(parser);
             parser.body_limit(m_limits.maximum_response_bytes);
             parser.skip(m_request->method() == http::verb::head);
             response_memory::reservation memory(m_memory);
@@ -203,14 +205,14 @@
         close();
     }
 
-    // Ends with an error when the body takes more memory than it may.
+    // Ends with an error when the response takes more memory than it may.
     boost::asio::awaitable<boost::system::error_code>
     read_whole(http::response_parser<http::string_body>& parser, response_memory::reservation& memory) {
         boost::system::error_code error;
         while (!error && !parser.is_done()) {
             co_await http::async_read_some(m_connection->socket, m_connection->buffer, parser,
                                            boost::asio::redirect_error(boost::asio::use_awaitable, error));
-            if (!error && !memory.try_resize(parser.get().body().size())) {
+            if (!error && !memory.try_resize(parser.get().body().size() + m_connection->buffer.size())) {
                 error = http::error::body_limit;
             }
         }
