gateway: Bound what a caller sends around the chunks of its body

Callers would see what a killed gateway leaves: connections that end without an answer.

Cause: the session's read buffer grows as long as the parser waits for the end of a chunk line or of the trailer. The limit of the configuration for heads was applied to heads alone.

--- a/Tests/gateway/caller_session_test.cpp
+++ b/Tests/gateway/caller_session_test.cpp
@@ -54,6 +54,23 @@
         }
     }
 
+    // Writes `begin`, and then `part` again and again until the connection is closed, but not for ever.
+    void send_endlessly(const std::string& begin, const std::string& part) {
+        send(begin);
+        m_endless_part = part;
+        send_next_part();
+    }
+
+    void send_next_part() {
+        boost::asio::async_write(m_caller, boost::asio::buffer(m_endless_part),
+                                 [this](boost::system::error_code error, std::size_t size) {
+                                     m_endless_bytes += size;
+                                     if (!error && m_endless_bytes < most_endless_bytes) {
+                                         send_next_part();
+                                     }
+                                 });
+    }
+
     // Reads until the received text contains `part` or the gateway closes the connection.
     std::string receive_until(const std::string& part) {
         while (m_received.find(part) == std::string::npos && !m_disconnected) {
@@ -79,6 +96,8 @@
         return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
     }
 
+    static constexpr std::size_t most_endless_bytes = 4U << 20U;
+
     boost::asio::io_context m_context;
     tcp::endpoint m_address;
     std::vector<std::shared_ptr<handled_request>> m_handled_requests;
@@ -86,6 +105,8 @@
     tcp::socket m_caller{m_context};
     std::array<char, 4096> m_chunk{};
     std::string m_received;
+    std::string m_endless_part;
+    std::size_t m_endless_bytes = 0;
     bool m_disconnected = false;
 };
 
@@ -149,6 +170,31 @@
     EXPECT_THAT(receive_until("431"), HasSubstr("HTTP/1.1 431"));
 }
 
+// Guards against a gateway that is killed because it buffers what a caller sends between or behind the chunks
+// of its body, without end.
+TEST_F(caller_session_test, rejects_framing_that_never_ends) {
+    const std::string head = "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string many(64U << 10U, 'x');
+    const std::vector<std::pair<std::string, std::string>> requests{
+        {head + "0\r\nX: ", many},                             // trailer
+        {head + "0\r\n", "X: 1\r\n"},                          // fields of the trailer
+        {head + "0;x=", many},                                 // extension of the last chunk
+        {head + "1;x=", many},                                 // extension of a chunk
+        {head, "1;x=" + std::string(1000, 'x') + "\r\nA\r\n"}, // extensions of many chunks
+        {head + "1\r\nA\r\n", std::string(64U << 10U, '0')},   // size of a chunk
+    };
+    for (const auto& [begin, part] : requests) {
+        m_caller = tcp::socket(m_context);
+        m_caller.connect(m_address);
+        m_received.clear();
+        m_disconnected = false;
+        m_endless_bytes = 0;
+        send_endlessly(begin, part);
+        EXPECT_THAT(receive_until("\r\n\r\n"), HasSubstr("HTTP/1.1 431")) << begin;
+    }
+    EXPECT_TRUE(m_handled_requests.empty());
+}
+
 TEST_F(caller_session_test, reads_chunked_body) {
     send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     run_until([this] { return m_handled_requests.size() == 1; });
--- a/carawayway/gateway/caller_session.cpp
+++ b/carawayway/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 #include "carawayway/gateway/caller_session.hpp"
 
 #include "carawayway/gateway/message_headers.hpp"
+#include "carawayway/net/message_limits.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -166,6 +167,7 @@
 caller_session::read_request(std::optional<http_request>& request) {
     const session_limits limits = m_limits();
     http::request_parser<http::string_body> parser;
+    net::chunk_extension_limit extension_limit(parser);
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     parser.eager(true);
@@ -190,7 +192,12 @@
         while (m_buffer.size() > 0 && !parser.is_done() && !error) {
             m_buffer.consume(parser.put(m_buffer.data(), error));
         }
-        if (error && error != http::error::need_more) {
+        if (error == http::error::need_more) {
+            // The line before a chunk, and the trailer, may take as much as a head.
+            const bool is_too_large = m_buffer.size() > limits.header_bytes;
+            error = is_too_large ? make_error_code(http::error::header_limit) : boost::system::error_code{};
+        }
+        if (error) {
             reject_malformed(status_of(error));
             co_return read_result::rejected;
         }
