gateway: Bound what the store sends around the body of an answer

The body of an answer was limited to 8 MB, the read buffer of the channel was not.

Before: an_answer_that_never_ends_is_given_up failed in four of six cases, the channel took all bytes sent (allowed). After: it passes.

--- a/carawayway/gateway/store_channel.cpp
+++ b/carawayway/gateway/store_channel.cpp
@@ -71,6 +71,7 @@
     boost::system::error_code error;
     co_await http::async_write(m_stream, request, redirect_error(use_awaitable, error));
     http::response_parser<http::string_body> parser;
+    net::chunk_extension_limit extension_limit(parser);
     parser.body_limit(maximum_response_bytes);
     if (!error) {
         co_await http::async_read(m_stream, m_buffer, parser, redirect_error(use_awaitable, error));
--- a/carawayway/gateway/store_channel.hpp
+++ b/carawayway/gateway/store_channel.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/base/time.hpp"
 #include "carawayway/fleet/store_messages.hpp"
+#include "carawayway/net/message_limits.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -39,7 +40,7 @@
 
     boost::asio::ip::tcp::endpoint m_address;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{net::maximum_read_buffer_bytes};
     bool m_open = false;
 };
 
