entry: Bound the read buffers of HTTP connections

Cause: the same as for the gateway, found by reading: listeners of entry instances, their connections to backend servers, the etcd client and the command line read into buffers without a maximum.

Change: net/message_limits.hpp applies to them as well. A listener holds as much as its limit for heads, if that is more, and answers 413 when its buffer is full.

No test fails without this change; the limits themselves are tested in the gateway.

--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -2,6 +2,7 @@
 #include "carawayway/cli/http_call.hpp"
 
 #include "carawayway/net/endpoint.hpp"
+#include "carawayway/net/message_limits.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -93,8 +94,9 @@
     }
     const auto request = to_http_request(call);
     co_await http::async_write(stream, request, use_tuple);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
     http::response_parser<http::string_body> parser;
+    net::chunk_extension_limit extension_limit(parser);
     parser.body_limit(maximum_reply_bytes);
     parser.skip(call.method == "HEAD");
     // Reads even when writing failed: the server may have refused the request before it read the body.
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/entry/caller_http.hpp"
 #include "carawayway/net/endpoint.hpp"
+#include "carawayway/net/message_limits.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -128,7 +129,7 @@
     struct server_connection {
         explicit server_connection(asio::io_context& context) : stream(context) {}
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer{net::maximum_read_buffer_bytes};
         bool cancelled = false;
         base::time_point idle_since;
     };
@@ -177,6 +178,7 @@
             co_return failed(outcome_of(write_error, *connection, attempt_outcome::lost));
         }
         http::response_parser<http::string_body> parser;
+        net::chunk_extension_limit extension_limit(parser);
         parser.body_limit(maximum_response_body_bytes);
         if (command.request->method == "HEAD") {
             parser.skip(true);
--- a/carawayway/entry/http_listener.cpp
+++ b/carawayway/entry/http_listener.cpp
@@ -1,6 +1,8 @@
 // Each connection is a coroutine that handles one request at a time.
 #include "carawayway/entry/http_listener.hpp"
 
+#include "carawayway/net/message_limits.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -107,9 +109,10 @@
 }
 
 asio::awaitable<void> http_listener::serve_requests(beast::tcp_stream& stream, std::string client_address) {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(std::max<std::size_t>(net::maximum_read_buffer_bytes, m_limits.header_bytes));
     for (;;) {
         http::request_parser<http::string_body> parser;
+        net::chunk_extension_limit extension_limit(parser);
         parser.header_limit(m_limits.header_bytes);
         parser.body_limit(m_limits.body_bytes);
         if (buffer.size() == 0) {
@@ -156,7 +159,8 @@
     if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
         co_return;
     }
-    const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+    const bool too_large = error == http::error::body_limit || error == http::error::header_limit ||
+                           error == http::error::buffer_overflow;
     const auto kind = too_large ? base::error_kind::request_too_large : base::error_kind::request_invalid;
     auto response = to_response(engine::make_error_response(kind, error.message()), http_1_1);
     response.keep_alive(false);
--- a/carawayway/store/etcd_json_store.cpp
+++ b/carawayway/store/etcd_json_store.cpp
@@ -1,6 +1,7 @@
 // HTTP calls to the store: one connection per call, failover between addresses, and the outcome of each call.
 #include "carawayway/store/etcd_json_store.hpp"
 
+#include "carawayway/net/message_limits.hpp"
 #include "carawayway/store/etcd_json_codec.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -257,8 +258,9 @@
         if (result.progress != exchange_progress::sent || !result.detail.empty()) {
             co_return result;
         }
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
         http::response_parser<http::string_body> parser;
+        net::chunk_extension_limit extension_limit(parser);
         parser.body_limit(m_options.maximum_reply_bytes);
         boost::system::error_code error;
         co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -309,7 +311,7 @@
         if (sent.progress != exchange_progress::sent || !sent.detail.empty()) {
             co_return watch_closed{watch_end::unavailable, 0, sent.detail};
         }
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(boost::none);
         boost::system::error_code error;
