cli: Let a process outlive the reader of its log

This is one way in which that happens, reproduced here; whether it is the one that they saw is not known.

Cause: standard output is a pipe wherever a program reads the log. When the reader ends, poll() still reports the pipe as writable, and the next line kills the process by SIGPIPE: all gateways whose log one collector reads, within seconds, with all accepted work.

Commands that print for an operator keep the usual behaviour.

Before: a_gateway_outlives_the_reader_of_its_log failed, the process ended with signal 13. After: it passes.

--- a/carawayway/base/log.cpp
+++ b/carawayway/base/log.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <climits>
+#include <csignal>
 #include <poll.h>
 #include <unistd.h>
 
@@ -99,6 +100,10 @@
     return dropped_lines().load();
 }
 
+void ignore_end_of_log_reader() {
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 std::string format_log_line(log_level level, std::string_view event,
                             std::initializer_list<log_field> fields) {
     std::string line = fmt::format("level={} event=", level_names.at(static_cast<std::size_t>(level)));
--- a/carawayway/base/log.hpp
+++ b/carawayway/base/log.hpp
@@ -35,6 +35,9 @@
 // the line.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+// Lets the process outlive the reader of its log: lines that nobody reads are dropped, without SIGPIPE.
+void ignore_end_of_log_reader();
+
 // The number of lines dropped because standard output could not take them without blocking.
 std::uint64_t dropped_log_lines();
 
--- a/carawayway/cli/entry_command.cpp
+++ b/carawayway/cli/entry_command.cpp
@@ -43,6 +43,7 @@
 } // namespace
 
 int run_entry(const std::vector<std::string>& positional) {
+    base::ignore_end_of_log_reader();
     if (!positional.empty() || FLAGS_settings.empty()) {
         fmt::print(stderr, "carawayway entry: --settings FILE is required, without further arguments\n");
         return to_int(exit_code::bad_input);
--- a/carawayway/cli/gateway_command.cpp
+++ b/carawayway/cli/gateway_command.cpp
@@ -32,6 +32,7 @@
 } // namespace
 
 int run_gateway(const std::vector<std::string>& positional) {
+    base::ignore_end_of_log_reader();
     if (!positional.empty() || FLAGS_settings.empty()) {
         fmt::print(stderr, "carawayway gateway: --settings FILE is required, without further arguments\n");
         return to_int(exit_code::bad_input);
