gateway: Wait at the start for addresses that are in use

This is one way in which that happens, reproduced here; whether it is the one that they saw is not known.

Cause: a gateway whose address could not be bound ended at once. The address may belong to a process that is ending, to one that got the port by chance, or to a network that is not up yet.

Change: the gateway closes what it has opened, logs address-unavailable with the address, and tries again each 200 ms for 10 s; then it ends as before. A signal ends the wait. Listening sockets are opened in one place, net/listening_socket.

After: it waits, and a_gateway_waits_for_an_address_that_is_in_use passes.

--- a/Tests/gateway_processes/start_test.cpp
+++ b/Tests/gateway_processes/start_test.cpp
@@ -1,6 +1,7 @@
 // The start of gateway processes, and what may happen to their surroundings.
 #include "Tests/gateway_processes/gateway_fleet.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -11,6 +12,31 @@
 namespace carawayway::gateway_processes {
 namespace {
 
+using boost::asio::ip::tcp;
+
+// Guards against a deployment that does not start because an address was still taken when a process started,
+// as by the process before it.
+TEST(start_test, a_gateway_waits_for_an_address_that_is_in_use) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
+                        1);
+    const auto address = fleet.caller_address(0);
+    const auto colon = address.find(':');
+    boost::asio::io_context context;
+    fleet.kill_gateway(0);
+    std::optional<tcp::acceptor> holder(
+        std::in_place, context,
+        tcp::endpoint(boost::asio::ip::make_address(address.substr(0, colon)),
+                      static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))));
+    std::thread other_process([&] {
+        test_support::wait_until([&] { return fleet.has_logged(0, "event=address-unavailable"); });
+        holder.reset();
+    });
+    fleet.start_gateway(0, fleet.program_of(0));
+    other_process.join();
+    EXPECT_TRUE(fleet.has_logged(0, address)) << "the log names the address";
+    EXPECT_EQ(fleet.send(0, "GET", "/read/1").status, 200U);
+}
+
 // Guards against a gateway that is killed by SIGPIPE as soon as it logs after the reader of its log has
 // ended.
 TEST(start_test, a_gateway_outlives_the_reader_of_its_log) {
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -13,6 +13,7 @@
 #include "carawayway/gateway/session_listener.hpp"
 #include "carawayway/gateway/store_session.hpp"
 #include "carawayway/net/endpoint.hpp"
+#include "carawayway/net/listening_socket.hpp"
 #include "carawayway/net/message_limits.hpp"
 #include "carawayway/placement/gateway_selection.hpp"
 
@@ -42,6 +43,10 @@
     // Headers that the relaying gateway adds to those of the caller, at most.
     static constexpr std::uint32_t relay_header_bytes = 1024;
 
+    // At the start, for addresses that are in use.
+    static constexpr base::duration bind_retry_interval = std::chrono::milliseconds{200};
+    static constexpr base::duration longest_bind_wait = std::chrono::seconds{10};
+
     using reload_function = std::function<std::optional<config::gateway_settings>()>;
 
     gateway_instance(config::gateway_settings settings, platform_bounds bounds, reload_function reload)
@@ -78,12 +83,39 @@
           m_tick_timer(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
 
     // Runs until a signal stops the gateway. Throws boost::system::system_error if an address cannot be
-    // bound.
+    // bound, also after a while.
     void run() {
-        open_listeners();
+        wait_for_signal();
+        open_listeners_by(base::monotonic_now() + longest_bind_wait);
+        m_context.run();
+        base::log(base::log_level::info, "stopped", {{"gateway", m_settings.name}});
+    }
+
+private:
+    // The process that has run here before may not have ended.
+    void open_listeners_by(base::time_point latest) {
+        try {
+            open_listeners();
+        } catch (const boost::system::system_error& error) {
+            if (!net::is_address_unavailable(error.code()) || base::monotonic_now() >= latest) {
+                throw;
+            }
+            base::log(base::log_level::warning, "address-unavailable", {{"reason", error.what()}});
+            close_listeners();
+            m_tick_timer.expires_after(bind_retry_interval);
+            m_tick_timer.async_wait([this, latest](boost::system::error_code stopped) {
+                if (!stopped) {
+                    open_listeners_by(latest);
+                }
+            });
+            return;
+        }
+        start();
+    }
+
+    void start() {
         m_store_session.start();
         m_permit_session.start();
-        wait_for_signal();
         tick();
         base::log(base::log_level::info, "started",
                   {{"gateway", m_settings.name},
@@ -92,11 +124,8 @@
                    {"build", base::build_name()},
                    {"level", fleet::agreement_level}});
         log_limits();
-        m_context.run();
-        base::log(base::log_level::info, "stopped", {{"gateway", m_settings.name}});
     }
 
-private:
     void log_limits() const {
         const auto& bounds = m_state.bounds;
         base::log(base::log_level::info, "limits-in-force",
@@ -173,6 +202,23 @@
         }
     }
 
+    void close_listeners() {
+        for (auto* const listener : request_listeners()) {
+            listener->close();
+        }
+        for (const auto& listener : m_auxiliary_listeners) {
+            listener->close();
+        }
+        if (m_replication_server) {
+            m_replication_server->close();
+        }
+        m_caller_listener.reset();
+        m_relay_listener.reset();
+        m_auxiliary_listeners.clear();
+        m_replication_server.reset();
+        m_crash_notices.reset();
+    }
+
     void open_relay_listener(const config::socket_address& address) {
         m_relay_listener = std::make_unique<session_listener>(
             m_context.get_executor(), endpoint_of(address), maximum_relay_sessions,
@@ -459,15 +505,21 @@
     }
 
     std::vector<session_listener*> request_listeners() const {
-        std::vector<session_listener*> listeners{m_caller_listener.get()};
-        if (m_relay_listener) {
-            listeners.push_back(m_relay_listener.get());
+        std::vector<session_listener*> listeners;
+        for (const auto& listener : {std::cref(m_caller_listener), std::cref(m_relay_listener)}) {
+            if (listener.get()) {
+                listeners.push_back(listener.get().get());
+            }
         }
         return listeners;
     }
 
     // Reports not ready at once, and keeps serving requests that still arrive and can end in time.
     void stop() {
+        if (!m_caller_listener) { // still waits for an address
+            m_context.stop();
+            return;
+        }
         const auto schedule = stop_schedule::after_signal(base::monotonic_now(), m_state.bounds.stop_grace);
         m_state.stop = schedule;
         base::log(base::log_level::info, "stopping", {{"sessions", m_caller_listener->size()}});
--- a/carawayway/gateway/session_listener.cpp
+++ b/carawayway/gateway/session_listener.cpp
@@ -2,6 +2,7 @@
 #include "carawayway/gateway/session_listener.hpp"
 
 #include "carawayway/base/log.hpp"
+#include "carawayway/net/listening_socket.hpp"
 #include "carawayway/net/socket_options.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,12 +23,8 @@
                                    const boost::asio::ip::tcp::endpoint& address,
                                    std::size_t maximum_sessions, request_handler handler,
                                    std::function<session_limits()> limits)
-    : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(executor)),
+    : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(net::listen_on(executor, address))),
       m_shared(std::make_shared<shared_state>()) {
-    m_acceptor->open(address.protocol());
-    m_acceptor->set_option(boost::asio::socket_base::reuse_address(true));
-    m_acceptor->bind(address);
-    m_acceptor->listen();
     m_shared->maximum_sessions = maximum_sessions;
     m_shared->handler = std::move(handler);
     m_shared->limits = std::move(limits);
--- a/carawayway/gateway/store_replication.cpp
+++ b/carawayway/gateway/store_replication.cpp
@@ -2,7 +2,7 @@
 #include "carawayway/gateway/store_replication.hpp"
 
 #include "carawayway/base/log.hpp"
-#include "carawayway/net/socket_options.hpp"
+#include "carawayway/net/listening_socket.hpp"
 #include "carawayway/wire/frame_reader.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -68,8 +68,8 @@
 replication_server::replication_server(const boost::asio::any_io_executor& executor,
                                        const boost::asio::ip::tcp::endpoint& address,
                                        const fleet::store_replica& replica, watch_status_function status)
-    : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(executor, address)), m_replica(replica),
-      m_watch_status(std::move(status)) {
+    : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(net::listen_on(executor, address))),
+      m_replica(replica), m_watch_status(std::move(status)) {
     boost::asio::co_spawn(executor, accept(), boost::asio::detached);
 }
 
