--- a/Tests/gateway/caller_session_test.cpp
+++ b/Tests/gateway/caller_session_test.cpp
@@ -195,6 +195,18 @@
     EXPECT_TRUE(m_handled_requests.empty());
 }
 
+// Guards against a process that ends by an assertion of the parser, when the line of the last chunk arrives
+// before the rest.
+TEST_F(caller_session_test, reads_a_chunked_body_that_arrives_in_single_bytes) {
+    for (const char byte :
+         std::string("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) {
+        send(std::string(1, byte));
+        m_context.poll();
+        m_context.run_for(std::chrono::milliseconds{1});
+    }
+    run_until([this] { return m_handled_requests.size() == 1; });
+}
+
 TEST_F(caller_session_test, reads_chunked_body) {
     send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     run_until([this] { return m_handled_requests.size() == 1; });
