fleet: Bound the kept changes of the replica in bytes

Cause: the replica keeps the last 512 changes with their values for gateways that follow it, whatever their size.

Change: it keeps 4 MB of keys and values, and the last change in any case; a follower that is further behind gets a listing, as it already did.

Tests: the_bytes_of_kept_changes_are_bounded (998 versions of 0.9 MB) and the_last_change_is_kept_whatever_its_size pass. They were not run on the code before, which has no such limit.

--- a/Tests/fleet/store_replica_test.cpp
+++ b/Tests/fleet/store_replica_test.cpp
@@ -101,6 +101,35 @@
     EXPECT_TRUE(replica.changes_after(100).has_value());
 }
 
+// Guards against gateways that are killed because they keep many versions of a large value.
+TEST(store_replica, the_bytes_of_kept_changes_are_bounded) {
+    const std::string large(900U << 10U, 'x');
+    store_replica replica;
+    replica.replace_all({}, 1);
+    for (std::int64_t revision = 2; revision < 1000; ++revision) {
+        replica.apply(written("configuration", revision, large + std::to_string(revision)));
+        replica.advance(revision);
+    }
+    std::size_t kept = 0;
+    std::int64_t oldest = 998;
+    for (; replica.changes_after(oldest).has_value() && oldest > 0; --oldest) {
+        kept = replica.changes_after(oldest)->size() * large.size();
+    }
+    EXPECT_GT(kept, 0U);
+    EXPECT_LE(kept, store_replica::maximum_kept_bytes);
+    EXPECT_EQ(replica.all().front().value, large + "999");
+}
+
+// Guards against a follower that never gets a value which is larger than the changes that are kept.
+TEST(store_replica, the_last_change_is_kept_whatever_its_size) {
+    store_replica replica;
+    replica.replace_all({}, 1);
+    replica.apply(written("a", 2, "small"));
+    replica.apply(written("a", 3, std::string(store_replica::maximum_kept_bytes + 1, 'x')));
+    EXPECT_EQ(replica.changes_after(2)->size(), 1U);
+    EXPECT_FALSE(replica.changes_after(1).has_value());
+}
+
 // Guards against a gateway that ignores every change after the store was restored, because their revisions
 // are lower than those that it knows.
 TEST(store_replica, a_write_after_a_restore_is_newer_whatever_its_number) {
--- a/carawayway/fleet/store_replica.cpp
+++ b/carawayway/fleet/store_replica.cpp
@@ -6,6 +6,14 @@
 
 namespace carawayway::fleet {
 
+namespace {
+
+std::size_t size_of(const store_record& record) {
+    return record.key.size() + record.value.size();
+}
+
+} // namespace
+
 bool store_replica::apply(const store_record& record) {
     auto& known = m_records[record.key];
     if (known.revision >= record.revision) {
@@ -130,15 +138,21 @@
 
 void store_replica::append_change(const store_record& record) {
     m_changes.push_back(record);
-    if (m_changes.size() <= maximum_kept_changes) {
-        return;
+    m_changes_bytes += size_of(record);
+    while (m_changes.size() > maximum_kept_changes ||
+           (m_changes_bytes > maximum_kept_bytes && m_changes.size() > 1)) {
+        drop_oldest_change();
     }
+}
+
+void store_replica::drop_oldest_change() {
     const store_record& oldest = m_changes.front();
     m_changes_complete_from = std::max(m_changes_complete_from, oldest.revision);
     const auto known = m_records.find(oldest.key);
     if (known != m_records.end() && known->second.erased && known->second.revision == oldest.revision) {
         m_records.erase(known);
     }
+    m_changes_bytes -= size_of(oldest);
     m_changes.pop_front();
 }
 
--- a/carawayway/fleet/store_replica.hpp
+++ b/carawayway/fleet/store_replica.hpp
@@ -30,6 +30,8 @@
     // Recent changes kept for peers that ask for those after a revision. A peer that missed more gets all
     // records.
     static constexpr std::size_t maximum_kept_changes = 512;
+    // Of the keys and values of these changes. The last change is kept whatever its size.
+    static constexpr std::size_t maximum_kept_bytes = 4U << 20U;
 
     // Merges a record; returns true when it is newer than the known one.
     bool apply(const store_record& record);
@@ -60,6 +62,7 @@
 
 private:
     void append_change(const store_record& record);
+    void drop_oldest_change();
     std::vector<store_record> erase_keys(const std::vector<std::string>& keys, store_revision revision);
     // Whether a record is a write of an earlier era that was followed by a known change of its key.
     bool is_outdated_copy(const store_record& record, const store_record& known) const;
@@ -67,6 +70,7 @@
     std::map<std::string, store_record>
         m_records;                      // the latest of each key; an erased one is kept as long as its change
     std::deque<store_record> m_changes; // in order of arrival
+    std::size_t m_changes_bytes = 0;    // keys and values of m_changes
     std::map<std::string, store_record> m_outdated; // listed by begin_era(), but older than what is known
     store_revision m_changes_complete_from;         // changes after this revision are all in m_changes
     store_revision m_revision;
