gateway: List the store when it cannot answer a watch

Cause: the answer to its watch was larger than the 8 MB that it takes. The call counted as failed and was made again, until the store had dropped the history. An answer that could not be read had the same effect.

Change: the channel tells an answer that is too large from none; a listing takes the place of the watch, at once if the answer is too large, and after the usual pause if it is unreadable.

Tests: lists_the_store_instead_of_watching_again for an answer that is too large, one of another form and one that is no JSON pass; not run on the code before.

--- a/Tests/gateway/store_session_test.cpp
+++ b/Tests/gateway/store_session_test.cpp
@@ -134,6 +134,31 @@
     EXPECT_LE(wait + time_to_list, time_until_contact);
 }
 
+class unanswerable_watch_test : public store_session_test, public testing::WithParamInterface<std::string> {};
+
+// Guards against a gateway that asks again and again for an answer that it cannot take, and learns of no
+// change until the store has dropped its history.
+TEST_P(unanswerable_watch_test, lists_the_store_instead_of_watching_again) {
+    std::vector<std::string> calls;
+    run(
+        [&](const std::string& target) -> scripted_answer {
+            if (!target.starts_with("/kv-range") && !is_watch(target)) {
+                return silence();
+            }
+            calls.push_back(target.substr(0, target.find('?')));
+            if (calls.size() == 3) {
+                stop();
+            }
+            return {store_reaction::answer, is_watch(target) ? GetParam() : listing_at(20)};
+        },
+        [](const std::string&) {});
+    EXPECT_EQ(calls, (std::vector<std::string>{"/kv-range", "/kv-watch", "/kv-range"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(answers, unanswerable_watch_test,
+                         testing::Values(std::string(9U << 20U, ' '), R"({"events":7,"currentRev":21})",
+                                         "no JSON"));
+
 // Guards against a gateway that goes on at a revision of the store which the restored store has not reached,
 // so that it learns of no change.
 TEST_F(store_session_test, lists_a_restored_store_again_and_resumes_at_its_revision) {
--- a/carawayway/gateway/store_channel.cpp
+++ b/carawayway/gateway/store_channel.cpp
@@ -76,6 +76,10 @@
     if (!error) {
         co_await http::async_read(m_stream, m_buffer, parser, redirect_error(use_awaitable, error));
     }
+    if (error == http::error::body_limit) {
+        close();
+        co_return store_response{parser.get().result_int(), {}, parser.release().base(), true};
+    }
     if (error) {
         close();
         co_return std::nullopt;
@@ -85,7 +89,8 @@
     if (!response.keep_alive()) {
         close();
     }
-    co_return store_response{response.result_int(), std::move(response.body()), std::move(response.base())};
+    co_return store_response{response.result_int(), std::move(response.body()), std::move(response.base()),
+                             false};
 }
 
 void store_channel::interrupt() {
--- a/carawayway/gateway/store_channel.hpp
+++ b/carawayway/gateway/store_channel.hpp
@@ -18,8 +18,9 @@
 
 struct store_response {
     unsigned status = 0;
-    std::string body;
+    std::string body; // empty if it is too large
     boost::beast::http::fields headers;
+    bool is_too_large = false;
 };
 
 class store_channel {
@@ -27,7 +28,8 @@
     store_channel(const boost::asio::any_io_executor& executor, boost::asio::ip::tcp::endpoint address);
 
     // Only one call may be in progress. Returns nothing when the store does not answer within the timeout;
-    // the store may still have executed the call, and the connection is closed.
+    // the store may still have executed the call, and the connection is closed. It is also closed behind an
+    // answer that is too large.
     boost::asio::awaitable<std::optional<store_response>> call(fleet::store_call call,
                                                                base::duration timeout);
 
--- a/carawayway/gateway/store_session.hpp
+++ b/carawayway/gateway/store_session.hpp
@@ -143,6 +143,9 @@
                 m_listed = false;
                 continue;
             }
+            if (status == fleet::store_status::unreadable) {
+                m_listed = false; // the same watch would fail again
+            }
             record_store_failure(status);
             co_await fetch_records_from_peer();
             const auto backoff =
@@ -234,6 +237,11 @@
             co_await pause(m_watch_timer, random_part_of(restore_spread));
             co_return fleet::store_status::compacted;
         }
+        if (response->is_too_large) { // a listing has each key once
+            base::log(base::log_level::warning, "store-answer-too-large",
+                      {{"revision", m_replica.revision()}});
+            co_return fleet::store_status::compacted;
+        }
         auto page = Platform::read_events(response->status, response->body);
         if (page.status != fleet::store_status::done) {
             co_return page.status;
