gateway: Bound what requests for records of the store take

A gateway made room for whatever length another process announced, up to 8 MB for each connection, without a limit to their number, and held a reply in three copies while it was sent.

Change: a request has 1 KB at most, 512 are served at once, and a reply is held once while it is sent.

--- a/carawayway/gateway/store_replication.cpp
+++ b/carawayway/gateway/store_replication.cpp
@@ -24,12 +24,16 @@
 using boost::asio::use_awaitable;
 
 // Holds a full listing: a page of the store's items has less than 1 MB, and a deployment has few pages.
-constexpr std::size_t maximum_frame_bytes = 8U << 20U;
+constexpr std::size_t maximum_reply_bytes = 8U << 20U;
+constexpr std::size_t maximum_request_bytes = 1U << 10U;
+// Requests that are served at once; each domain has fewer gateways.
+constexpr std::size_t maximum_requests = 512;
 
 constexpr base::duration transfer_timeout = std::chrono::seconds{2};
 constexpr base::duration accept_retry_delay = std::chrono::milliseconds{50};
 
-boost::asio::awaitable<std::optional<std::string>> read_frame(boost::beast::tcp_stream& stream) {
+boost::asio::awaitable<std::optional<std::string>> read_frame(boost::beast::tcp_stream& stream,
+                                                              std::size_t maximum_bytes) {
     std::array<unsigned char, wire::frame_prefix_size> prefix{};
     boost::system::error_code error;
     co_await boost::asio::async_read(stream, boost::asio::buffer(prefix),
@@ -38,7 +42,7 @@
     for (std::size_t index = 0; index < prefix.size(); ++index) {
         size |= std::size_t{prefix.at(index)} << (8U * index);
     }
-    if (error || size > maximum_frame_bytes) {
+    if (error || size > maximum_bytes) {
         co_return std::nullopt;
     }
     std::string payload(size, '\0');
@@ -83,8 +87,10 @@
     while (acceptor->is_open()) {
         boost::system::error_code error;
         auto socket = co_await acceptor->async_accept(redirect_error(use_awaitable, error));
-        if (!error) {
+        if (!error && *m_requests < maximum_requests) {
             boost::asio::co_spawn(acceptor->get_executor(), serve(std::move(socket)), boost::asio::detached);
+        } else if (!error) {
+            base::log(base::log_level::warning, "peer-request-refused", {{"requests", *m_requests}});
         } else if (acceptor->is_open()) {
             boost::asio::steady_timer pause(acceptor->get_executor(), accept_retry_delay);
             co_await pause.async_wait(redirect_error(use_awaitable, error));
@@ -109,8 +115,10 @@
 
 boost::asio::awaitable<void> replication_server::serve(boost::asio::ip::tcp::socket socket) {
     boost::beast::tcp_stream stream(std::move(socket));
+    ++*m_requests;
+    const auto counted = std::shared_ptr<void>(nullptr, [requests = m_requests](void*) { --*requests; });
     stream.expires_after(whole_milliseconds(transfer_timeout));
-    const auto payload = co_await read_frame(stream);
+    const auto payload = co_await read_frame(stream, maximum_request_bytes);
     const auto request = payload ? fleet::decode_request(bytes_of(*payload)) : std::nullopt;
     if (!request) {
         base::log(base::log_level::warning, "peer-request-invalid");
@@ -121,12 +129,17 @@
         co_await wait_for_changes(*request);
     }
     stream.expires_after(whole_milliseconds(transfer_timeout));
-    const auto changes = m_replica.changes_after(request->revision);
+    const auto reply = encoded_reply(request->revision);
+    co_await write_frame(stream, reply);
+}
+
+std::string replication_server::encoded_reply(fleet::store_revision known) const {
+    auto changes = m_replica.changes_after(known);
     const auto status = m_watch_status();
-    const fleet::replication_reply reply{m_replica.revision(), !changes.has_value(),
-                                         changes ? *changes : m_replica.all(), status.watches_store,
-                                         whole_milliseconds(status.time_since_failure)};
-    co_await write_frame(stream, fleet::encode(reply));
+    const bool is_complete = !changes.has_value();
+    return fleet::encode(fleet::replication_reply{
+        m_replica.revision(), is_complete, is_complete ? m_replica.all() : std::move(*changes),
+        status.watches_store, whole_milliseconds(status.time_since_failure)});
 }
 
 boost::asio::awaitable<std::optional<fleet::replication_reply>>
@@ -143,7 +156,7 @@
     if (!written) {
         co_return std::nullopt;
     }
-    const auto payload = co_await read_frame(stream);
+    const auto payload = co_await read_frame(stream, maximum_reply_bytes);
     co_return payload ? fleet::decode_reply(bytes_of(*payload)) : std::nullopt;
 }
 
--- a/carawayway/gateway/store_replication.hpp
+++ b/carawayway/gateway/store_replication.hpp
@@ -46,12 +46,16 @@
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    // What has changed since the revision that the other gateway knows.
+    std::string encoded_reply(fleet::store_revision known) const;
     boost::asio::awaitable<void> wait_for_changes(const fleet::replication_request& request);
 
     std::shared_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     const fleet::store_replica& m_replica;
     watch_status_function m_watch_status;
     std::set<boost::asio::steady_timer*> m_waiting_requests; // one timer for each waiting request
+    // Requests that are being served; outlives this object in their coroutines.
+    std::shared_ptr<std::size_t> m_requests = std::make_shared<std::size_t>(0);
 };
 
 // Sends one request over a new connection. Returns nothing when the gateway does not answer in time.
