gateway: Count the memory of all requests and responses

Cause: the body of each request was buffered whole and copied for each attempt, and nothing counted the requests of all connections. Responses were counted while they were read, and no longer when they waited for a slow caller.

A message carries its reservation and cannot be copied, so that the compiler finds what would be held twice; each attempt has headers of its own and sends the one body. A request whose announced length does not fit is refused at its head with 503 (memory-exhausted) and Retry-After, one in chunks when it does not fit any more, before it is handled. Bodies sent to the look-up, readiness and metrics addresses have 64 KB at most. Gauge carawayway_gateway_message_bytes.

--- a/Tests/gateway/caller_session_test.cpp
+++ b/Tests/gateway/caller_session_test.cpp
@@ -24,17 +24,23 @@
     caller_session_test() {
         m_listener = std::make_unique<session_listener>(
             m_context.get_executor(), free_address(), 16,
-            [this](const http_request& request, base::time_point, response_callback respond) {
-                auto item = std::make_shared<handled_request>();
-                item->target = std::string(request.target());
-                item->respond = std::move(respond);
-                m_handled_requests.push_back(item);
-                return request_control{[item] { item->cancelled = true; },
-                                       [item] { item->respond(response_with("expired")); }};
-            },
-            [] {
-                return session_limits{4096, 4096, std::chrono::seconds{3}, std::chrono::seconds{15}};
-            });
+            session_policy{[this](const http_request& request, base::time_point, response_callback respond) {
+                               auto item = std::make_shared<handled_request>();
+                               item->target = std::string(request.target());
+                               item->respond = std::move(respond);
+                               m_handled_requests.push_back(item);
+                               return request_control{[item] { item->cancelled = true; },
+                                                      [item] { item->respond(response_with("expired")); }};
+                           },
+                           [this] {
+                               return session_limits{4096, m_body_limit, std::chrono::seconds{3},
+                                                     std::chrono::seconds{15}};
+                           },
+                           m_memory,
+                           [this](const http::fields& head) {
+                               m_refused_host = std::string(head[http::field::host]);
+                               return http_response{http::status::service_unavailable, 11};
+                           }});
         m_caller.connect(m_address);
     }
 
@@ -98,6 +104,9 @@
 
     static constexpr std::size_t most_endless_bytes = 4U << 20U;
 
+    std::uint64_t m_body_limit = 4096;
+    message_memory m_memory{4U << 20U};
+    std::string m_refused_host;
     boost::asio::io_context m_context;
     tcp::endpoint m_address;
     std::vector<std::shared_ptr<handled_request>> m_handled_requests;
@@ -207,6 +216,41 @@
     run_until([this] { return m_handled_requests.size() == 1; });
 }
 
+// Guards against a gateway that is killed because it takes bodies for which it has no memory.
+TEST_F(caller_session_test, refuses_an_announced_body_without_memory_at_its_head) {
+    m_body_limit = 64U << 20U;
+    send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n");
+    EXPECT_THAT(receive_until("\r\n\r\n"),
+                testing::AllOf(HasSubstr("HTTP/1.1 503"), HasSubstr("Connection: close")));
+    EXPECT_EQ(m_refused_host, "h");
+    EXPECT_TRUE(m_handled_requests.empty());
+}
+
+TEST_F(caller_session_test, refuses_a_body_in_chunks_when_it_has_no_memory_for_more) {
+    m_body_limit = 64U << 20U;
+    const std::string chunk = "10000\r\n" + std::string(64U << 10U, 'x') + "\r\n";
+    send_endlessly("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", chunk);
+    EXPECT_THAT(receive_until("\r\n\r\n"), HasSubstr("HTTP/1.1 503"));
+    EXPECT_TRUE(m_handled_requests.empty());
+    m_caller.close();
+    run_until([this] { return m_listener->size() == 0; });
+    EXPECT_EQ(m_memory.used_bytes(), 0U);
+}
+
+// Guards against responses to slow callers that nobody counts.
+TEST_F(caller_session_test, a_response_is_counted_until_it_is_written) {
+    send(get("/1") + get("/2"));
+    run_until([this] { return m_handled_requests.size() == 2; });
+    message_memory::reservation reserved(m_memory, message_memory::message_kind::response);
+    ASSERT_TRUE(reserved.try_resize(1U << 20U));
+    m_handled_requests[1]->respond(http_response(response_with("second"), std::move(reserved)));
+    EXPECT_GE(m_memory.used_bytes(), 1U << 20U);
+    m_handled_requests[0]->respond(response_with("first"));
+    receive_until("second");
+    m_context.poll();
+    EXPECT_LT(m_memory.used_bytes(), 1U << 20U);
+}
+
 TEST_F(caller_session_test, reads_chunked_body) {
     send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     run_until([this] { return m_handled_requests.size() == 1; });
--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -120,6 +120,19 @@
         auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
         request->set(http::field::host, "h");
         request->prepare_payload();
+        return send_request(request, request_id, std::move(call), delay);
+    }
+
+    exchange_result send_request(const std::shared_ptr<http_request>& request,
+                                 const std::string& request_id) {
+        return send_request(
+            request, request_id,
+            server_call<platform::protocol>{base::monotonic_now() + time_left, m_servers, m_server}, {});
+    }
+
+    template <exchange_call Call>
+    exchange_result send_request(const std::shared_ptr<http_request>& request, const std::string& request_id,
+                                 Call call, std::chrono::milliseconds delay) {
         const exchange_limits limits{std::chrono::seconds{5}, std::chrono::seconds{5}, 1U << 20U};
         auto sent = std::make_shared<server_exchange<platform::protocol, Call>>(
             m_context.get_executor(), m_pool, m_memory, "i-1", m_acceptor.local_endpoint(), limits,
@@ -155,7 +168,7 @@
     placement::server_table m_servers{{"g", "a", "r", {{"a", "r"}}}, {}};
     placement::server_handle m_server;
     backend_pool m_pool;
-    response_memory m_memory;
+    message_memory m_memory{64U << 20U};
     std::vector<std::string> m_responses;
     std::array<char, 4096> m_chunk{};
     std::string m_last_request;
@@ -403,24 +416,29 @@
 
 // Guards against bodies that go on without end, each within its own limit.
 TEST_F(server_exchange_test, a_body_beyond_the_memory_of_all_responses_is_given_up) {
-    m_memory = response_memory(1000);
-    const std::string large(response_memory::own_bytes + 1000, 'x');
-    serve({response_with("a", large), response_with("b", large + "x"), {}});
-    EXPECT_EQ(send("a").outcome, exchange_outcome::answered);
-    EXPECT_EQ(send("b").outcome, exchange_outcome::broken);
-    response_memory::reservation next(m_memory);
-    EXPECT_TRUE(next.try_resize(response_memory::own_bytes + 1000)) << "the memory is returned";
+    m_memory = message_memory(1U << 20U);
+    const std::string large((1U << 20U) * 7 / 10, 'x');
+    serve({response_with("a", large), response_with("b", large), response_with("c", large), {}});
+    {
+        const auto first = send("a");
+        EXPECT_EQ(first.outcome, exchange_outcome::answered);
+        EXPECT_EQ(send("b").outcome, exchange_outcome::broken) << "while the first one is held";
+    }
+    EXPECT_EQ(m_memory.used_bytes(), 0U);
+    EXPECT_EQ(send("c").outcome, exchange_outcome::answered) << "the memory is returned";
 }
 
-TEST(response_memory_test, responses_share_a_pool_beyond_what_each_may_use) {
-    const response_memory memory(1000);
-    response_memory::reservation first(memory);
-    response_memory::reservation second(memory);
-    EXPECT_TRUE(first.try_resize(response_memory::own_bytes + 700));
-    EXPECT_FALSE(second.try_resize(response_memory::own_bytes + 301));
-    EXPECT_TRUE(second.try_resize(response_memory::own_bytes)) << "needs nothing of the pool";
-    EXPECT_TRUE(second.try_resize(response_memory::own_bytes + 300));
-    EXPECT_FALSE(first.try_resize(response_memory::own_bytes + 701));
+// Guards against a body that is copied for each attempt.
+TEST_F(server_exchange_test, a_request_keeps_its_headers_and_its_body) {
+    serve({response_with("a", "one")});
+    auto request = std::make_shared<http_request>(http::verb::post, "/", 11);
+    request->body() = "the body";
+    request->prepare_payload();
+    const auto sent = send_request(request, "a");
+    EXPECT_EQ(sent.outcome, exchange_outcome::answered);
+    EXPECT_TRUE(m_last_request.ends_with("\r\n\r\nthe body")) << m_last_request;
+    EXPECT_NE(m_last_request.find("Target-Instance: i-1"), std::string::npos) << m_last_request;
+    EXPECT_EQ(request->count("Target-Instance"), 0U) << "each attempt has headers of its own";
 }
 
 // Guards against requests that reach a server for which they had to wait while it asked for rest.
--- a/Tests/gateway/shared_limits_test.cpp
+++ b/Tests/gateway/shared_limits_test.cpp
@@ -20,7 +20,7 @@
     // A process that has just started and knows `known_gateways` of the deployment.
     void start_gateway(std::size_t known_gateways) {
         m_gateways.push_back(std::make_unique<gateway_state>(
-            m_context.get_executor(), placement::locality{"g0", "a", "r", {{"a", "r"}}}, m_bounds,
+            m_context.get_executor(), placement::locality{"g0", "a", "r", {{"a", "r"}}}, m_bounds, 64U << 20U,
             [](const steering::crash_count&) {}, [](std::uint64_t) {}, [] {}));
         learn_gateways(*m_gateways.back(), known_gateways);
     }
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -71,6 +71,9 @@
     // The address at which a gateway takes requests of callers.
     std::string caller_address(std::size_t index) const { return m_gateways.at(index)->ports.callers(); }
 
+    // The address at which a gateway takes requests of other gateways for records of the store.
+    std::string peer_address(std::size_t index) const { return m_gateways.at(index)->ports.peers(); }
+
     // Records a new request to this gateway and returns it, with "Connection: close".
     soak::http_request make_request(std::size_t gateway_index, const std::string& method,
                                     const std::string& path, const std::string& object);
--- a/Tests/soak/http_server.cpp
+++ b/Tests/soak/http_server.cpp
@@ -76,11 +76,13 @@
     boost::system::error_code error;
     std::optional<http_response> last_failure;
     while (!error) {
-        http_request request;
-        co_await http::async_read(*socket, buffer, request, redirect_error(use_awaitable, error));
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        co_await http::async_read(*socket, buffer, parser, redirect_error(use_awaitable, error));
         if (error) {
             break;
         }
+        auto request = parser.release();
         if (last_failure && m_extra_bytes) {
             const auto bytes = m_extra_bytes(*last_failure);
             co_await boost::asio::async_write(*socket, boost::asio::buffer(bytes),
--- a/carawayway/base/error_kind.cpp
+++ b/carawayway/base/error_kind.cpp
@@ -68,6 +68,7 @@
      not_executed, fresh_request_id},
     {servers_resting, "servers-resting", "Backend servers have asked for rest", 503, not_executed,
      fresh_request_id},
+    {memory_exhausted, "memory-exhausted", "No memory for the request", 503, not_executed, fresh_request_id},
     {internal, "internal", "Internal error", 500, unknown, same_request_id},
 }};
 
--- a/carawayway/base/error_kind.hpp
+++ b/carawayway/base/error_kind.hpp
@@ -60,6 +60,7 @@
     not_found,
     request_rate_limited, // the backend servers take no more requests per second
     servers_resting,      // the backend servers have asked for no requests for some time
+    memory_exhausted,     // requests and responses take all memory for them
     internal,
 };
 
--- a/carawayway/config/gateway_settings.hpp
+++ b/carawayway/config/gateway_settings.hpp
@@ -34,8 +34,9 @@
     std::uint32_t relayed_requests = 128;          // of other gateways, at once
     std::uint32_t largest_body_bytes = 64U << 20U; // of a request; the whole body is buffered
 
-    double link_megabits = 0.0;   // of the machine, per second in each direction; 0: unknown
-    double processor_share = 0.0; // of one core that this process may use; 0: unknown
+    double link_megabits = 0.0;      // of the machine, per second in each direction; 0: unknown
+    double memory_megabytes = 160.0; // that this process may use
+    double processor_share = 0.0;    // of one core that this process may use; 0: unknown
 
     std::map<std::string, std::string> region_of_domain;
 
--- a/carawayway/config/gateway_settings_fields.hpp
+++ b/carawayway/config/gateway_settings_fields.hpp
@@ -35,6 +35,7 @@
 template <class Visitor>
 void visit_machine_fields(gateway_settings& settings, Visitor&& visit) {
     visit("link_megabits", settings.link_megabits);
+    visit("memory_megabytes", settings.memory_megabytes);
     visit("processor_share", settings.processor_share);
 }
 
--- a/carawayway/config/key_table.cpp
+++ b/carawayway/config/key_table.cpp
@@ -226,6 +226,9 @@
                     maximum_count,
                     "Capacity of the machine's network link in each direction. 0: unknown. Look-ups name the "
                     "gateways that can carry most."},
+    key_description{
+        gateway, "machine", "memory_megabytes", value_kind::real, "MB", optional, "160", 64, maximum_count,
+        "Memory that this process may use. Requests and responses take two fifths of it at most."},
     key_description{gateway, "machine", "processor_share", value_kind::real, "cores", optional, "0", 0, 1024,
                     "Processor time that this process may use. 0: unknown."},
     key_description{gateway, "domain", "region", value_kind::name, "", required, "", 0, 0,
--- a/carawayway/gateway/caller_session.cpp
+++ b/carawayway/gateway/caller_session.cpp
@@ -41,11 +41,10 @@
 
 } // namespace
 
-caller_session::caller_session(boost::asio::ip::tcp::socket socket, request_handler handler,
-                               std::function<session_limits()> limits, std::function<void()> on_closed)
-    : m_socket(std::move(socket)), m_handler(std::move(handler)), m_limits(std::move(limits)),
-      m_on_closed(std::move(on_closed)), m_watchdog(m_socket.get_executor()),
-      m_pipeline_space(m_socket.get_executor()) {}
+caller_session::caller_session(boost::asio::ip::tcp::socket socket,
+                               std::shared_ptr<const session_policy> policy, std::function<void()> on_closed)
+    : m_socket(std::move(socket)), m_policy(std::move(policy)), m_on_closed(std::move(on_closed)),
+      m_watchdog(m_socket.get_executor()), m_pipeline_space(m_socket.get_executor()) {}
 
 void caller_session::start() {
     m_last_activity = base::monotonic_now();
@@ -165,7 +164,8 @@
 
 boost::asio::awaitable<caller_session::read_result>
 caller_session::read_request(std::optional<http_request>& request) {
-    const session_limits limits = m_limits();
+    const session_limits limits = m_policy->limits();
+    message_memory::reservation memory(m_policy->memory, message_memory::message_kind::request);
     http::request_parser<http::string_body> parser;
     net::chunk_extension_limit extension_limit(parser);
     parser.header_limit(limits.header_bytes);
@@ -198,7 +198,14 @@
             error = is_too_large ? make_error_code(http::error::header_limit) : boost::system::error_code{};
         }
         if (error) {
-            reject_malformed(status_of(error));
+            reject(http_response{status_of(error), 11});
+            co_return read_result::rejected;
+        }
+        // A body is reserved as a whole by its announced length.
+        const auto body_bytes = std::max<std::size_t>(
+            parser.get().body().size(), parser.is_header_done() ? parser.content_length().value_or(0) : 0);
+        if (!memory.try_resize(memory_of(parser.get()) + body_bytes + m_buffer.size())) {
+            reject(m_policy->refuse(parser.get()));
             co_return read_result::rejected;
         }
         if (parser.is_header_done() && !header_seen) {
@@ -209,7 +216,7 @@
             }
         }
     }
-    request = parser.release();
+    request.emplace(parser.release(), std::move(memory));
     co_return read_result::complete;
 }
 
@@ -235,16 +242,16 @@
     item->is_taken_after_stop = m_stopping;
     m_pending_requests.push_back(item);
     const auto self = shared_from_this();
-    item->control = m_handler(std::move(request), arrived, [self, item](http_response response) {
+    item->control = m_policy->handler(std::move(request), arrived, [self, item](http_response response) {
         self->queue_response(item, std::move(response));
     });
 }
 
-void caller_session::reject_malformed(http::status status) {
+// Responds to a request that is not handled, behind those in progress, and closes the connection.
+void caller_session::reject(http_response response) {
     auto item = std::make_shared<pending_request>();
     item->keep_alive = false;
     m_pending_requests.push_back(item);
-    http_response response{status, 11};
     queue_response(item, std::move(response));
 }
 
@@ -320,7 +327,7 @@
 }
 
 void caller_session::arm_watchdog() {
-    const session_limits limits = m_limits();
+    const session_limits limits = m_policy->limits();
     base::duration wait = limits.idle_timeout + idle_margin - (base::monotonic_now() - m_last_activity);
     if (m_closing) {
         wait = linger;
@@ -338,7 +345,7 @@
 
 void caller_session::check_timeouts() {
     const auto now = base::monotonic_now();
-    const session_limits limits = m_limits();
+    const session_limits limits = m_policy->limits();
     const bool idle_too_long = is_idle() && now - m_last_activity >= limits.idle_timeout + idle_margin;
     if ((m_closing && !m_writing) || idle_too_long) {
         close();
--- a/carawayway/gateway/caller_session.hpp
+++ b/carawayway/gateway/caller_session.hpp
@@ -37,6 +37,17 @@
     bool operator==(const session_limits&) const = default;
 };
 
+// What the sessions of one listener share.
+struct session_policy {
+    request_handler handler;
+    std::function<session_limits()>
+        limits; // asked for each request, since a new configuration may change them
+    message_memory memory;
+    // Returns the response to a request that is not handled, as there is no memory for it. The head may not
+    // be whole.
+    std::function<http_response(const http::fields& head)> refuse;
+};
+
 // Requests of callers that have no complete response yet.
 struct unanswered_requests {
     std::size_t total = 0;
@@ -52,9 +63,9 @@
     // Requests of one connection that may be in progress at once; the session stops reading at this number.
     static constexpr std::size_t maximum_pipelined_requests = 16;
 
-    // `limits` is called for each request, since a new configuration may change them. `on_closed` runs once.
-    caller_session(boost::asio::ip::tcp::socket socket, request_handler handler,
-                   std::function<session_limits()> limits, std::function<void()> on_closed);
+    // `on_closed` runs once.
+    caller_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<const session_policy> policy,
+                   std::function<void()> on_closed);
 
     void start();
 
@@ -92,7 +103,7 @@
     bool expects_request();
     boost::asio::awaitable<bool> send_continue_if_expected(http::request_parser<http::string_body>& parser);
     void dispatch(http_request request, base::time_point arrived);
-    void reject_malformed(http::status status);
+    void reject(http_response response);
     void queue_response(const std::shared_ptr<pending_request>& item, http_response response);
     void write_next();
     void finish_write(boost::system::error_code error, bool closes);
@@ -101,8 +112,7 @@
     void check_timeouts();
 
     boost::asio::ip::tcp::socket m_socket;
-    request_handler m_handler;
-    std::function<session_limits()> m_limits;
+    std::shared_ptr<const session_policy> m_policy;
     std::function<void()> m_on_closed;
     boost::asio::steady_timer m_watchdog;
     boost::asio::steady_timer m_pipeline_space; // cancelled when another pipelined request may be read
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -42,14 +42,14 @@
     // `relayed` comes with a request that another gateway got from its caller.
     forwarded_request(gateway_state& state, http_request request, base::time_point arrived,
                       response_callback respond, std::optional<relayed_call> relayed = std::nullopt)
-        : m_state(state), m_request(std::move(request)),
+        : m_state(state), m_request(std::make_shared<http_request>(std::move(request))),
           m_arrived(arrived - (relayed ? relayed->elapsed : base::duration::zero())),
           m_respond(std::move(respond)), m_relayed(relayed), m_deadline_timer(state.executor),
           m_hedge_timer(state.executor), m_attempt_count(relayed ? relayed->attempts : 0),
           m_is_counted(relayed && !relayed->earns_retries), m_is_relay_refused(relayed.has_value()) {}
 
     void start() {
-        m_metadata = Platform::read_call(m_request);
+        m_metadata = Platform::read_call(*m_request);
         m_routes = m_state.routes();
         if (!m_routes) {
             post_error_response(base::error_kind::not_ready, not_ready_retry_after);
@@ -61,12 +61,12 @@
             post_error_response(base::error_kind::peer_refused, {});
             return;
         }
-        const std::string_view target = m_request.target();
-        if (target.empty() || target.front() != '/' || m_request.count(http::field::host) != 1) {
+        const std::string_view target = m_request->target();
+        if (target.empty() || target.front() != '/' || m_request->count(http::field::host) != 1) {
             post_error_response(base::error_kind::request_invalid, {});
             return;
         }
-        m_route = m_routes->find(m_request[http::field::host], routing::path_of(target));
+        m_route = m_routes->find((*m_request)[http::field::host], routing::path_of(target));
         if (m_route == nullptr) {
             post_error_response(base::error_kind::not_found, {});
             return;
@@ -141,11 +141,11 @@
     }
 
     void prepare_request() {
-        remove_hop_by_hop_headers(m_request);
-        remove_relay_headers(m_request);
-        m_request.version(11);
-        m_request.keep_alive(true);
-        m_request.prepare_payload();
+        remove_hop_by_hop_headers(*m_request);
+        remove_relay_headers(*m_request);
+        m_request->version(11);
+        m_request->keep_alive(true);
+        m_request->prepare_payload();
     }
 
     void send_to_next_server() {
@@ -267,12 +267,11 @@
             std::min<base::duration>(attempts_end() - now, connect_timeout(round_trip_to(server))),
             maximum_idle_time(m_route->semantics, sent->losses_when_sent),
             gateway_state::maximum_response_bytes};
-        auto request = std::make_shared<http_request>(m_request);
         sent->exchange = std::make_shared<server_exchange<Platform>>(
-            m_state.executor, m_state.connections, m_state.responses, server.registration.id, *address,
-            limits, server_call<Platform>{attempts_end(), m_state.servers, sent->server});
+            m_state.executor, m_state.connections, m_state.messages, server.registration.id, *address, limits,
+            server_call<Platform>{attempts_end(), m_state.servers, sent->server});
         m_running_attempts.push_back(sent);
-        sent->exchange->start(std::move(request), m_metadata.request_id,
+        sent->exchange->start(m_request, m_metadata.request_id,
                               [self = this->shared_from_this(), sent](exchange_result result) {
                                   self->finish_attempt(sent, std::move(result));
                               });
@@ -661,14 +660,14 @@
     }
 
     gateway_state& m_state;
-    http_request m_request;
+    std::shared_ptr<http_request> m_request; // does not change once it is sent
     base::time_point m_arrived;
     response_callback m_respond;           // null after the response or when the caller has disconnected
     std::optional<relayed_call> m_relayed; // of the gateway that got the request from its caller, if another
     pause_aware_timer m_deadline_timer;
     pause_aware_timer m_hedge_timer;
     request_metadata m_metadata;
-    request_content m_content{m_state.guard, m_request, m_metadata.object};
+    request_content m_content{m_state.guard, *m_request, m_metadata.object};
     request_log m_log{m_state.log, m_metadata, m_content};
     std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
     const routing::route* m_route = nullptr;
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -40,6 +40,11 @@
     // Longer than gateways keep an idle connection for reuse, whatever callers are allowed.
     static constexpr base::duration relay_idle_timeout = std::chrono::seconds{15};
     static constexpr std::uint64_t maximum_health_body_bytes = 64U << 10U;
+    static constexpr std::uint64_t maximum_auxiliary_body_bytes = 64U << 10U;
+    // Part of the machine's memory for requests and responses. The rest is for the program, what it knows of
+    // the deployment, and buffers of sockets.
+    static constexpr double message_memory_share = 0.4;
+    static constexpr base::duration memory_retry_after = std::chrono::milliseconds{500};
     // Headers that the relaying gateway adds to those of the caller, at most.
     static constexpr std::uint32_t relay_header_bytes = 1024;
 
@@ -54,7 +59,7 @@
           m_state(
               m_context.get_executor(),
               {m_settings.name, m_settings.failure_domain, m_settings.region, m_settings.region_of_domain},
-              bounds,
+              bounds, message_bytes(m_settings),
               [this](const steering::crash_count& count) {
                   if (m_crash_notices) {
                       m_crash_notices->share(count);
@@ -143,6 +148,12 @@
         return {boost::asio::ip::make_address(address.host), address.port};
     }
 
+    static std::size_t message_bytes(const config::gateway_settings& settings) {
+        constexpr double bytes_per_megabyte = 1e6;
+        return static_cast<std::size_t>(settings.memory_megabytes * bytes_per_megabyte *
+                                        message_memory_share);
+    }
+
     fleet::gateway_registration own_registration() const {
         return {m_settings.name,
                 m_settings.failure_domain,
@@ -179,10 +190,11 @@
         const auto limits = [this] { return caller_limits(); };
         m_caller_listener = std::make_unique<session_listener>(
             executor, endpoint_of(m_settings.caller_address), m_settings.caller_connections,
-            [this](http_request request, base::time_point arrived, response_callback respond) {
-                return forward(std::move(request), arrived, std::move(respond));
-            },
-            limits);
+            session_policy{[this](http_request request, base::time_point arrived, response_callback respond) {
+                               return forward(std::move(request), arrived, std::move(respond));
+                           },
+                           limits, m_state.messages,
+                           [this](const http::fields& head) { return refuse_for_memory(head); }});
         open_auxiliary_listener(m_settings.readiness_address,
                                 [this](const http_request& request) { return readiness_response(request); });
         open_auxiliary_listener(m_settings.lookup_address,
@@ -222,15 +234,21 @@
     void open_relay_listener(const config::socket_address& address) {
         m_relay_listener = std::make_unique<session_listener>(
             m_context.get_executor(), endpoint_of(address), maximum_relay_sessions,
-            [this](http_request request, base::time_point arrived, response_callback respond) {
-                return forward_relayed(std::move(request), arrived, std::move(respond));
-            },
-            [this] {
-                auto limits = caller_limits();
-                limits.header_bytes += relay_header_bytes;
-                limits.idle_timeout = relay_idle_timeout;
-                return limits;
-            });
+            session_policy{[this](http_request request, base::time_point arrived, response_callback respond) {
+                               return forward_relayed(std::move(request), arrived, std::move(respond));
+                           },
+                           [this] {
+                               auto limits = caller_limits();
+                               limits.header_bytes += relay_header_bytes;
+                               limits.idle_timeout = relay_idle_timeout;
+                               return limits;
+                           },
+                           m_state.messages,
+                           [this](const http::fields& head) {
+                               auto response = refuse_for_memory(head);
+                               write_relay_verdict(response, {base::error_kind::peer_refused, {}});
+                               return response;
+                           }});
     }
 
     void open_crash_notices(const config::socket_address& address) {
@@ -265,13 +283,20 @@
                                  std::function<http_response(const http_request&)> handler) {
         m_auxiliary_listeners.push_back(std::make_unique<session_listener>(
             m_context.get_executor(), endpoint_of(address), maximum_auxiliary_sessions,
-            [this, handler = std::move(handler)](http_request request, base::time_point,
-                                                 response_callback respond) {
-                boost::asio::post(m_context, [handler, request = std::move(request),
-                                              respond = std::move(respond)] { respond(handler(request)); });
-                return request_control{};
-            },
-            [this] { return caller_limits(); }));
+            session_policy{[this, handler = std::move(handler)](http_request request, base::time_point,
+                                                                response_callback respond) {
+                               boost::asio::post(
+                                   m_context, [handler, request = std::move(request),
+                                               respond = std::move(respond)] { respond(handler(request)); });
+                               return request_control{};
+                           },
+                           [this] {
+                               auto limits = caller_limits();
+                               limits.body_bytes = std::min(limits.body_bytes, maximum_auxiliary_body_bytes);
+                               return limits;
+                           },
+                           m_state.messages,
+                           [this](const http::fields& head) { return refuse_for_memory(head); }}));
     }
 
     static request_control start(const std::shared_ptr<forwarded_request<Platform>>& request) {
@@ -285,6 +310,21 @@
         return start(forwarded);
     }
 
+    // The response to a request that is not handled, since requests and responses take all memory for them.
+    http_response refuse_for_memory(const http::fields& head) {
+        const auto& error = base::properties_of(base::error_kind::memory_exhausted);
+        const auto request_id = Platform::read_call(head).request_id;
+        m_state.metrics.add("carawayway_gateway_refusals_total",
+                            {{"service", ""}, {"kind", std::string(error.name)}});
+        m_state.log.write(
+            base::log_level::warning, "request-refused",
+            {{"request_id", request_id}, {"kind", error.name}, {"held_bytes", m_state.messages.used_bytes()}},
+            base::monotonic_now());
+        auto response = error_response(error, memory_retry_after);
+        Platform::write_request_id(response, request_id);
+        return response;
+    }
+
     // Takes a request of another gateway, as long as this one has room for it.
     request_control forward_relayed(http_request request, base::time_point arrived,
                                     response_callback respond) {
@@ -354,12 +394,23 @@
 
     http_response metrics_response() {
         count_builds();
+        count_message_bytes();
         http_response response{http::status::ok, 11};
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.body() = m_state.metrics.to_prometheus();
         return response;
     }
 
+    void count_message_bytes() {
+        const auto set = [this](const char* state, std::size_t bytes) {
+            m_state.metrics.set("carawayway_gateway_message_bytes", {{"state", state}},
+                                static_cast<double>(bytes));
+        };
+        set("held", m_state.messages.used_bytes());
+        set("most", m_state.messages.most_used_bytes());
+        set("limit", m_state.messages.total_bytes());
+    }
+
     void count_builds() {
         static constexpr const char* family = "carawayway_gateway_builds";
         std::map<std::pair<std::string, std::uint32_t>, std::size_t> gateways;
@@ -461,7 +512,7 @@
         if (!error) {
             co_await http::async_read(stream, buffer, parser, redirect_error(use_awaitable, error));
         }
-        const http_response response = parser.release();
+        const auto response = parser.release();
         if (!error) {
             report = Platform::read_health(response.result_int(), response, server->registration.id);
             if (report.verdict != placement::health_check_result::other_server) {
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -15,8 +15,9 @@
 } // namespace
 
 gateway_state::gateway_state(boost::asio::any_io_executor io_executor, const placement::locality& own,
-                             platform_bounds limits, content_guard::share_function share,
-                             content_guard::publish_function publish, limit_change_handler on_limit_change)
+                             platform_bounds limits, std::size_t message_bytes,
+                             content_guard::share_function share, content_guard::publish_function publish,
+                             limit_change_handler on_limit_change)
     : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold),
       affinity(maximum_remembered_objects), region_shifts(own.region, limits.region_shift_share),
       region_spillover(own.region),
@@ -24,8 +25,8 @@
       peers(servers.gateways(), own),
       contact(executor, servers, round_trips,
               [this](base::time_point failing_since) { leave_servers(failing_since); }),
-      metrics(metric_series_limit), guard(metrics, std::move(share), std::move(publish)),
-      m_on_limit_change(std::move(on_limit_change)) {
+      messages(message_bytes), metrics(metric_series_limit),
+      guard(metrics, std::move(share), std::move(publish)), m_on_limit_change(std::move(on_limit_change)) {
     metrics.declare("carawayway_gateway_requests_total", metrics::metric_type::counter,
                     "Requests of callers by service, priority and status.");
     metrics.declare("carawayway_gateway_request_duration_seconds", metrics::metric_type::histogram,
@@ -46,6 +47,8 @@
                     "Known gateways by the build that they run");
     metrics.declare("carawayway_gateway_relayed_requests_total", metrics::metric_type::counter,
                     "Requests of other gateways, by whether they were taken.");
+    metrics.declare("carawayway_gateway_message_bytes", metrics::metric_type::gauge,
+                    "Memory of requests and responses: held now, the most so far, and the limit.");
     service_retries::declare_metrics(metrics);
 }
 
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -4,9 +4,9 @@
 #include "carawayway/gateway/backend_pool.hpp"
 #include "carawayway/gateway/contact_monitor.hpp"
 #include "carawayway/gateway/content_guard.hpp"
+#include "carawayway/gateway/message_memory.hpp"
 #include "carawayway/gateway/pause_detector.hpp"
 #include "carawayway/gateway/rate_limited_log.hpp"
-#include "carawayway/gateway/response_memory.hpp"
 #include "carawayway/gateway/service_retries.hpp"
 #include "carawayway/gateway/stop_schedule.hpp"
 #include "carawayway/gateway/wire_types.hpp"
@@ -36,9 +36,9 @@
     // Runs when a server has named a rate limit, or no longer does.
     using limit_change_handler = std::function<void()>;
 
-    // `share` and `publish` are those of the content guard.
+    // `share` and `publish` are those of the content guard. `message_bytes` is the memory for all messages.
     gateway_state(boost::asio::any_io_executor executor, const placement::locality& own,
-                  platform_bounds bounds, content_guard::share_function share,
+                  platform_bounds bounds, std::size_t message_bytes, content_guard::share_function share,
                   content_guard::publish_function publish, limit_change_handler on_limit_change);
 
     gateway_state(const gateway_state&) = delete;
@@ -91,7 +91,7 @@
     backend_pool peer_connections; // to the relay addresses of other gateways, by name
     placement::relay_peers peers;
     contact_monitor contact; // to the backend servers
-    response_memory responses;
+    message_memory messages;
     metrics::metric_registry metrics;
     content_guard guard;
     rate_limited_log log;
--- a/carawayway/gateway/message_headers.cpp
+++ b/carawayway/gateway/message_headers.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <numeric>
 
 namespace carawayway::gateway {
 
@@ -59,6 +60,16 @@
     }
 }
 
+std::size_t memory_of(const http::fields& headers) {
+    // Of one message beside its fields, and of one field beside its text.
+    constexpr std::size_t message_overhead_bytes = 1024;
+    constexpr std::size_t field_overhead_bytes = 96;
+    return std::accumulate(
+        headers.begin(), headers.end(), message_overhead_bytes, [](std::size_t sum, const auto& field) {
+            return sum + field_overhead_bytes + field.name_string().size() + field.value().size();
+        });
+}
+
 std::optional<base::duration> keep_alive_timeout(const http::fields& headers) {
     const auto found = headers.find(http::field::keep_alive);
     if (found == headers.end()) {
--- a/carawayway/gateway/message_headers.hpp
+++ b/carawayway/gateway/message_headers.hpp
@@ -8,6 +8,9 @@
 // Removes the hop-by-hop headers, the headers named by Connection, and the headers that frame the body.
 void remove_hop_by_hop_headers(http::fields& headers);
 
+// Memory that a head takes.
+std::size_t memory_of(const http::fields& headers);
+
 // The timeout parameter of the Keep-Alive header, if present.
 std::optional<base::duration> keep_alive_timeout(const http::fields& headers);
 
--- a/carawayway/gateway/request_relay.hpp
+++ b/carawayway/gateway/request_relay.hpp
@@ -25,16 +25,16 @@
     base::duration travel_time{}; // to the receiver, as expected
 
     static bool may_send(base::time_point /*now*/) { return true; }
-    void write(http_request& request, const std::string& /*peer*/, base::time_point now) const {
+    void write(http::fields& headers, const std::string& /*peer*/, base::time_point now) const {
         auto complete = call;
         complete.elapsed = now - arrived + travel_time;
-        write_relayed_call(request, complete, key);
+        write_relayed_call(headers, complete, key);
     }
 };
 
 // A request as it is relayed; the first gateway keeps it until it has a response for its caller.
 struct relay_order {
-    http_request request;
+    std::shared_ptr<const http_request> request;
     std::string request_id;
     base::time_point arrived{};
     base::time_point deadline{};
@@ -113,11 +113,11 @@
             std::min<base::duration>(m_order.deadline - now, connect_timeout(round_trip)),
             maximum_idle_time(m_order.semantics, {}), gateway_state::maximum_response_bytes};
         m_exchange = std::make_shared<exchange>(
-            m_state.executor, m_state.peer_connections, m_state.responses, peer.name, address, limits,
+            m_state.executor, m_state.peer_connections, m_state.messages, peer.name, address, limits,
             peer_call{m_order.call, peer.relay_key, m_order.arrived, round_trip / 2});
         m_order.call.earns_retries = false; // only the first receiver counts the request
         m_state.peers.record_start(peer.name);
-        m_exchange->start(std::make_shared<http_request>(m_order.request), m_order.request_id,
+        m_exchange->start(m_order.request, m_order.request_id,
                           [self = this->shared_from_this()](exchange_result result) {
                               self->finish_exchange(std::move(result));
                           });
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -4,7 +4,6 @@
 
 #include "carawayway/gateway/backend_pool.hpp"
 #include "carawayway/gateway/message_headers.hpp"
-#include "carawayway/gateway/response_memory.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/net/message_limits.hpp"
 #include "carawayway/net/socket_options.hpp"
@@ -15,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <functional>
@@ -45,11 +45,11 @@
     std::uint64_t maximum_response_bytes = 0;
 };
 
-// Writes into a request what its receiver must know, in the moment in which it is sent.
+// Writes into the headers of a request what its receiver must know, in the moment in which it is sent.
 template <class Call>
-concept exchange_call = requires(const Call& call, http_request& request, const std::string& receiver,
+concept exchange_call = requires(const Call& call, http::fields& headers, const std::string& receiver,
                                  base::time_point now) {
-    { call.write(request, receiver, now) } -> std::same_as<void>;
+    { call.write(headers, receiver, now) } -> std::same_as<void>;
     // Whether the receiver still takes requests, which may have changed while the connection was opened.
     { call.may_send(now) } -> std::same_as<bool>;
 };
@@ -62,8 +62,8 @@
     placement::server_handle receiver;
 
     bool may_send(base::time_point now) const { return servers.may_send(*receiver, now); }
-    void write(http_request& request, const std::string& server, base::time_point now) const {
-        Platform::write_call(request, server, deadline - now);
+    void write(http::fields& headers, const std::string& server, base::time_point now) const {
+        Platform::write_call(headers, server, deadline - now);
     }
 };
 
@@ -73,7 +73,7 @@
     using completion_handler = std::function<void(exchange_result)>;
 
     // `pool` and `memory` must outlive the exchange.
-    server_exchange(boost::asio::any_io_executor executor, backend_pool& pool, response_memory& memory,
+    server_exchange(boost::asio::any_io_executor executor, backend_pool& pool, message_memory& memory,
                     std::string server, boost::asio::ip::tcp::endpoint address, exchange_limits limits,
                     Call call)
         : m_executor(std::move(executor)), m_pool(pool), m_memory(memory), m_server(std::move(server)),
@@ -81,8 +81,11 @@
           m_connect_timer(m_executor) {}
 
     // `done` runs once, after this call has returned, unless abort() is called first.
-    void start(std::shared_ptr<http_request> request, std::string request_id, completion_handler done) {
+    // The request does not change while an exchange has it.
+    void start(std::shared_ptr<const http_request> request, std::string request_id, completion_handler done) {
         m_request = std::move(request);
+        m_sent_request.base() = m_request->base();
+        m_sent_request.body() = {m_request->body().data(), m_request->body().size()};
         m_request_id = std::move(request_id);
         m_done = std::move(done);
         boost::asio::co_spawn(m_executor, run(this->shared_from_this()), boost::asio::detached);
@@ -132,10 +135,10 @@
             m_pool.put(m_server, std::move(m_connection), sent_at);
             co_return;
         }
-        m_call.write(*m_request, m_server, sent_at);
+        m_call.write(m_sent_request, m_server, sent_at);
         m_sent = true;
         m_writing = true;
-        http::async_write(m_connection->socket, *m_request,
+        http::async_write(m_connection->socket, m_sent_request,
                           [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                               self->m_writing = false;
                               self->m_write_failed = static_cast<bool>(error);
@@ -175,7 +178,7 @@
             net::chunk_extension_limit extension_limit(parser);
             parser.body_limit(m_limits.maximum_response_bytes);
             parser.skip(m_request->method() == http::verb::head);
-            response_memory::reservation memory(m_memory);
+            message_memory::reservation memory(m_memory, message_memory::message_kind::response);
             const auto error = co_await read_whole(parser, memory);
             if (m_aborted) {
                 co_return;
@@ -185,7 +188,7 @@
                 close();
                 co_return;
             }
-            result.response = parser.release();
+            result.response = http_response(parser.release(), std::move(memory));
             if (contains_status_line(result.response)) {
                 break;
             }
@@ -207,12 +210,14 @@
 
     // Ends with an error when the response takes more memory than it may.
     boost::asio::awaitable<boost::system::error_code>
-    read_whole(http::response_parser<http::string_body>& parser, response_memory::reservation& memory) {
+    read_whole(http::response_parser<http::string_body>& parser, message_memory::reservation& memory) {
         boost::system::error_code error;
         while (!error && !parser.is_done()) {
             co_await http::async_read_some(m_connection->socket, m_connection->buffer, parser,
                                            boost::asio::redirect_error(boost::asio::use_awaitable, error));
-            if (!error && !memory.try_resize(parser.get().body().size() + m_connection->buffer.size())) {
+            const auto& read = parser.get();
+            const auto held = memory_of(read) + read.body().size() + m_connection->buffer.size();
+            if (!error && !memory.try_resize(held)) {
                 error = http::error::body_limit;
             }
         }
@@ -245,13 +250,15 @@
 
     boost::asio::any_io_executor m_executor;
     backend_pool& m_pool;
-    response_memory& m_memory;
+    message_memory& m_memory;
     std::string m_server;
     boost::asio::ip::tcp::endpoint m_address;
     exchange_limits m_limits;
     Call m_call;
     boost::asio::steady_timer m_connect_timer;
-    std::shared_ptr<http_request> m_request;
+    std::shared_ptr<const http_request> m_request;
+    // Has headers of its own, and the body of m_request.
+    http::request<http::span_body<const char>> m_sent_request;
     std::string m_request_id;
     completion_handler m_done;
     std::unique_ptr<backend_connection> m_connection;
--- a/carawayway/gateway/session_listener.cpp
+++ b/carawayway/gateway/session_listener.cpp
@@ -21,13 +21,11 @@
 
 session_listener::session_listener(const boost::asio::any_io_executor& executor,
                                    const boost::asio::ip::tcp::endpoint& address,
-                                   std::size_t maximum_sessions, request_handler handler,
-                                   std::function<session_limits()> limits)
+                                   std::size_t maximum_sessions, session_policy policy)
     : m_acceptor(std::make_shared<boost::asio::ip::tcp::acceptor>(net::listen_on(executor, address))),
       m_shared(std::make_shared<shared_state>()) {
     m_shared->maximum_sessions = maximum_sessions;
-    m_shared->handler = std::move(handler);
-    m_shared->limits = std::move(limits);
+    m_shared->policy = std::make_shared<const session_policy>(std::move(policy));
     boost::asio::co_spawn(executor, accept(m_acceptor, m_shared), boost::asio::detached);
 }
 
@@ -105,12 +103,11 @@
     }
     net::set_caller_options(socket);
     const auto own = std::make_shared<std::weak_ptr<caller_session>>();
-    auto session =
-        std::make_shared<caller_session>(std::move(socket), shared->handler, shared->limits, [shared, own] {
-            if (const auto closed = own->lock()) {
-                shared->sessions.erase(closed);
-            }
-        });
+    auto session = std::make_shared<caller_session>(std::move(socket), shared->policy, [shared, own] {
+        if (const auto closed = own->lock()) {
+            shared->sessions.erase(closed);
+        }
+    });
     *own = session;
     shared->sessions.insert(session);
     if (shared->stopping) {
--- a/carawayway/gateway/session_listener.hpp
+++ b/carawayway/gateway/session_listener.hpp
@@ -14,7 +14,7 @@
     // Binds and listens. Throws boost::system::system_error when the address cannot be bound.
     session_listener(const boost::asio::any_io_executor& executor,
                      const boost::asio::ip::tcp::endpoint& address, std::size_t maximum_sessions,
-                     request_handler handler, std::function<session_limits()> limits);
+                     session_policy policy);
 
     void close_after_responses(); // for current and future sessions
     void close_idle();
@@ -30,8 +30,7 @@
     struct shared_state {
         std::unordered_set<std::shared_ptr<caller_session>> sessions;
         std::size_t maximum_sessions = 0;
-        request_handler handler;
-        std::function<session_limits()> limits;
+        std::shared_ptr<const session_policy> policy;
         bool stopping = false;
     };
 
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -4,6 +4,7 @@
 #include "carawayway/base/time.hpp"
 #include "carawayway/fleet/registrations.hpp"
 #include "carawayway/fleet/store_messages.hpp"
+#include "carawayway/gateway/message_memory.hpp"
 #include "carawayway/placement/server_state.hpp"
 #include "carawayway/placement/server_table.hpp"
 #include "carawayway/routing/configuration.hpp"
@@ -21,8 +22,24 @@
 namespace carawayway::gateway {
 
 namespace http = boost::beast::http;
-using http_request = http::request<http::string_body>;
-using http_response = http::response<http::string_body>;
+
+// A message with the memory that is reserved for it. It cannot be copied, so that each body is held once and
+// counted.
+template <bool is_request>
+class counted_message : public http::message<is_request, http::string_body> {
+public:
+    using uncounted = http::message<is_request, http::string_body>;
+    using uncounted::uncounted;
+
+    counted_message(uncounted content, message_memory::reservation reserved)
+        : uncounted(std::move(content)), m_memory(std::move(reserved)) {}
+
+private:
+    message_memory::reservation m_memory;
+};
+
+using http_request = counted_message<true>;
+using http_response = counted_message<false>;
 
 struct request_metadata {
     std::string request_id;                  // of the caller's current attempt
