--- a/review/9/play.cpp
+++ b/review/9/play.cpp
@@ -14,8 +14,9 @@
 
 constexpr std::size_t clients = 3;
 constexpr std::size_t crashes = 3;
-constexpr auto between_crashes = 1400ms; // gap_s of srv_flap
+constexpr auto between_crashes = 1400ms;
 constexpr auto server_is_down = 1200ms;
+constexpr auto cold_time = 3000ms; // coldStartS; work takes twice as long (cold_x)
 constexpr auto work_time = 500ms;
 constexpr auto gateways_are_down = 800ms;
 constexpr auto recover = 15s; // recoverS
@@ -118,17 +119,17 @@
     const auto hold = [](review::server& self, int connection, review::reader& input,
                          const review::message_head& request) {
         input.read_body(request.content_length());
-        std::this_thread::sleep_for(work_time);
+        std::this_thread::sleep_for(self.cold_left_ms() > 0 ? 2 * work_time : work_time);
         return !self.has_crashed() && self.answer(connection, request, "held");
     };
     std::vector<std::shared_ptr<review::server>> servers;
     std::size_t started = 0;
-    const auto add_server = [&](const std::string& zone) {
-        servers.push_back(stage.add_server(fmt::format("i-order-{}", ++started), "varaus", zone, hold));
+    const auto add_server = [&](const std::string& zone, std::chrono::milliseconds cold) {
+        servers.push_back(stage.add_server(fmt::format("i-order-{}", ++started), "varaus", zone, hold, cold));
     };
     for (const auto* const zone : {"hki-a", "hki-b", "tre-a", "tre-b", "oulu-a", "oulu-b"}) {
-        add_server(zone);
-        add_server(zone);
+        add_server(zone, 0ms);
+        add_server(zone, 0ms);
     }
     std::vector<std::unique_ptr<review::gateway>> gateways;
     gateways.push_back(stage.add_gateway("front-hki-a-1", "hki-a"));
@@ -159,7 +160,7 @@
         busy->crash();
         std::erase(servers, busy);
         std::this_thread::sleep_for(server_is_down);
-        add_server("hki-a");
+        add_server("hki-a", cold_time);
         stage.log.write("server {} starts in its place", servers.back()->id());
         std::this_thread::sleep_for(between_crashes - server_is_down);
     }
--- a/review/world_2/server.hpp
+++ b/review/world_2/server.hpp
@@ -21,9 +21,11 @@
     // Reads the body, works, and answers on the connection. Returns whether the connection stays open.
     using work = std::function<bool(server&, int connection, reader& input, const message_head& request)>;
 
-    server(std::string id, std::string service, std::string zone, store& entries, work run)
+    // `cold` is zero for a server that starts before traffic.
+    server(std::string id, std::string service, std::string zone, store& entries, work run,
+           std::chrono::milliseconds cold = {})
         : m_id(std::move(id)), m_service(std::move(service)), m_zone(std::move(zone)), m_store(entries),
-          m_run(std::move(run)) {}
+          m_run(std::move(run)), m_cold_until(clock::now() + cold) {}
 
     const std::string& id() const { return m_id; }
 
@@ -41,6 +43,11 @@
     int running() const { return m_running; }
     bool has_crashed() const { return m_has_crashed; }
 
+    std::int64_t cold_left_ms() const {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_cold_until - clock::now());
+        return std::max<std::int64_t>(0, left.count());
+    }
+
     // Ends at once, without a word: connections are reset, and new ones refused.
     void crash() {
         m_has_crashed = true;
@@ -72,8 +79,8 @@
             m_store.put("servers/" + m_id,
                         fmt::format(R"({{"address":"127.0.0.1:{}","info":{{"service":"{}","version":"v1",)"
                                     R"("zone":"{}","slots":6}},"status":{{"state":"ready","seq":{},)"
-                                    R"("coldLeftMs":0}}}})",
-                                    m_port, m_service, m_zone, sequence));
+                                    R"("coldLeftMs":{}}}}})",
+                                    m_port, m_service, m_zone, sequence, cold_left_ms()));
             std::this_thread::sleep_for(heartbeat);
         }
         std::this_thread::sleep_for(heartbeat * 3); // of silence
@@ -108,9 +115,9 @@
 
     bool handle(int connection, reader& input, const message_head& request) {
         if (request.target() == "/health") {
-            return send_all(
-                connection,
-                fmt::format("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", m_id));
+            return send_all(connection, fmt::format("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nCold-Ms: {}\r\n"
+                                                    "Content-Length: 0\r\n\r\n",
+                                                    m_id, cold_left_ms()));
         }
         const auto expected = request.header("target-instance");
         if (!expected.empty() && expected != m_id) {
@@ -130,6 +137,7 @@
     std::string m_zone;
     store& m_store;
     work m_run;
+    clock::time_point m_cold_until;
     int m_listener = -1;
     std::uint16_t m_port = 0;
     std::atomic<int> m_running = 0;
--- a/review/world_2/stage.hpp
+++ b/review/world_2/stage.hpp
@@ -50,8 +50,9 @@
     }
 
     std::shared_ptr<server> add_server(const std::string& id, const std::string& service,
-                                       const std::string& zone, server::work run) {
-        auto added = std::make_shared<server>(id, service, zone, entries, std::move(run));
+                                       const std::string& zone, server::work run,
+                                       std::chrono::milliseconds cold = {}) {
+        auto added = std::make_shared<server>(id, service, zone, entries, std::move(run), cold);
         return added->start() ? added : nullptr;
     }
 
