gateway: Do not end an answer with a reset during the upload

Callers got the part of an answer as the whole: a server answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was still being written.

Cause: an answer without a length lasts until its connection ends. The kernel reports a reset once, to whichever operation asks first; as the reactor serves the pending write before the read, the write got ECONNRESET and the read found the end of the input, as behind an orderly end. The same could happen with a time-out of the connection, with answers of gateways that relay requests, and with calls of the command line, which read on after a failed write.

Change: such an answer is whole only if the write has not failed, or has failed with EPIPE, which the kernel reports when the peer had ended its side before. The store, health checks, the entry instances and the etcd client read only after the whole request is written, and so get the error themselves; they are left as they are.

An answer with a length, or one that has ended before the reset, is still passed on; a test guards that.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -78,6 +78,9 @@
     }
 
     void end_connection() {
+        if (m_shuts_down) {
+            m_peer.shutdown(tcp::socket::shutdown_send);
+        }
         if (m_resets) {
             m_peer.set_option(boost::asio::socket_base::linger(true, 0));
         }
@@ -117,8 +120,9 @@
 
     template <exchange_call Call>
     exchange_result send_call(Call call, const std::string& request_id, std::chrono::milliseconds delay) {
-        auto request = std::make_shared<http_request>(http::verb::get, "/", 11);
+        auto request = std::make_shared<http_request>(http::verb::post, "/", 11);
         request->set(http::field::host, "h");
+        request->body() = m_body;
         request->prepare_payload();
         return send_request(request, request_id, std::move(call), delay);
     }
@@ -159,6 +163,8 @@
     }
 
     static constexpr std::size_t most_endless_bytes = 64U << 20U;
+    // More than the kernel takes while the peer does not read.
+    static constexpr std::size_t upload_bytes = 32U << 20U;
     // What the kernel may hold of one connection, on both sides.
     static constexpr std::size_t socket_buffer_bytes = 16U << 20U;
 
@@ -175,7 +181,9 @@
     std::string m_endless_part; // follows the first response without end, if not empty
     std::size_t m_endless_bytes = 0;
     int m_requests = 0;
+    std::string m_body;              // of requests
     bool m_resets = false;           // connections are reset, not closed
+    bool m_shuts_down = false;       // before connections are reset
     bool m_sends_to_gateway = false; // as relayed requests
 };
 
@@ -361,6 +369,34 @@
     EXPECT_EQ(send_on_kept_connection("a", whole).outcome, exchange_outcome::answered);
 }
 
+// Guards against taking a part for the whole when the pending write of the request is told of the reset, so
+// that the read finds nothing but the end of the input.
+TEST_F(server_exchange_test, an_answer_without_length_does_not_end_with_a_reset_during_an_upload) {
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n\r\n";
+    m_body.assign(upload_bytes, 'u');
+    m_resets = true;
+    for (const bool sends_to_gateway : {false, true}) {
+        m_sends_to_gateway = sends_to_gateway;
+        for (const auto& part : {head, head + "a part", head + std::string(100'000, 'x')}) {
+            serve({part});
+            EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << part.size() << " bytes";
+        }
+    }
+}
+
+// Guards against giving up an answer that has ended before the rest of its request was refused.
+TEST_F(server_exchange_test, an_answer_that_has_ended_before_a_reset_during_an_upload_is_whole) {
+    m_body.assign(upload_bytes, 'u');
+    m_resets = true;
+    serve({response_with("a", "body")});
+    EXPECT_EQ(send("a").response.body(), "body");
+    m_shuts_down = true;
+    serve({"HTTP/1.1 413 Content Too Large\r\nRequest-Id: a\r\n\r\nbody"});
+    const auto ended = send("a");
+    EXPECT_EQ(ended.outcome, exchange_outcome::answered);
+    EXPECT_EQ(ended.response.body(), "body");
+}
+
 // Guards against reporting "not executed" for a request that the server may have executed.
 TEST_F(server_exchange_test, connection_closed_after_request_is_unanswered) {
     serve({""});
--- /dev/null
+++ b/Tests/gateway_processes/broken_answer_test.cpp
@@ -0,0 +1,71 @@
+// Answers of a server in trouble that no caller may get as an answer.
+#include "Tests/gateway_processes/gateway_fleet.hpp"
+#include "Tests/support/raw_server.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace carawayway::gateway_processes {
+namespace {
+
+using test_support::raw_server;
+
+constexpr unsigned bad_gateway = 502;
+
+// One gateway whose only server answers each booking with the bytes of `answer`, behind a status line and the
+// headers that make it an answer to this booking, and anything else well.
+class broken_answer_test : public testing::Test {
+protected:
+    // `status_line` and `rest` make the answer, with the usual headers between them.
+    void break_answers(std::string status_line, std::string rest, raw_server::connection_end end) {
+        m_server.emplace(
+            [this, status_line = std::move(status_line), rest = std::move(rest)](const std::string& head) {
+                const bool is_booking = head.starts_with("POST /book/");
+                m_bookings += is_booking ? 1 : 0;
+                const auto usual =
+                    fmt::format("Request-Id: {}\r\nResponse-Stamp: s\r\nInstance-Id: i-raw\r\n",
+                                raw_server::header(head, "Request-Id"));
+                return is_booking ? status_line + "\r\n" + usual + rest
+                                  : "HTTP/1.1 200 OK\r\n" + usual + "Content-Length: 2\r\n\r\nok";
+            },
+            end);
+        m_fleet.deregister_servers();
+        m_fleet.write_to_store(
+            "servers/i-raw",
+            fmt::format(
+                R"({{"address":"{}","info":{{"service":"orders","version":"1","zone":"a1","slots":64}},)"
+                R"("status":{{"state":"ready","seq":1,"coldLeftMs":0}}}})",
+                m_server->address()));
+    }
+
+    // The status that a caller gets for a booking with a body of this size, once the server has it.
+    unsigned book(std::size_t body_bytes) {
+        unsigned status = 0;
+        EXPECT_TRUE(test_support::wait_until([&] {
+            auto request = m_fleet.make_request(0, "POST", "/book/1", gateway_fleet::usual_object);
+            request.body().assign(body_bytes, 'u');
+            request.prepare_payload();
+            status = m_fleet.send_request(0, request).status;
+            return m_bookings > 0;
+        }));
+        return status;
+    }
+
+    gateway_fleet m_fleet{gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
+                          1};
+    std::atomic<int> m_bookings = 0;
+    std::optional<raw_server> m_server;
+};
+
+// Guards against a part of an answer that is passed on as the whole.
+TEST_F(broken_answer_test, the_part_before_a_reset_during_an_upload_is_no_answer) {
+    // More than the kernel takes while the server does not read.
+    constexpr std::size_t upload_bytes = 24U << 20U;
+    break_answers("HTTP/1.1 200 OK", "\r\na part", raw_server::connection_end::reset);
+    EXPECT_EQ(book(upload_bytes), bad_gateway);
+}
+
+} // namespace
+} // namespace carawayway::gateway_processes
--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -1,6 +1,7 @@
 // Runs each call on its own event loop with asynchronous operations, so that a timeout covers the whole call.
 #include "carawayway/cli/http_call.hpp"
 
+#include "carawayway/net/connection_end.hpp"
 #include "carawayway/net/endpoint.hpp"
 #include "carawayway/net/message_limits.hpp"
 
@@ -93,7 +94,7 @@
         co_return;
     }
     const auto request = to_http_request(call);
-    co_await http::async_write(stream, request, use_tuple);
+    auto [write_error, written] = co_await http::async_write(stream, request, use_tuple);
     beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
     http::response_parser<http::string_body> parser;
     net::chunk_extension_limit extension_limit(parser);
@@ -101,6 +102,9 @@
     parser.skip(call.method == "HEAD");
     // Reads even when writing failed: the server may have refused the request before it read the body.
     auto [read_error, received] = co_await http::async_read(stream, buffer, parser, use_tuple);
+    if (!read_error && parser.need_eof() && !net::is_end_by_peer(write_error)) {
+        read_error = write_error;
+    }
     if (read_error) {
         result.fail(call_failure::outcome_unknown,
                     "no complete reply from " + call.address + ": " + read_error.message());
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -5,6 +5,7 @@
 #include "carawayway/gateway/backend_pool.hpp"
 #include "carawayway/gateway/message_headers.hpp"
 #include "carawayway/gateway/wire_types.hpp"
+#include "carawayway/net/connection_end.hpp"
 #include "carawayway/net/message_limits.hpp"
 #include "carawayway/net/socket_options.hpp"
 
@@ -141,7 +142,7 @@
         http::async_write(m_connection->socket, m_sent_request,
                           [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                               self->m_writing = false;
-                              self->m_write_failed = static_cast<bool>(error);
+                              self->m_write_error = error;
                           });
         co_await read_response(result);
         result.run_time = base::monotonic_now() - sent_at;
@@ -183,7 +184,7 @@
             if (m_aborted) {
                 co_return;
             }
-            if (error) {
+            if (error || (parser.need_eof() && !net::is_end_by_peer(m_write_error))) {
                 result.outcome = parser.got_some() ? exchange_outcome::broken : exchange_outcome::unanswered;
                 close();
                 co_return;
@@ -228,9 +229,8 @@
     // next one, and a request that is still being written would be mixed with the next. Without an
     // ID, a late response to one request cannot be told from that to the next one.
     void release_connection(const http_response& response) {
-        const bool reusable = response.keep_alive() && !response.need_eof() && !m_writing &&
-                              !m_write_failed && m_connection->buffer.size() == 0 && !m_request_id.empty() &&
-                              !m_is_out_of_step;
+        const bool reusable = response.keep_alive() && !response.need_eof() && !m_writing && !m_write_error &&
+                              m_connection->buffer.size() == 0 && !m_request_id.empty() && !m_is_out_of_step;
         if (!reusable) {
             close();
             return;
@@ -264,8 +264,8 @@
     std::unique_ptr<backend_connection> m_connection;
     bool m_sent = false;
     bool m_writing = false;
-    bool m_write_failed = false;
-    bool m_is_out_of_step = false; // the server has sent a response to another request
+    boost::system::error_code m_write_error; // of the request; none while it is being written
+    bool m_is_out_of_step = false;           // the server has sent a response to another request
     bool m_aborted = false;
 };
 
