net: Refuse answers whose status HTTP does not have

On other systems callers got an answer with the status 000. Here they did not, but waited for it until their deadline (504, for a request that could have been tried again or ended at once), and an extra answer behind it was taken; an answer with a status from 600 to 999 did reach callers. The store's headers and the command line's reply were used with any status, and notices and the verdict of a health check too.

Cause: the parser takes any three digits as a status, and no reader looked at the range. A status below 200 counted as informational, so that 000 was skipped while the real answer was awaited; all others counted as one of a class.

Change: net::response_parser ends with bad_status unless the status is 100 to 599. All readers use it: exchanges with servers and with relaying gateways, the store, health checks, the entry instances, the etcd client, the command line. There such an answer is now one that is broken; the connection is closed, and the usual rules for retries hold.

Health checks, entry instances and the etcd client have no test of their own for it.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -420,6 +420,22 @@
     EXPECT_EQ(send("a").outcome, exchange_outcome::broken);
 }
 
+// Guards against a status that no caller can interpret, of servers and of gateways that relay requests.
+TEST_F(server_exchange_test, an_answer_with_a_status_that_http_does_not_have_is_broken) {
+    for (const bool sends_to_gateway : {false, true}) {
+        m_sends_to_gateway = sends_to_gateway;
+        for (const std::string status : {"000", "099", "600", "999"}) {
+            const auto broken = "HTTP/1.1 " + status +
+                                " Trouble\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n"
+                                "Content-Length: 4\r\n\r\nbody";
+            serve({broken});
+            EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << status;
+            serve({broken + response_with("a", "extra")});
+            EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << status;
+        }
+    }
+}
+
 // Guards against a head that goes on without end.
 TEST_F(server_exchange_test, a_head_without_end_is_given_up) {
     serve({"HTTP/1.1 200 OK\r\nX: " + std::string(64U << 10U, 'x')});
--- a/Tests/gateway/store_channel_test.cpp
+++ b/Tests/gateway/store_channel_test.cpp
@@ -1,4 +1,4 @@
-// Tests of calls to stores whose answers are too large or never end.
+// Tests of calls to stores whose answers are too large, never end or are no HTTP.
 #include "carawayway/gateway/store_channel.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,7 +15,8 @@
 
 class store_channel_test : public testing::Test {
 protected:
-    // Answers the next call with `begin` and then `part` again and again, until the connection is closed.
+    // Answers the next call with `begin` and then `part` again and again, until the connection is closed. An
+    // empty part closes it at once.
     void answer_endlessly(const std::string& begin, const std::string& part) {
         m_begin = begin;
         m_part = part;
@@ -32,7 +33,7 @@
         boost::asio::async_write(m_peer, boost::asio::buffer(text),
                                  [this](boost::system::error_code error, std::size_t size) {
                                      m_sent_bytes += size;
-                                     if (error || m_sent_bytes >= most_sent_bytes) {
+                                     if (error || m_part.empty() || m_sent_bytes >= most_sent_bytes) {
                                          m_peer.close();
                                          return;
                                      }
@@ -89,5 +90,15 @@
     }
 }
 
+// Guards against the use of what it says: the headers of an answer count whatever its status is.
+TEST_F(store_channel_test, an_answer_with_a_status_that_http_does_not_have_is_none) {
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        answer_endlessly("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
+        EXPECT_FALSE(call()) << status;
+    }
+    answer_endlessly("HTTP/1.1 503 Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
+    EXPECT_TRUE(call());
+}
+
 } // namespace
 } // namespace carawayway::gateway
--- a/Tests/gateway_processes/broken_answer_test.cpp
+++ b/Tests/gateway_processes/broken_answer_test.cpp
@@ -67,5 +67,15 @@
     EXPECT_EQ(book(upload_bytes), bad_gateway);
 }
 
+// Guards against a status that is no status, which callers cannot interpret.
+TEST_F(broken_answer_test, a_status_that_http_does_not_have_is_no_answer) {
+    for (const auto* const status : {"000", "099", "600", "999"}) {
+        m_bookings = 0;
+        break_answers(fmt::format("HTTP/1.1 {} Trouble", status), "Content-Length: 4\r\n\r\nbody",
+                      raw_server::connection_end::by_peer);
+        EXPECT_EQ(book(0), bad_gateway) << status;
+    }
+}
+
 } // namespace
 } // namespace carawayway::gateway_processes
--- a/carawayway/cli/http_call.cpp
+++ b/carawayway/cli/http_call.cpp
@@ -4,6 +4,7 @@
 #include "carawayway/net/connection_end.hpp"
 #include "carawayway/net/endpoint.hpp"
 #include "carawayway/net/message_limits.hpp"
+#include "carawayway/net/response_parser.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -15,7 +16,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -96,7 +96,7 @@
     const auto request = to_http_request(call);
     auto [write_error, written] = co_await http::async_write(stream, request, use_tuple);
     beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
-    http::response_parser<http::string_body> parser;
+    net::response_parser<http::string_body> parser;
     net::chunk_extension_limit extension_limit(parser);
     parser.body_limit(maximum_reply_bytes);
     parser.skip(call.method == "HEAD");
--- a/carawayway/entry/backend_client.cpp
+++ b/carawayway/entry/backend_client.cpp
@@ -4,6 +4,7 @@
 #include "carawayway/entry/caller_http.hpp"
 #include "carawayway/net/endpoint.hpp"
 #include "carawayway/net/message_limits.hpp"
+#include "carawayway/net/response_parser.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,7 +15,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -177,7 +177,7 @@
         if (write_error) {
             co_return failed(outcome_of(write_error, *connection, attempt_outcome::lost));
         }
-        http::response_parser<http::string_body> parser;
+        net::response_parser<http::string_body> parser;
         net::chunk_extension_limit extension_limit(parser);
         parser.body_limit(maximum_response_body_bytes);
         if (command.request->method == "HEAD") {
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -17,6 +17,7 @@
 #include "carawayway/net/endpoint.hpp"
 #include "carawayway/net/listening_socket.hpp"
 #include "carawayway/net/message_limits.hpp"
+#include "carawayway/net/response_parser.hpp"
 #include "carawayway/placement/gateway_selection.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -572,7 +573,7 @@
         if (!error) {
             co_await http::async_write(stream, request, redirect_error(use_awaitable, error));
         }
-        http::response_parser<http::string_body> parser;
+        net::response_parser<http::string_body> parser;
         net::chunk_extension_limit extension_limit(parser);
         parser.body_limit(maximum_health_body_bytes);
         boost::beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
--- a/carawayway/gateway/server_exchange.hpp
+++ b/carawayway/gateway/server_exchange.hpp
@@ -7,6 +7,7 @@
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/net/connection_end.hpp"
 #include "carawayway/net/message_limits.hpp"
+#include "carawayway/net/response_parser.hpp"
 #include "carawayway/net/socket_options.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -175,7 +176,7 @@
 
     boost::asio::awaitable<void> read_response(exchange_result& result) {
         for (int skipped = 0; skipped <= maximum_skipped_responses; ++skipped) {
-            http::response_parser<http::string_body> parser;
+            net::response_parser<http::string_body> parser;
             net::chunk_extension_limit extension_limit(parser);
             parser.body_limit(m_limits.maximum_response_bytes);
             parser.skip(m_request->method() == http::verb::head);
@@ -211,7 +212,7 @@
 
     // Ends with an error when the response takes more memory than it may.
     boost::asio::awaitable<boost::system::error_code>
-    read_whole(http::response_parser<http::string_body>& parser, message_memory::reservation& memory) {
+    read_whole(net::response_parser<http::string_body>& parser, message_memory::reservation& memory) {
         boost::system::error_code error;
         while (!error && !parser.is_done()) {
             co_await http::async_read_some(m_connection->socket, m_connection->buffer, parser,
--- a/carawayway/gateway/store_channel.cpp
+++ b/carawayway/gateway/store_channel.cpp
@@ -1,6 +1,7 @@
 // Sends HTTP calls to the store.
 #include "carawayway/gateway/store_channel.hpp"
 
+#include "carawayway/net/response_parser.hpp"
 #include "carawayway/net/socket_options.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -70,7 +71,7 @@
     request.prepare_payload();
     boost::system::error_code error;
     co_await http::async_write(m_stream, request, redirect_error(use_awaitable, error));
-    http::response_parser<http::string_body> parser;
+    net::response_parser<http::string_body> parser;
     net::chunk_extension_limit extension_limit(parser);
     parser.body_limit(maximum_response_bytes);
     if (!error) {
--- a/carawayway/store/etcd_json_store.cpp
+++ b/carawayway/store/etcd_json_store.cpp
@@ -2,6 +2,7 @@
 #include "carawayway/store/etcd_json_store.hpp"
 
 #include "carawayway/net/message_limits.hpp"
+#include "carawayway/net/response_parser.hpp"
 #include "carawayway/store/etcd_json_codec.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -259,7 +260,7 @@
             co_return result;
         }
         boost::beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
-        http::response_parser<http::string_body> parser;
+        net::response_parser<http::string_body> parser;
         net::chunk_extension_limit extension_limit(parser);
         parser.body_limit(m_options.maximum_reply_bytes);
         boost::system::error_code error;
@@ -312,7 +313,7 @@
             co_return watch_closed{watch_end::unavailable, 0, sent.detail};
         }
         boost::beast::flat_buffer buffer(net::maximum_read_buffer_bytes);
-        http::response_parser<http::buffer_body> parser;
+        net::response_parser<http::buffer_body> parser;
         parser.body_limit(boost::none);
         boost::system::error_code error;
         co_await http::async_read_header(state->stream, buffer, parser,
