net: Refuse answers with a line that begins with a blank

On other systems callers got an answer in whose head the name of a field held a blank or a control byte. Here the parser refused such names already, with one exception: a line that begins with a blank. Callers got status 200 with that line joined to the value before it; if it was the line with the length, the body lasted until the connection ended, so that they got bytes behind it as well, or waited for their deadline (504).

Cause: Beast's parser takes such a line for a folded value, an obsolete part of HTTP which a gateway may refuse. Whether a field was folded can't be seen in its value, and no reader looked at the input.

Change: net::response_parser takes a field only if its value is the rest of the line of its name in the input. A folded value is a copy, or begins on a later line. As all readers use this parser, it holds for servers, relaying gateways, the store, health checks, the entry instances, the etcd client and the command line, and for trailers.

--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -436,6 +436,20 @@
     }
 }
 
+// Guards against a body that lasts until the connection ends, because the line with its length is taken for a
+// part of another field.
+TEST_F(server_exchange_test, an_answer_with_a_malformed_field_name_is_broken) {
+    for (const bool sends_to_gateway : {false, true}) {
+        m_sends_to_gateway = sends_to_gateway;
+        for (const std::string line : {" Content-Length: 4", "\tContent-Length: 4", "Content-Length : 4",
+                                       "Content-Len gth: 4", "Content-Length\x01: 4"}) {
+            serve({"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n" + line +
+                   "\r\n\r\nbody and more"});
+            EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << line;
+        }
+    }
+}
+
 // Guards against a head that goes on without end.
 TEST_F(server_exchange_test, a_head_without_end_is_given_up) {
     serve({"HTTP/1.1 200 OK\r\nX: " + std::string(64U << 10U, 'x')});
--- a/Tests/gateway/store_channel_test.cpp
+++ b/Tests/gateway/store_channel_test.cpp
@@ -91,11 +91,15 @@
 }
 
 // Guards against the use of what it says: the headers of an answer count whatever its status is.
-TEST_F(store_channel_test, an_answer_with_a_status_that_http_does_not_have_is_none) {
+TEST_F(store_channel_test, an_answer_that_http_does_not_allow_is_none) {
     for (const std::string status : {"000", "099", "600", "999"}) {
         answer_endlessly("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
         EXPECT_FALSE(call()) << status;
     }
+    for (const std::string line : {" Content-Length: 2", "Content-Length : 2", "Content-Length\x01: 2"}) {
+        answer_endlessly("HTTP/1.1 200 OK\r\nServer: s\r\n" + line + "\r\n\r\n{} and more", "");
+        EXPECT_FALSE(call()) << line;
+    }
     answer_endlessly("HTTP/1.1 503 Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
     EXPECT_TRUE(call());
 }
--- a/Tests/gateway_processes/broken_answer_test.cpp
+++ b/Tests/gateway_processes/broken_answer_test.cpp
@@ -14,11 +14,10 @@
 
 constexpr unsigned bad_gateway = 502;
 
-// One gateway whose only server answers each booking with the bytes of `answer`, behind a status line and the
-// headers that make it an answer to this booking, and anything else well.
+// One gateway with a single server, which breaks its answers to bookings.
 class broken_answer_test : public testing::Test {
 protected:
-    // `status_line` and `rest` make the answer, with the usual headers between them.
+    // Bookings are answered with `status_line`, the headers that belong to an answer, and `rest`.
     void break_answers(std::string status_line, std::string rest, raw_server::connection_end end) {
         m_server.emplace(
             [this, status_line = std::move(status_line), rest = std::move(rest)](const std::string& head) {
@@ -27,8 +26,11 @@
                 const auto usual =
                     fmt::format("Request-Id: {}\r\nResponse-Stamp: s\r\nInstance-Id: i-raw\r\n",
                                 raw_server::header(head, "Request-Id"));
-                return is_booking ? status_line + "\r\n" + usual + rest
-                                  : "HTTP/1.1 200 OK\r\n" + usual + "Content-Length: 2\r\n\r\nok";
+                if (is_booking) {
+                    return status_line + "\r\n" + usual + rest;
+                }
+                ++m_health_checks;
+                return "HTTP/1.1 200 OK\r\n" + usual + m_health_lines + "Content-Length: 2\r\n\r\nok";
             },
             end);
         m_fleet.deregister_servers();
@@ -55,7 +57,9 @@
 
     gateway_fleet m_fleet{gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
                           1};
-    std::atomic<int> m_bookings = 0;
+    std::atomic<int> m_bookings = 0; // that reached the server
+    std::atomic<int> m_health_checks = 0;
+    std::string m_health_lines; // of the answers to health checks, set before break_answers()
     std::optional<raw_server> m_server;
 };
 
@@ -77,5 +81,30 @@
     }
 }
 
+// Guards against a line that one recipient takes for the end of the value before it, and another one for a
+// field, such as the length of the body.
+TEST_F(broken_answer_test, a_head_with_a_malformed_field_name_is_no_answer) {
+    for (const std::string line : {"X Y: 1", "X\x01Y: 1", " Content-Length: 4", "\tContent-Length: 4",
+                                   "Content-Length : 4", "Content-\tLength: 4", "\x01: 1"}) {
+        for (const std::string rest : {"\r\n\r\nbodyHTTP/1.1", "\r\nContent-Length: 4\r\n\r\nbody"}) {
+            m_bookings = 0;
+            break_answers("HTTP/1.1 200 OK", line + rest, raw_server::connection_end::by_peer);
+            EXPECT_EQ(book(0), bad_gateway) << line << rest;
+        }
+    }
+}
+
+// Guards against a server that is used again because it has answered a health check in this way.
+TEST_F(broken_answer_test, a_head_with_a_malformed_field_name_does_not_pass_a_health_check) {
+    m_health_lines = "Server: s\r\n X: 1\r\n";
+    break_answers("HTTP/1.1 200 OK", "Content-Length: 4\r\n\r\nb", raw_server::connection_end::reset);
+    const auto is_back = [this] { return m_fleet.has_logged(0, "event=server-back"); };
+    EXPECT_TRUE(test_support::wait_until([&] {
+        book(0);
+        return m_health_checks > 1 || is_back();
+    }));
+    EXPECT_FALSE(is_back());
+}
+
 } // namespace
 } // namespace carawayway::gateway_processes
--- a/carawayway/net/response_parser.hpp
+++ b/carawayway/net/response_parser.hpp
@@ -8,7 +8,8 @@
 
 namespace carawayway::net {
 
-// Used as boost::beast::http::response_parser.
+// Takes the place of boost::beast::http::response_parser. It refuses a status without a class, and a head or
+// trailer with a line that begins with a blank.
 template <class Body>
 class response_parser : public boost::beast::http::response_parser<Body> {
     using string_view = boost::beast::string_view;
@@ -30,6 +31,28 @@
         message.reason(reason);
         message.version(static_cast<unsigned>(version));
     }
+
+    // Also called for the fields of a trailer.
+    void on_field_impl(boost::beast::http::field field, string_view name, string_view value,
+                       boost::system::error_code& error) override {
+        if (!is_on_line_of(name, value)) {
+            error = boost::beast::http::error::bad_field;
+            return;
+        }
+        this->get().insert(field, name, value);
+    }
+
+    // Whether the value is the rest of the line that begins with the name, as both are parts of the input.
+    // The parser joins a line that begins with a blank to the value before it, which was once a way to fold
+    // long values. To other recipients the line is a field, which may say where the body ends.
+    static bool is_on_line_of(string_view name, string_view value) {
+        // Behind the colon. The input has the whole line, which ends with no blank.
+        const char* begin = name.data() + name.size() + 1;
+        while (*begin == ' ' || *begin == '\t') {
+            ++begin;
+        }
+        return value.data() == begin;
+    }
 };
 
 } // namespace carawayway::net
