--- a/Tests/gateway/store_channel_test.cpp
+++ b/Tests/gateway/store_channel_test.cpp
@@ -17,7 +17,7 @@
 protected:
     // Answers the next call with `begin` and then `part` again and again, until the connection is closed. An
     // empty part closes it at once.
-    void answer_endlessly(const std::string& begin, const std::string& part) {
+    void answer_with(const std::string& begin, const std::string& part) {
         m_begin = begin;
         m_part = part;
         m_sent_bytes = 0;
@@ -81,7 +81,7 @@
         {chunked + "1;x=", many},     {chunked, "1;x=" + std::string(1000, 'x') + "\r\nA\r\n"},
     };
     for (const auto& [begin, part] : answers) {
-        answer_endlessly(begin, part);
+        answer_with(begin, part);
         const auto response = call();
         EXPECT_TRUE(!response || (response->is_too_large && response->body.empty())) << begin;
         EXPECT_LT(m_sent_bytes, allowed_bytes) << begin;
@@ -93,14 +93,14 @@
 // Guards against the use of what it says: the headers of an answer count whatever its status is.
 TEST_F(store_channel_test, an_answer_that_http_does_not_allow_is_none) {
     for (const std::string status : {"000", "099", "600", "999"}) {
-        answer_endlessly("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
+        answer_with("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
         EXPECT_FALSE(call()) << status;
     }
     for (const std::string line : {" Content-Length: 2", "Content-Length : 2", "Content-Length\x01: 2"}) {
-        answer_endlessly("HTTP/1.1 200 OK\r\nServer: s\r\n" + line + "\r\n\r\n{} and more", "");
+        answer_with("HTTP/1.1 200 OK\r\nServer: s\r\n" + line + "\r\n\r\n{} and more", "");
         EXPECT_FALSE(call()) << line;
     }
-    answer_endlessly("HTTP/1.1 503 Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
+    answer_with("HTTP/1.1 503 Trouble\r\nContent-Length: 2\r\n\r\n{}", "");
     EXPECT_TRUE(call());
 }
 
