--- a/Tests/gateway/server_exchange_test.cpp
+++ b/Tests/gateway/server_exchange_test.cpp
@@ -374,12 +374,14 @@
 TEST_F(server_exchange_test, an_answer_without_length_does_not_end_with_a_reset_during_an_upload) {
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n\r\n";
     m_body.assign(upload_bytes, 'u');
-    m_resets = true;
     for (const bool sends_to_gateway : {false, true}) {
         m_sends_to_gateway = sends_to_gateway;
-        for (const auto& part : {head, head + "a part", head + std::string(100'000, 'x')}) {
-            serve({part});
-            EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << part.size() << " bytes";
+        for (const bool resets : {false, true}) { // the kernel resets a connection that is closed unread
+            m_resets = resets;
+            for (const auto& part : {head, head + "a part", head + std::string(100'000, 'x')}) {
+                serve({part});
+                EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << part.size() << " bytes";
+            }
         }
     }
 }
@@ -446,6 +448,9 @@
             serve({"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n" + line +
                    "\r\n\r\nbody and more"});
             EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << line;
+            serve({"HTTP/1.1 103 Early Hints\r\nServer: s\r\n" + line + "\r\n\r\n" +
+                   response_with("a", "own")});
+            EXPECT_EQ(send("a").outcome, exchange_outcome::broken) << line;
         }
     }
 }
