Tests: Show that the store's answers do not end with a reset

Cause: that the store's reader gets the reset itself was known by reading only. Change: a test with a call that is written and one that is still being written; the product is unchanged.

--- a/Tests/gateway/store_channel_test.cpp
+++ b/Tests/gateway/store_channel_test.cpp
@@ -34,6 +34,7 @@
                                  [this](boost::system::error_code error, std::size_t size) {
                                      m_sent_bytes += size;
                                      if (error || m_part.empty() || m_sent_bytes >= most_sent_bytes) {
+                                         m_peer.set_option(boost::asio::socket_base::linger(m_resets, 0));
                                          m_peer.close();
                                          return;
                                      }
@@ -41,11 +42,11 @@
                                  });
     }
 
-    std::optional<store_response> call() {
+    std::optional<store_response> call(std::size_t body_bytes = 0) {
         store_channel channel(m_context.get_executor(), m_acceptor.local_endpoint());
         std::optional<store_response> response;
         bool is_done = false;
-        boost::asio::co_spawn(m_context, channel.call({"/kv-watch", {}}, timeout),
+        boost::asio::co_spawn(m_context, channel.call({"/kv-watch", std::string(body_bytes, 'b')}, timeout),
                               [&](const std::exception_ptr&, std::optional<store_response> answer) {
                                   response = std::move(answer);
                                   is_done = true;
@@ -68,6 +69,7 @@
     std::string m_begin;
     std::string m_part;
     std::size_t m_sent_bytes = 0;
+    bool m_resets = false; // connections are reset, not closed
 };
 
 // Guards against a gateway that is killed because it buffers an answer of the store that never ends.
@@ -90,6 +92,19 @@
     }
 }
 
+// Guards against taking a part for the whole, whether the call is still being written or not.
+TEST_F(store_channel_test, an_answer_without_length_does_not_end_with_a_reset) {
+    // The larger one is more than the kernel takes while the peer does not read.
+    for (const std::size_t body_bytes : {std::size_t{0}, std::size_t{32U << 20U}}) {
+        m_resets = true;
+        answer_with("HTTP/1.1 200 OK\r\n\r\n{", "");
+        EXPECT_FALSE(call(body_bytes)) << body_bytes;
+    }
+    m_resets = false;
+    answer_with("HTTP/1.1 200 OK\r\n\r\n{}", "");
+    EXPECT_TRUE(call());
+}
+
 // Guards against the use of what it says: the headers of an answer count whatever its status is.
 TEST_F(store_channel_test, an_answer_that_http_does_not_allow_is_none) {
     for (const std::string status : {"000", "099", "600", "999"}) {
