gateway: Log which part of an estimate makes a request too late

Change: the line `request-too-late` before it gives the expected latency, wait and run time, and where the run time comes from. It is written only if the run time alone is too long, so that an overload costs no more lines than before.

--- a/Tests/placement/server_selector_test.cpp
+++ b/Tests/placement/server_selector_test.cpp
@@ -111,6 +111,22 @@
     EXPECT_GT(refused.retry_after, base::duration::zero());
 }
 
+// Guards against refusals that nobody can explain: a long queue and a run time that was learned elsewhere
+// look the same to callers.
+TEST_F(server_selector_test, a_refusal_tells_what_would_take_too_long) {
+    for (const auto& server : m_servers.candidates("s")) {
+        m_servers.record_load_report(*server, {2, 100, 2}, start);
+    }
+    const auto queued = choose(7).estimate;
+    EXPECT_GT(queued.wait, 2s);
+    EXPECT_EQ(queued.basis, run_time_basis::route);
+    routing::route other;
+    other.name = "other";
+    const auto refused = m_selector.choose({other, m_service, 7, 100ms, 100ms, {}, true}, start + 10s);
+    EXPECT_EQ(refused.reason, refusal::too_late);
+    EXPECT_EQ(refused.estimate, (latency_estimate{{}, 360ms, run_time_basis::service}));
+}
+
 // Guards against cache misses that amplify an overload: a short queue is better than a server that does not
 // have the object cached.
 TEST_F(server_selector_test, a_short_queue_does_not_divert_an_object) {
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -627,6 +627,7 @@
             respond_with_failure(base::error_kind::servers_resting, now);
             return;
         case placement::refusal::too_late:
+            m_log.write_too_late(*m_route, placed, attempts_end() - now, now);
             respond_with_failure(attempts_end() < m_deadline ? base::error_kind::stopping
                                                              : base::error_kind::deadline_unreachable,
                                  now);
--- a/carawayway/gateway/request_log.cpp
+++ b/carawayway/gateway/request_log.cpp
@@ -41,6 +41,22 @@
                 now);
 }
 
+void request_log::write_too_late(const routing::route& route, const placement::placement_result& placed,
+                                 base::duration time_left, base::time_point now) {
+    if (placed.expected_latency - placed.estimate.wait < time_left) {
+        return;
+    }
+    m_log.write(base::log_level::info, "request-too-late",
+                {{"request_id", m_metadata.request_id},
+                 {"route", route.name},
+                 {"time_left_ms", base::to_milliseconds(time_left)},
+                 {"expected_ms", base::to_milliseconds(placed.expected_latency)},
+                 {"wait_ms", base::to_milliseconds(placed.estimate.wait)},
+                 {"run_ms", base::to_milliseconds(placed.estimate.run_time)},
+                 {"basis", to_text(placed.estimate.basis)}},
+                now);
+}
+
 void request_log::write_repeated(unsigned status, std::uint32_t attempts,
                                  std::span<const std::string> tried_servers, base::duration after,
                                  base::time_point now) {
--- a/carawayway/gateway/request_log.hpp
+++ b/carawayway/gateway/request_log.hpp
@@ -38,6 +38,10 @@
                             base::duration after, base::time_point now);
     void write_cleared_content(const placement::server_state& server, unsigned status, base::time_point now);
     void write_given_up(const given_up_request& request, base::time_point now);
+    // For a request that no server is expected to answer in time, because of its run time and not because of
+    // a queue. Tells whose run time it is.
+    void write_too_late(const routing::route& route, const placement::placement_result& placed,
+                        base::duration time_left, base::time_point now);
     // For a request that more than one server has got.
     void write_repeated(unsigned status, std::uint32_t attempts, std::span<const std::string> tried_servers,
                         base::duration after, base::time_point now);
--- a/carawayway/placement/run_time_estimator.cpp
+++ b/carawayway/placement/run_time_estimator.cpp
@@ -20,6 +20,20 @@
 
 } // namespace
 
+std::string_view to_text(run_time_basis basis) {
+    switch (basis) {
+    case run_time_basis::none:
+        return "default";
+    case run_time_basis::service:
+        return "service";
+    case run_time_basis::other_cache_state:
+        return "other-cache-state";
+    case run_time_basis::route:
+        break;
+    }
+    return "route";
+}
+
 void run_time_estimator::average::add(double value) {
     ++samples;
     const double weight = std::max(minimum_weight, 1.0 / samples);
@@ -59,6 +73,16 @@
     return default_run_time;
 }
 
+run_time_basis run_time_estimator::basis(const std::string& route, const std::string& service,
+                                         object_cache_state cache_state) const {
+    if (const auto found = m_by_route.find(route); found != m_by_route.end()) {
+        const auto& [cached, not_cached] = found->second;
+        const auto& wanted = cache_state == object_cache_state::cached ? cached : not_cached;
+        return wanted.samples > 0 ? run_time_basis::route : run_time_basis::other_cache_state;
+    }
+    return m_by_service.contains(service) ? run_time_basis::service : run_time_basis::none;
+}
+
 base::duration run_time_estimator::mean_run_time(const std::string& service) const {
     const auto found = m_service_means.find(service);
     return found == m_service_means.end() ? default_run_time : from_seconds(found->second.seconds);
--- a/carawayway/placement/run_time_estimator.hpp
+++ b/carawayway/placement/run_time_estimator.hpp
@@ -5,12 +5,23 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace carawayway::placement {
 
 enum class object_cache_state : std::uint8_t { cached, not_cached };
 
+// The samples that an expected run time is taken from.
+enum class run_time_basis : std::uint8_t {
+    none,              // the default is used
+    service,           // of other routes to the same service
+    other_cache_state, // of the same route, with objects in the other cache state
+    route,             // of the same route and cache state
+};
+
+std::string_view to_text(run_time_basis basis);
+
 // Keeps moving averages of the run times that were observed at servers without a queue. A route without
 // samples uses the averages of its service, and a service without samples uses the default.
 class run_time_estimator {
@@ -24,6 +35,9 @@
     base::duration expected(const std::string& route, const std::string& service,
                             object_cache_state cache_state) const;
 
+    run_time_basis basis(const std::string& route, const std::string& service,
+                         object_cache_state cache_state) const;
+
     // Mean over all recent requests of the service, whatever their route and cache state.
     base::duration mean_run_time(const std::string& service) const;
 
--- a/carawayway/placement/server_selector.cpp
+++ b/carawayway/placement/server_selector.cpp
@@ -329,6 +329,27 @@
         *request.draw, now);
 }
 
+placement_result server_selector::refused_as_too_late(const placement_request& request,
+                                                      const std::vector<scored_server>& scored_servers,
+                                                      base::time_point now) const {
+    const auto earliest = *std::min_element(scored_servers.begin(), scored_servers.end(),
+                                            [](const scored_server& left, const scored_server& right) {
+                                                return left.expected_latency < right.expected_latency;
+                                            });
+    const auto& route = request.route.name;
+    const latency_estimate estimate{
+        expected_wait(*earliest.server, now),
+        m_run_times.expected(route, request.service, earliest.cache_state),
+        m_run_times.basis(route, request.service, earliest.cache_state),
+    };
+    return {nullptr,
+            refusal::too_late,
+            earliest.cache_state,
+            earliest.expected_latency,
+            std::max(minimum_retry_after, earliest.expected_latency / 4),
+            estimate};
+}
+
 placement_result server_selector::choose(const placement_request& request, base::time_point now) {
     std::vector<scored_server> scored_servers;
     auto shortlisted = shortlist(request, now);
@@ -363,9 +384,7 @@
         std::any_of(scored_servers.begin(), scored_servers.end(), [this](const scored_server& item) {
             return item.server->region == m_servers.own_locality().region;
         });
-    base::duration earliest = best.expected_latency;
     for (auto& item : scored_servers) {
-        earliest = std::min(earliest, item.expected_latency);
         if (item.expected_latency + completion_margin > request.time_left) {
             continue;
         }
@@ -387,7 +406,7 @@
     if (shortlisted.rate_limited_for) {
         return refused_without_server(shortlisted);
     }
-    return {nullptr, refusal::too_late, {}, earliest, std::max(minimum_retry_after, earliest / 4)};
+    return refused_as_too_late(request, scored_servers, now);
 }
 
 } // namespace carawayway::placement
--- a/carawayway/placement/server_selector.hpp
+++ b/carawayway/placement/server_selector.hpp
@@ -45,12 +45,23 @@
     resting,    // every usable server rests, or limits the rate of its requests
 };
 
+// The parts of an expected latency that do not follow from each other.
+struct latency_estimate {
+    base::duration wait{};     // until the request would start to run
+    base::duration run_time{}; // on a server of usual speed
+    run_time_basis basis = run_time_basis::none;
+
+    bool operator==(const latency_estimate&) const = default;
+};
+
 struct placement_result {
     server_handle server; // null when the request is refused
     refusal reason = refusal::none;
     object_cache_state cache_state = object_cache_state::not_cached;
     base::duration expected_latency{}; // until the answer arrives
     base::duration retry_after{};      // for a refused request
+    // Of the earliest answer, for a request that is refused as too late.
+    latency_estimate estimate{};
 };
 
 class server_selector {
@@ -102,6 +113,10 @@
     server_shortlist shortlist(const placement_request& request, base::time_point now) const;
     // Refuses a request for which servers were left out of the list, or that has no usable server.
     static placement_result refused_without_server(const server_shortlist& shortlisted);
+    // Refuses a request that none of the servers, of which there is at least one, would answer in time.
+    placement_result refused_as_too_late(const placement_request& request,
+                                         const std::vector<scored_server>& scored_servers,
+                                         base::time_point now) const;
     // Penalty for a server other than the preferred one.
     base::duration additional_cost(const server_state& preferred, const server_state& other) const;
     scored_server evaluate(const placement_request& request, server_handle server,
