placement: Test run times that keep requests from being sent

Cause: a route without answers is expected to take as long as the other routes to its service. If that is longer than its time-out, nothing is sent, so that no answer ever corrects the expectation. The same for objects that no server has cached (2.5 times the run time of cached ones), and for a route whose servers were slow for a while. Change: run_time_trials. If the run time alone is too long and no answer has confirmed it for 2 s, one request is sent all the same. Its answer replaces the estimate of the route; one that has waited in a queue does so if it came earlier than expected. Queues that take more than half of the time, resends and planned stops are refused as before. Why it works: the events that an estimate is learned from no longer depend on the estimate alone. What an answer has confirmed within 2 s is still refused at once.

--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -227,6 +227,9 @@
         count_first_attempt(now);
         const auto placed = m_state.selector.choose(next_placement_request(now), now);
         if (placed.server) {
+            if (placed.is_trial) {
+                m_state.metrics.add("carawayway_gateway_run_time_trials_total", {{"service", m_service}});
+            }
             send_to(placed, now);
         } else if (placed.reason != placement::refusal::no_server || !try_relay()) {
             fail_unplaced(placed, now);
@@ -309,9 +312,13 @@
                 !m_metadata.object.empty(),
                 m_regions,
                 priority(),
-                overload_draw()};
+                overload_draw(),
+                may_test_run_time()};
     }
 
+    // Not as a resend, whose caller has little time, nor in a planned stop, which could cut a long run.
+    bool may_test_run_time() const { return m_tried_servers.empty() && !m_state.stop; }
+
     // Chooses among requests of the same rank in an overload. A request that was sent to a server or another
     // gateway before does not yield any more, nor one of a service whose requests all have the same priority.
     // A caller that returns has another draw.
@@ -595,11 +602,12 @@
         const bool queued = result.metadata.load && result.metadata.load->waiting > 0;
         m_state.affinity.record(m_object_hash, server.id_hash);
         m_log.write_served(*m_route, m_service, server, sent.cache_state, result, sent.expected_latency);
+        const auto run_time = result.run_time - std::min(result.run_time, round_trip_to(server));
         if (queued || m_state.servers.is_cold(server, now) ||
             m_state.pauses.has_paused_since(sent.chosen_at)) {
+            m_state.selector.observe_delayed(m_route->name, m_service, sent.cache_state, run_time, now);
             return;
         }
-        const auto run_time = result.run_time - std::min(result.run_time, round_trip_to(server));
         m_state.selector.observe(server, m_route->name, m_service, sent.cache_state, run_time, now);
     }
 
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -49,6 +49,8 @@
                     "Requests sent to backend servers, by service and how they ended.");
     metrics.declare("carawayway_gateway_refusals_total", metrics::metric_type::counter,
                     "Requests that were given up, by service and kind.");
+    metrics.declare("carawayway_gateway_run_time_trials_total", metrics::metric_type::counter,
+                    "Requests sent to test a run time that is expected to be too long, by service.");
     metrics.declare("carawayway_gateway_store_restores_total", metrics::metric_type::counter,
                     "Times that the store came back from an older copy, as this gateway saw.");
     metrics.declare("carawayway_gateway_contact_losses_total", metrics::metric_type::counter,
--- a/carawayway/placement/run_time_estimator.cpp
+++ b/carawayway/placement/run_time_estimator.cpp
@@ -51,6 +51,14 @@
     m_service_means[service].add(seconds);
 }
 
+void run_time_estimator::replace(const std::string& route, object_cache_state cache_state,
+                                 base::duration run_time) {
+    auto& averages = m_by_route[route];
+    auto& replaced = cache_state == object_cache_state::cached ? averages.cached : averages.not_cached;
+    replaced = {};
+    replaced.add(std::max(0.0, base::to_seconds(run_time)));
+}
+
 base::duration run_time_estimator::expected(const std::string& route, const std::string& service,
                                             object_cache_state cache_state) const {
     const auto estimate = [cache_state](const averages_by_cache_state& averages) -> double {
--- a/carawayway/placement/run_time_estimator.hpp
+++ b/carawayway/placement/run_time_estimator.hpp
@@ -32,6 +32,9 @@
     void observe(const std::string& route, const std::string& service, object_cache_state cache_state,
                  base::duration run_time);
 
+    // Forgets the samples of the route in this cache state in favour of one.
+    void replace(const std::string& route, object_cache_state cache_state, base::duration run_time);
+
     base::duration expected(const std::string& route, const std::string& service,
                             object_cache_state cache_state) const;
 
--- a/carawayway/placement/server_selector.cpp
+++ b/carawayway/placement/server_selector.cpp
@@ -50,6 +50,9 @@
 // An answer that is expected this short before the deadline is not worth the work.
 constexpr base::duration completion_margin = std::chrono::milliseconds{20};
 
+// Longest wait for a slot, as a share of the time until the deadline, with which a run time is tested.
+constexpr double longest_trial_wait_share = 0.5;
+
 // Weight of one observation in the moving average of a server's slowdown, and the range to which observations
 // are clamped.
 constexpr double slowdown_weight = 0.2;
@@ -108,6 +111,15 @@
                               object_cache_state cache_state, base::duration run_time, base::time_point now) {
     // The answer has told how slow the machine was; the rest is the server's own.
     run_time = scaled(run_time, 1.0 / server.work_time_factor.value_or(1.0));
+    const bool ends_trial = m_trials.is_open(route, cache_state);
+    m_trials.record_answer(route, cache_state, now);
+    if (ends_trial) {
+        // The estimate was wrong, or that of the server's speed, and is now what this server takes.
+        m_run_times.replace(route, cache_state, run_time);
+        server.slowdown = 1.0;
+        server.slowdown_updated_at = now;
+        return;
+    }
     const double expected = base::to_seconds(m_run_times.expected(route, service, cache_state));
     m_run_times.observe(route, service, cache_state, run_time);
     if (expected <= 0.0) {
@@ -120,6 +132,16 @@
     server.slowdown_updated_at = now;
 }
 
+void server_selector::observe_delayed(const std::string& route, const std::string& service,
+                                      object_cache_state cache_state, base::duration run_time,
+                                      base::time_point now) {
+    if (m_trials.is_open(route, cache_state) &&
+        run_time < m_run_times.expected(route, service, cache_state)) {
+        m_trials.record_answer(route, cache_state, now);
+        m_run_times.replace(route, cache_state, run_time);
+    }
+}
+
 base::duration server_selector::expected_wait(const server_state& server, base::time_point now) const {
     const double age = base::to_seconds(now - server.reported_at) / base::to_seconds(report_half_life);
     const double others = server.others_in_flight * std::exp2(-std::max(0.0, age - 1.0));
@@ -329,6 +351,31 @@
         *request.draw, now);
 }
 
+bool server_selector::try_acquire(const scored_server& item, region_shift_reason reason,
+                                  base::time_point now) {
+    const auto& server = *item.server;
+    if (reason == region_shift_reason::urgent && !m_shift_limiter.allows(server.region, now)) {
+        return false;
+    }
+    if (m_servers.is_cold(server, now) && !m_servers.try_acquire_cold_send(*item.server, now)) {
+        return false;
+    }
+    if (!m_servers.rate_limits().try_acquire(server.registration.id, now)) {
+        return false;
+    }
+    m_shift_limiter.record_request(server.region, reason, now);
+    return true;
+}
+
+bool server_selector::may_test_run_time(const placement_request& request, const scored_server& item,
+                                        base::time_point now) const {
+    const auto longest_wait = scaled(request.time_left, longest_trial_wait_share);
+    return request.allows_trial && !m_servers.is_cold(*item.server, now) &&
+           item.expected_latency + completion_margin > request.time_left &&
+           expected_wait(*item.server, now) <= longest_wait &&
+           m_trials.may_begin(request.route.name, item.cache_state, request.time_left, now);
+}
+
 placement_result server_selector::refused_as_too_late(const placement_request& request,
                                                       const std::vector<scored_server>& scored_servers,
                                                       base::time_point now) const {
@@ -384,24 +431,22 @@
         std::any_of(scored_servers.begin(), scored_servers.end(), [this](const scored_server& item) {
             return item.server->region == m_servers.own_locality().region;
         });
-    for (auto& item : scored_servers) {
-        if (item.expected_latency + completion_margin > request.time_left) {
-            continue;
-        }
-        const auto reason = item.server.get() == preferred || !has_own_region_candidate
-                                ? region_shift_reason::planned
-                                : region_shift_reason::urgent;
-        if (reason == region_shift_reason::urgent && !m_shift_limiter.allows(item.server->region, now)) {
-            continue;
-        }
-        if (m_servers.is_cold(*item.server, now) && !m_servers.try_acquire_cold_send(*item.server, now)) {
-            continue;
+    const auto try_send = [&](const scored_server& item) {
+        const bool is_planned = item.server.get() == preferred || !has_own_region_candidate;
+        return try_acquire(item, is_planned ? region_shift_reason::planned : region_shift_reason::urgent,
+                           now);
+    };
+    for (const auto& item : scored_servers) {
+        const bool in_time = item.expected_latency + completion_margin <= request.time_left;
+        if (in_time && try_send(item)) {
+            return {item.server, refusal::none, item.cache_state, item.expected_latency, {}};
         }
-        if (!m_servers.rate_limits().try_acquire(item.server->registration.id, now)) {
-            continue;
+    }
+    for (const auto& item : scored_servers) {
+        if (may_test_run_time(request, item, now) && try_send(item)) {
+            m_trials.begin(request.route.name, item.cache_state, request.time_left, now);
+            return {item.server, refusal::none, item.cache_state, item.expected_latency, {}, {}, true};
         }
-        m_shift_limiter.record_request(item.server->region, reason, now);
-        return {item.server, refusal::none, item.cache_state, item.expected_latency, {}};
     }
     if (shortlisted.rate_limited_for) {
         return refused_without_server(shortlisted);
--- a/carawayway/placement/server_selector.hpp
+++ b/carawayway/placement/server_selector.hpp
@@ -9,6 +9,7 @@
 #include "carawayway/placement/region_spillover.hpp"
 #include "carawayway/placement/round_trip_estimator.hpp"
 #include "carawayway/placement/run_time_estimator.hpp"
+#include "carawayway/placement/run_time_trials.hpp"
 #include "carawayway/placement/server_table.hpp"
 #include "carawayway/routing/configuration.hpp"
 #include "carawayway/routing/region_restriction.hpp"
@@ -34,6 +35,8 @@
     // Spread evenly over 0..1, to choose among requests of the same rank. Without it, the request is not
     // rejected in favour of others.
     std::optional<double> draw{};
+    // Whether the request may be sent to test a run time that is expected to be too long.
+    bool allows_trial = false;
 };
 
 enum class refusal : std::uint8_t {
@@ -62,6 +65,7 @@
     base::duration retry_after{};      // for a refused request
     // Of the earliest answer, for a request that is refused as too late.
     latency_estimate estimate{};
+    bool is_trial = false; // sent to test a run time that is expected to be too long
 };
 
 class server_selector {
@@ -83,6 +87,10 @@
     void observe(server_state& server, const std::string& route, const std::string& service,
                  object_cache_state cache_state, base::duration run_time, base::time_point now);
 
+    // Records a successful answer that took at most `run_time`, since it waited or came from a cold server.
+    void observe_delayed(const std::string& route, const std::string& service, object_cache_state cache_state,
+                         base::duration run_time, base::time_point now);
+
     // Records the load that a server of the region has reported: requests in progress divided by slots.
     void record_load(const std::string& service, const std::string& region, double load,
                      base::time_point now);
@@ -113,6 +121,11 @@
     server_shortlist shortlist(const placement_request& request, base::time_point now) const;
     // Refuses a request for which servers were left out of the list, or that has no usable server.
     static placement_result refused_without_server(const server_shortlist& shortlisted);
+    // Counts a request to the server against the limits. Returns whether they allow it.
+    bool try_acquire(const scored_server& item, region_shift_reason reason, base::time_point now);
+    // Whether the request may be sent to the server although its run time is expected to be too long.
+    bool may_test_run_time(const placement_request& request, const scored_server& item,
+                           base::time_point now) const;
     // Refuses a request that none of the servers, of which there is at least one, would answer in time.
     placement_result refused_as_too_late(const placement_request& request,
                                          const std::vector<scored_server>& scored_servers,
@@ -146,6 +159,7 @@
     region_spillover& m_spillover;
     overload_detector m_overload;
     load_shedder m_shedder;
+    run_time_trials m_trials;
 };
 
 } // namespace carawayway::placement
