--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -32,9 +32,10 @@
 
     metrics::metric_registry m_metrics{10};
     std::vector<crash_count> m_shared;
-    std::vector<std::uint64_t> m_published;
+    std::vector<quarantine_change> m_published;
     content_guard m_guard{m_metrics, [this](const crash_count& count) { m_shared.push_back(count); },
-                          [this](std::uint64_t fingerprint) { m_published.push_back(fingerprint); }};
+                          [this](const quarantine_change& change) { m_published.push_back(change); },
+                          [](const crash_count&, const std::function<void(bool)>&) { return false; }};
 };
 
 // Guards against a flood of notices when answers are lost and the repeats of the requests succeed.
@@ -68,7 +69,7 @@
     lose_server(first);
     m_guard.record_loss(first, {0, 2}, now);
     EXPECT_THAT(m_shared, ElementsAre(crash_count{1, 3}));
-    EXPECT_THAT(m_published, ElementsAre(1U));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{1, 3, false}));
     EXPECT_EQ(m_guard.quarantine_left(first, now), steering::crash_history_limits{}.expiry);
 }
 
@@ -80,7 +81,7 @@
     lose_server(third);
     EXPECT_TRUE(is_quarantined({10, 4}));
     EXPECT_FALSE(is_quarantined({11, 4}));
-    EXPECT_THAT(m_published, ElementsAre(10U));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{10, 3, false}));
     EXPECT_THAT(m_shared, ElementsAre(crash_count{10, 3}));
 }
 
@@ -135,6 +136,80 @@
     EXPECT_THAT(text, testing::HasSubstr("carawayway_gateway_quarantines_total{source=\"store\"} 1"));
 }
 
+class quarantine_trial_test : public content_guard_test {
+protected:
+    static constexpr content_fingerprints fresh{10, 9};
+    static constexpr crash_count content_after_three{10, 3};
+
+    void quarantine_content() {
+        lose_server(first);
+        lose_server(second);
+        lose_server(third);
+        m_published.clear();
+    }
+};
+
+// Guards against content that is refused to all callers, because servers ended for another reason while they
+// ran it.
+TEST_F(quarantine_trial_test, a_good_answer_to_a_trial_ends_the_quarantine) {
+    quarantine_content();
+    EXPECT_EQ(m_guard.trial_subject(fresh, now), content_after_three);
+    m_guard.release(content_after_three, now);
+    EXPECT_FALSE(is_quarantined(fresh));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{10, 3, true}));
+}
+
+// Guards against content that takes three more servers each time that one of its objects is harmless.
+TEST_F(quarantine_trial_test, the_next_loss_quarantines_released_content_for_longer) {
+    quarantine_content();
+    m_guard.release(content_after_three, now);
+    lose_server(fresh);
+    EXPECT_TRUE(is_quarantined(fresh));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{10, 3, true}, quarantine_change{10, 4, false}));
+    EXPECT_EQ(steering::crash_history::trial_interval(4), 4 * steering::crash_history::trial_interval(3));
+}
+
+TEST_F(quarantine_trial_test, a_loss_in_a_trial_makes_the_next_one_later) {
+    quarantine_content();
+    lose_server(fresh);
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{10, 4, false}));
+    EXPECT_EQ(m_guard.trial_subject({10, 8}, now), (crash_count{10, 4}));
+}
+
+// Guards against gateways that refuse for ten minutes what another one has found to be harmless.
+TEST_F(quarantine_trial_test, the_end_of_a_quarantine_is_learned_from_the_store) {
+    quarantine_content();
+    m_guard.apply({10, 3, true}, now);
+    EXPECT_FALSE(is_quarantined(fresh));
+    m_guard.apply({10, 4, false}, now);
+    EXPECT_TRUE(is_quarantined(fresh)) << "another loss";
+    m_guard.apply({10, 3, true}, now);
+    EXPECT_TRUE(is_quarantined(fresh)) << "of before that loss";
+    EXPECT_THAT(m_published, IsEmpty());
+}
+
+// Guards against gateways that try the same content at the same time.
+TEST_F(quarantine_trial_test, nothing_is_tried_while_a_trial_is_claimed) {
+    quarantine_content();
+    m_guard.set_trial_claimed(10, true);
+    EXPECT_EQ(m_guard.trial_subject(fresh, now), std::nullopt);
+    m_guard.set_trial_claimed(10, false);
+    EXPECT_EQ(m_guard.trial_subject(fresh, now), content_after_three);
+}
+
+TEST_F(quarantine_trial_test, content_is_tried_only_with_variants_that_have_lost_nothing) {
+    quarantine_content();
+    EXPECT_EQ(m_guard.trial_subject(first, now), std::nullopt);
+}
+
+TEST_F(quarantine_trial_test, a_variant_is_tried_by_itself) {
+    for (int loss = 0; loss < 3; ++loss) {
+        lose_server(first);
+    }
+    EXPECT_EQ(m_guard.trial_subject(first, now), (crash_count{1, 3}));
+    EXPECT_EQ(m_guard.trial_subject(fresh, now), std::nullopt) << "not quarantined";
+}
+
 http_request sample_request() {
     http_request request{http::verb::post, "/book/7", 11};
     request.set(http::field::host, "h.example");
--- a/Tests/gateway/gateway_state_test.cpp
+++ b/Tests/gateway/gateway_state_test.cpp
@@ -33,13 +33,15 @@
 
     boost::asio::io_context m_context;
     int m_limit_changes = 0;
-    gateway_state m_state{m_context.get_executor(),
-                          {"g", "a", "r", {{"a", "r"}}},
-                          platform_bounds{},
-                          64U << 20U,
-                          [](const steering::crash_count&) {},
-                          [](std::uint64_t) {},
-                          [this] { ++m_limit_changes; }};
+    gateway_state m_state{
+        m_context.get_executor(),
+        {"g", "a", "r", {{"a", "r"}}},
+        platform_bounds{},
+        64U << 20U,
+        [](const steering::crash_count&) {},
+        [](const quarantine_change&) {},
+        [](const steering::crash_count&, const std::function<void(bool)>&) { return false; },
+        [this] { ++m_limit_changes; }};
     placement::server_state m_server;
     base::time_point m_now = start;
 };
@@ -124,13 +126,15 @@
     }
 
     boost::asio::io_context m_context;
-    gateway_state m_state{m_context.get_executor(),
-                          {"g", "a", "r", {{"a", "r"}}},
-                          platform_bounds{},
-                          64U << 20U,
-                          [](const steering::crash_count&) {},
-                          [](std::uint64_t) {},
-                          [] {}};
+    gateway_state m_state{
+        m_context.get_executor(),
+        {"g", "a", "r", {{"a", "r"}}},
+        platform_bounds{},
+        64U << 20U,
+        [](const steering::crash_count&) {},
+        [](const quarantine_change&) {},
+        [](const steering::crash_count&, const std::function<void(bool)>&) { return false; },
+        [] {}};
 };
 
 // Guards against gateways that each grant themselves a whole quota after an outage of the store that has
--- a/Tests/gateway/quarantine_publisher_test.cpp
+++ b/Tests/gateway/quarantine_publisher_test.cpp
@@ -13,8 +13,8 @@
 
 class quarantine_publisher_test : public testing::Test {
 protected:
-    // Publishes one fingerprint. Returns the targets of the calls until a write succeeds.
-    std::vector<std::string> publish() {
+    // Publishes one change. Returns the targets of the calls until a write succeeds.
+    std::vector<std::string> publish(const quarantine_change& change = {7, 3, false}) {
         std::vector<std::string> calls;
         bool written = false;
         boost::asio::io_context context;
@@ -31,7 +31,7 @@
             },
             [](const std::string&) {});
         quarantine_publisher<platform::protocol> publisher(context.get_executor(), store.endpoint(), "g-1");
-        publisher.publish(7);
+        publisher.publish(change);
         while (!written) {
             context.run_one();
         }
@@ -41,14 +41,22 @@
     std::vector<store_reaction> m_reactions; // to the first calls
 };
 
-TEST_F(quarantine_publisher_test, the_key_is_written_under_a_lease_of_its_own) {
-    EXPECT_THAT(publish(), ElementsAre("/kv-lease", "/kv-txn"));
+TEST_F(quarantine_publisher_test, the_keys_are_written_under_leases_of_their_own) {
+    EXPECT_THAT(publish(), ElementsAre("/kv-lease", "/kv-lease", "/kv-txn"));
+}
+
+TEST_F(quarantine_publisher_test, the_end_of_a_quarantine_keeps_nobody_from_trials) {
+    EXPECT_THAT(publish({7, 3, true}), ElementsAre("/kv-lease", "/kv-txn"));
 }
 
 // Guards against a quarantine that gateways which start later do not learn, because one call failed.
 TEST_F(quarantine_publisher_test, a_write_without_an_answer_is_repeated) {
-    m_reactions = {store_reaction::close, store_reaction::answer, store_reaction::close};
-    EXPECT_THAT(publish(), ElementsAre("/kv-lease", "/kv-lease", "/kv-txn", "/kv-lease", "/kv-txn"));
+    m_reactions = {store_reaction::close,  store_reaction::answer, store_reaction::close,
+                   store_reaction::answer, store_reaction::answer, store_reaction::close};
+    EXPECT_THAT(publish(), ElementsAre("/kv-lease",                         //
+                                       "/kv-lease", "/kv-lease",            //
+                                       "/kv-lease", "/kv-lease", "/kv-txn", //
+                                       "/kv-lease", "/kv-lease", "/kv-txn"));
 }
 
 } // namespace
--- a/Tests/gateway/record_applier_test.cpp
+++ b/Tests/gateway/record_applier_test.cpp
@@ -100,13 +100,15 @@
     }
 
     boost::asio::io_context m_context;
-    gateway_state m_state{m_context.get_executor(),
-                          {"g", "a", "r", {{"a", "r"}}},
-                          platform_bounds{},
-                          64U << 20U,
-                          [](const steering::crash_count&) {},
-                          [](std::uint64_t) {},
-                          [] {}};
+    gateway_state m_state{
+        m_context.get_executor(),
+        {"g", "a", "r", {{"a", "r"}}},
+        platform_bounds{},
+        64U << 20U,
+        [](const steering::crash_count&) {},
+        [](const quarantine_change&) {},
+        [](const steering::crash_count&, const std::function<void(bool)>&) { return false; },
+        [] {}};
     record_applier<platform::protocol> m_applier{m_state, [] {}};
 };
 
--- a/Tests/gateway/shared_limits_test.cpp
+++ b/Tests/gateway/shared_limits_test.cpp
@@ -21,7 +21,8 @@
     void start_gateway(std::size_t known_gateways) {
         m_gateways.push_back(std::make_unique<gateway_state>(
             m_context.get_executor(), placement::locality{"g0", "a", "r", {{"a", "r"}}}, m_bounds, 64U << 20U,
-            [](const steering::crash_count&) {}, [](std::uint64_t) {}, [] {}));
+            [](const steering::crash_count&) {}, [](const quarantine_change&) {},
+            [](const steering::crash_count&, const std::function<void(bool)>&) { return false; }, [] {}));
         learn_gateways(*m_gateways.back(), known_gateways);
     }
 
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -177,6 +177,61 @@
     EXPECT_LE(fleet.ended_servers(), servers_until_known + permitted_retries);
 }
 
+// Quarantines a content with requests for other objects than the harmless ones.
+void quarantine_content(gateway_fleet& fleet, const std::string& method, const std::string& path) {
+    for (std::size_t index = 0; index < servers_until_known; ++index) {
+        fleet.send(index % fleet.gateway_count(), method, path, std::to_string(index));
+        std::this_thread::sleep_for(resend_interval);
+    }
+    EXPECT_TRUE(test_support::wait_until([&] { return fleet.store_keys("carawayway/quarantine/") == 1; }));
+}
+
+// The object of a caller whose requests end no server.
+std::string harmless_object(std::size_t caller) {
+    return std::to_string(caller) + gateway_fleet::harmless_object;
+}
+
+// Guards against content that is refused to all callers for ten minutes, because servers ended for another
+// reason while they ran it: here, because of some objects.
+TEST(crash_content_test, content_runs_again_after_servers_ended_for_another_reason) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    quarantine_content(fleet, "POST", path);
+    fleet.restart_all_gateways();
+    std::size_t caller = 0;
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            return fleet.send(gateway, "POST", path, harmless_object(++caller)).status == 200;
+        })) << "gateway "
+            << gateway;
+    }
+    EXPECT_EQ(fleet.ended_servers(), servers_until_known);
+    EXPECT_EQ(fleet.most_executions_of_bookings(), 1U);
+    EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
+}
+
+// Guards against trials that take one server after the other.
+TEST(crash_content_test, content_that_crashes_servers_is_tried_once_in_the_interval) {
+    gateway_fleet fleet(gateway_fleet::crashing_lookup);
+    const std::string path = std::string(gateway_fleet::crashing_lookup) + "7";
+    quarantine_content(fleet, "GET", path);
+    const auto ended_before = fleet.ended_servers();
+    std::size_t object = resends;
+    const auto send_next = [&] {
+        const auto gateway = ++object % fleet.gateway_count();
+        fleet.send(gateway, "GET", path, std::to_string(object));
+    };
+    EXPECT_TRUE(test_support::wait_until([&] {
+        send_next();
+        return fleet.ended_servers() > ended_before;
+    })) << "no trial";
+    for (std::size_t index = 0; index < resends; ++index) {
+        send_next();
+        std::this_thread::sleep_for(resend_interval);
+    }
+    EXPECT_EQ(fleet.ended_servers(), ended_before + 1);
+}
+
 // Guards against harmless content that is quarantined because servers lose answers or connections.
 TEST(crash_content_test, lost_answers_of_living_servers_quarantine_nothing) {
     gateway_fleet fleet(gateway_fleet::crashing_booking);
--- a/Tests/kept_messages/write_samples.cpp
+++ b/Tests/kept_messages/write_samples.cpp
@@ -77,6 +77,16 @@
 void print_relayed_request() {}
 #endif
 
+template <class Protocol>
+void print_quarantine() {
+    if constexpr (requires { Protocol::quarantine_call("0123456789abcdef", "g", lease); }) {
+        print_call("quarantine", Protocol::quarantine_call("0123456789abcdef", "g", lease));
+    } else {
+        print_call("quarantine",
+                   Protocol::quarantine_call({"0123456789abcdef", "g", 3, false}, lease, lease + 1));
+    }
+}
+
 } // namespace
 
 int main() {
@@ -94,7 +104,7 @@
     print_bytes("crash-notice", gateway::encode_crash_notice(counts));
     print_call("registration",
                protocol::register_call(make_registration<fleet::gateway_registration>(), lease));
-    print_call("quarantine", protocol::quarantine_call("0123456789abcdef", "g", lease));
+    print_quarantine<protocol>();
     const fleet::request_permit permit{"i-1", 5, "r", 3, "g", "s", 7.5, false};
     print_call("permit", protocol::claim_call({permit, 9}, lease));
     print_call("permit-release", protocol::release_call({"i-1", {{permit, 9}}}, lease));
--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -253,7 +253,7 @@
 }
 
 TEST(quarantine_record, its_key_is_read_back) {
-    const auto call = protocol::quarantine_call("0123456789abcdef", "g", 42);
+    const auto call = protocol::quarantine_call({"0123456789abcdef", "g", 3, false}, 42, 43);
     EXPECT_EQ(call.target, "/kv-txn");
     EXPECT_EQ(call.verb, fleet::store_call::method::write);
     EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
@@ -262,6 +262,33 @@
               (fleet::store_key_subject{store_key_kind::quarantine, "0123456789abcdef"}));
 }
 
+TEST(quarantine_record, a_quarantine_keeps_gateways_from_trials_and_its_end_does_not) {
+    const auto begun = protocol::quarantine_call({"0123456789abcdef", "g", 3, false}, 42, 43).body;
+    EXPECT_THAT(begun, testing::HasSubstr(R"("key":"carawayway/quarantine-trials/0123456789abcdef")"));
+    EXPECT_THAT(begun, testing::HasSubstr(R"("lease":43)"));
+    const auto ended = protocol::quarantine_call({"0123456789abcdef", "g", 3, true}, 42, 0).body;
+    EXPECT_THAT(ended, testing::Not(testing::HasSubstr("quarantine-trials")));
+    EXPECT_EQ(protocol::subject_of("carawayway/quarantine-trials/0123456789abcdef"),
+              (fleet::store_key_subject{store_key_kind::quarantine_trial, "0123456789abcdef"}));
+}
+
+TEST(quarantine_record, a_trial_is_claimed_only_if_nobody_else_has) {
+    const auto call = protocol::claim_trial_call("0123456789abcdef", "g", 42);
+    EXPECT_THAT(
+        call.body,
+        testing::HasSubstr(R"("expect":[{"key":"carawayway/quarantine-trials/0123456789abcdef","rev":0}])"));
+    EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
+}
+
+TEST(quarantine_record, its_value_is_read_back_also_from_older_gateways) {
+    EXPECT_EQ(protocol::read_quarantine("7", R"({"recordedBy":"g","losses":4,"released":true})"),
+              (fleet::content_quarantine{"7", "g", 4, true}));
+    EXPECT_EQ(protocol::read_quarantine("7", R"({"recordedBy":"g"})"),
+              (fleet::content_quarantine{"7", "g", 0, false}));
+    EXPECT_EQ(protocol::read_quarantine("7", R"({"losses":-1})"), std::nullopt);
+    EXPECT_EQ(protocol::read_quarantine("7", "{"), std::nullopt);
+}
+
 TEST(permit_record, a_claim_holds_only_if_the_key_is_unchanged) {
     const fleet::request_permit permit{"i-1", 5, "r", 3, "g", "s", 7.5, false};
     const auto call = protocol::claim_call({permit, 9}, 42);
--- a/Tests/steering_decisions/crash_history_test.cpp
+++ b/Tests/steering_decisions/crash_history_test.cpp
@@ -82,6 +82,47 @@
     EXPECT_EQ(m_history.suspicion(2, start), crash_suspicion::none);
 }
 
+// Guards against harmless content that is kept from all servers for the whole expiry.
+TEST_F(crash_history_test, released_content_may_run_until_its_next_loss) {
+    m_history.merge({1, 3}, start);
+    EXPECT_TRUE(m_history.release({1, 3}, start));
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::suspected);
+    m_history.record_loss(1, 2, start);
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::suspected) << "sent before the third loss";
+    EXPECT_FALSE(m_history.merge({1, 3}, start)) << "a late notice of the third loss";
+    m_history.record_loss(1, 3, start);
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::quarantined);
+    EXPECT_EQ(m_history.losses(1, start), 4U);
+    EXPECT_FALSE(m_history.release({1, 3}, start)) << "a late notice of the release";
+}
+
+TEST_F(crash_history_test, released_content_is_cleared_by_answers_since_its_release) {
+    m_history.merge({1, 3}, start);
+    m_history.release({1, 3}, start);
+    EXPECT_FALSE(m_history.record_answer(1, 2));
+    EXPECT_TRUE(m_history.record_answer(1, 2));
+    EXPECT_EQ(m_history.losses(1, start), 0U);
+}
+
+// Guards against gateways that start after a release and take the content for harmless.
+TEST_F(crash_history_test, a_release_of_unknown_content_makes_it_suspected) {
+    m_history.release({1, 4}, start);
+    EXPECT_EQ(m_history.suspicion(1, start), crash_suspicion::suspected);
+    EXPECT_EQ(m_history.losses(1, start), 4U);
+}
+
+// Guards against content that takes more servers in trials than the users allow in retries, three.
+TEST_F(crash_history_test, three_trials_at_most_are_made_before_a_quarantine_is_over) {
+    int trials = 0;
+    auto now = start;
+    for (auto losses = crash_history::quarantine_losses; losses <= crash_history::maximum_losses; ++losses) {
+        now += crash_history::trial_interval(losses);
+        trials += now - start < crash_history_limits{}.expiry ? 1 : 0;
+    }
+    EXPECT_EQ(trials, 3);
+    EXPECT_EQ(crash_history::trial_interval(100), crash_history_limits{}.expiry);
+}
+
 TEST_F(crash_history_test, a_full_table_keeps_quarantined_content) {
     crash_history small({2, minutes{10}});
     small.merge({1, 3}, start);
--- a/carawayway/fleet/store_messages.hpp
+++ b/carawayway/fleet/store_messages.hpp
@@ -62,14 +62,15 @@
     evacuation,
     gateway,
     quarantine,
+    quarantine_trial,
     permit
 };
 
 // What a key is about.
 struct store_key_subject {
     store_key_kind kind = store_key_kind::other;
-    // Of the server, failure domain or gateway; the fingerprint of quarantined content; SERVER/NUMBER of a
-    // permit.
+    // Of the server, failure domain or gateway; the fingerprint of quarantined content, also for its trial;
+    // SERVER/NUMBER of a permit.
     std::string name;
 
     bool operator==(const store_key_subject&) const = default;
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr const char* quarantines_metric = "carawayway_gateway_quarantines_total";
+constexpr const char* releases_metric = "carawayway_gateway_quarantine_releases_total";
 
 std::string_view to_text(quarantine_source source) {
     switch (source) {
@@ -24,8 +25,11 @@
 } // namespace
 
 content_guard::content_guard(metrics::metric_registry& metrics, share_function share,
-                             publish_function publish)
-    : m_metrics(metrics), m_share(std::move(share)), m_publish(std::move(publish)) {
+                             publish_function publish, claim_function claim)
+    : m_metrics(metrics), m_share(std::move(share)), m_publish(std::move(publish)),
+      m_claim(std::move(claim)) {
+    m_metrics.declare(releases_metric, metrics::metric_type::counter,
+                      "Quarantines that ended with a good answer to a trial, by who made the trial.");
     m_metrics.declare(
         "carawayway_gateway_quarantines_total", metrics::metric_type::counter,
         "Request contents and variants that were quarantined because they crash servers, by source.");
@@ -43,14 +47,16 @@
 
 void content_guard::record_loss_of(std::uint64_t fingerprint, std::uint32_t losses_when_sent,
                                    base::time_point now) {
-    const auto before = m_history.suspicion(fingerprint, now);
+    const auto losses_before = m_history.losses(fingerprint, now);
     m_history.record_loss(fingerprint, losses_when_sent, now);
-    const auto after = m_history.suspicion(fingerprint, now);
+    const auto losses_after = m_history.losses(fingerprint, now);
     m_unshared.insert(fingerprint);
-    if (after == steering::crash_suspicion::quarantined && after != before) {
+    const bool is_quarantined =
+        m_history.suspicion(fingerprint, now) == steering::crash_suspicion::quarantined;
+    if (is_quarantined && losses_after > losses_before) {
         report_quarantine(fingerprint, quarantine_source::own_loss);
         share_loss_of(fingerprint, now);
-        m_publish(fingerprint);
+        m_publish({fingerprint, losses_after, false});
     }
 }
 
@@ -86,6 +92,46 @@
     return true;
 }
 
+std::optional<steering::crash_count> content_guard::trial_subject(const content_fingerprints& request,
+                                                                  base::time_point now) const {
+    const bool is_content =
+        m_history.suspicion(request.content, now) == steering::crash_suspicion::quarantined;
+    const bool is_variant =
+        m_history.suspicion(request.variant, now) == steering::crash_suspicion::quarantined;
+    // The content is tested with a variant that has lost no server, as that of any other caller.
+    const bool is_conclusive =
+        is_variant != is_content && (is_variant || m_history.losses(request.variant, now) == 0);
+    const auto subject = is_content ? request.content : request.variant;
+    if (!is_conclusive || m_claimed_trials.contains(subject)) {
+        return std::nullopt;
+    }
+    return steering::crash_count{subject, m_history.losses(subject, now)};
+}
+
+void content_guard::set_trial_claimed(std::uint64_t fingerprint, bool is_claimed) {
+    if (is_claimed) {
+        m_claimed_trials.insert(fingerprint);
+    } else {
+        m_claimed_trials.erase(fingerprint);
+    }
+}
+
+void content_guard::release(const steering::crash_count& tested, base::time_point now) {
+    if (m_history.release(tested, now)) {
+        report_release(tested.fingerprint, "own-trial");
+        m_publish({tested.fingerprint, tested.losses, true});
+    }
+}
+
+void content_guard::apply(const quarantine_change& change, base::time_point now) {
+    const steering::crash_count count{change.fingerprint, change.losses};
+    if (!change.is_released) {
+        merge(count, quarantine_source::store, now);
+    } else if (m_history.release(count, now)) {
+        report_release(change.fingerprint, "store");
+    }
+}
+
 void content_guard::merge(const steering::crash_count& received, quarantine_source source,
                           base::time_point now) {
     if (m_history.merge(received, now)) {
@@ -98,6 +144,12 @@
                {"known", m_history.losses(received.fingerprint, now)}});
 }
 
+void content_guard::report_release(std::uint64_t fingerprint, std::string_view source) {
+    base::log(base::log_level::warning, "content-released",
+              {{"content", gateway::to_text(fingerprint)}, {"source", source}});
+    m_metrics.add(releases_metric, {{"source", std::string(source)}});
+}
+
 void content_guard::report_quarantine(std::uint64_t fingerprint, quarantine_source source) {
     base::log(base::log_level::warning, "content-quarantined",
               {{"content", gateway::to_text(fingerprint)}, {"source", to_text(source)}});
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -8,14 +8,25 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <unordered_set>
+#include <utility>
 
 namespace carawayway::gateway {
 
 // Where a gateway learned that content is quarantined.
 enum class quarantine_source : std::uint8_t { own_loss, peer, store };
 
+// The quarantine of one content or variant, or its end.
+struct quarantine_change {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t losses = 0;
+    bool is_released = false; // after a good answer
+
+    bool operator==(const quarantine_change&) const = default;
+};
+
 // How often a request was lost in sequence.
 struct content_losses {
     std::uint32_t content = 0; // by how many variants, under any query and object
@@ -36,23 +47,43 @@
 
     // Tells the other gateways; they may miss it.
     using share_function = std::function<void(const steering::crash_count&)>;
-    // Writes the quarantine of a fingerprint to the store, for gateways that start later.
-    using publish_function = std::function<void(std::uint64_t)>;
+    // Writes the change to the store, for all gateways and those that start later.
+    using publish_function = std::function<void(const quarantine_change&)>;
+
+    // Claims the next trial of a fingerprint for this gateway, unless it has asked just before, and passes on
+    // whether it got the trial. Returns false if it does not ask.
+    using claim_function =
+        std::function<bool(const steering::crash_count&, std::function<void(bool is_claimed)>)>;
 
     // `metrics` must outlive the guard.
-    content_guard(metrics::metric_registry& metrics, share_function share, publish_function publish);
+    content_guard(metrics::metric_registry& metrics, share_function share, publish_function publish,
+                  claim_function claim);
 
     // Whether no content is known to have lost a server, so that fingerprints are not needed.
     bool is_idle() const { return m_history.empty(); }
     content_losses losses(const content_fingerprints& request, base::time_point now) const {
         return {m_history.losses(request.content, now), m_history.losses(request.variant, now)};
     }
-    // Time until the request may be sent again; zero unless its content or its variant is quarantined.
+    // Time until the quarantine ends by itself; zero unless the content or the variant is quarantined.
     base::duration quarantine_left(const content_fingerprints& request, base::time_point now) const {
         return std::max(m_history.quarantine_left(request.content, now),
                         m_history.quarantine_left(request.variant, now));
     }
 
+    // What a trial of this request would test: its quarantined content or variant. Empty if the other one is
+    // a reason to refuse it as well, or if the next trial is not due.
+    std::optional<steering::crash_count> trial_subject(const content_fingerprints& request,
+                                                       base::time_point now) const;
+    bool try_claim_trial(const steering::crash_count& subject, std::function<void(bool is_claimed)> done) {
+        return m_claim(subject, std::move(done));
+    }
+    // Whether the store has a key that keeps all gateways from trials of this fingerprint.
+    void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed);
+    // Ends the quarantine of what a trial has tested, after a good answer.
+    void release(const steering::crash_count& tested, base::time_point now);
+    // Applies the change that another gateway has written to the store.
+    void apply(const quarantine_change& change, base::time_point now);
+
     // Records a server that was lost with this request, without telling other gateways unless the request is
     // quarantined by it. `losses_when_sent` is the value of losses() when the request was sent.
     void record_loss(const content_fingerprints& request, const content_losses& losses_when_sent,
@@ -69,13 +100,16 @@
     void record_loss_of(std::uint64_t fingerprint, std::uint32_t losses_when_sent, base::time_point now);
     void share_loss_of(std::uint64_t fingerprint, base::time_point now);
     bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
+    void report_release(std::uint64_t fingerprint, std::string_view source);
     void report_quarantine(std::uint64_t fingerprint, quarantine_source source);
 
     steering::crash_history m_history{{}};
     std::unordered_set<std::uint64_t> m_unshared; // fingerprints with a loss that other gateways do not know
+    std::unordered_set<std::uint64_t> m_claimed_trials; // fingerprints; as long as the store has their keys
     metrics::metric_registry& m_metrics;
     share_function m_share;
     publish_function m_publish;
+    claim_function m_claim;
 };
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -216,9 +216,10 @@
 
     void send_to_next_server() {
         const auto now = base::monotonic_now();
-        if (m_content.is_quarantined(now)) {
-            m_retry_after = m_content.quarantine_left(now);
-            respond_with_failure(base::error_kind::request_quarantined, now);
+        if (!m_tested_content && m_content.quarantine_left(now) > base::duration::zero()) {
+            if (!begin_trial(now)) {
+                refuse_quarantined(now);
+            }
             return;
         }
         if (m_state.contact.is_lost() && try_relay()) {
@@ -236,6 +237,39 @@
         }
     }
 
+    void refuse_quarantined(base::time_point now) {
+        const auto next_trial =
+            steering::crash_history::trial_interval(m_content.known_losses(now).maximum());
+        m_retry_after = std::min(m_content.quarantine_left(now), next_trial);
+        respond_with_failure(base::error_kind::request_quarantined, now);
+    }
+
+    // Servers may have ended for another reason while they ran this content. One request at a time is sent to
+    // find out, through no other gateway and not in a planned stop. Returns whether the request waits for it.
+    bool begin_trial(base::time_point now) {
+        if (!m_tried_servers.empty() || m_relayed || m_state.stop || m_state.contact.is_lost()) {
+            return false;
+        }
+        const auto subject = m_content.trial_subject(now);
+        return subject && m_content.try_claim_trial(
+                              *subject, [self = this->shared_from_this(), subject](bool is_claimed) {
+                                  self->continue_trial(is_claimed ? subject : std::nullopt);
+                              });
+    }
+
+    void continue_trial(const std::optional<steering::crash_count>& subject) {
+        if (m_is_completed || m_caller_disconnected) {
+            return;
+        }
+        const auto now = base::monotonic_now();
+        if (!subject) {
+            refuse_quarantined(now);
+            return;
+        }
+        m_tested_content = subject;
+        send_to_next_server();
+    }
+
     // Counted once, at the gateway that first sends the request to a server.
     void count_first_attempt(base::time_point now) {
         if (!m_is_counted) {
@@ -462,6 +496,7 @@
             ++m_attempt_count;
             m_may_have_executed = true;
             m_log.write_lost_attempt(*sent->server, m_attempt_count, now - sent->chosen_at, now);
+            m_tested_content.reset(); // one server at most
             if (sent->losses_when_sent.is_suspected()) {
                 check_server_end(sent, [self = this->shared_from_this(), outcome = result.outcome] {
                     self->continue_after(outcome, base::monotonic_now());
@@ -562,7 +597,9 @@
         m_state.record_notices(server, result.metadata, now);
         // An error does not show that the content is harmless: the server may have failed before it got to
         // the part that ends servers, or run out of time.
-        if (good && m_content.record_answer(now)) {
+        if (good && m_tested_content) {
+            m_content.release(*m_tested_content, now);
+        } else if (good && m_content.record_answer(now)) {
             m_log.write_cleared_content(server, status, now);
         }
         count_attempt(result.metadata.not_executed ? "refused" : good ? "good" : "failed");
@@ -770,6 +807,7 @@
     pause_aware_timer m_hedge_timer;
     request_metadata m_metadata;
     request_content m_content{m_state.guard, *m_request, m_metadata.object};
+    std::optional<steering::crash_count> m_tested_content; // while the request is a trial of it
     request_log m_log{m_state.log, m_metadata, m_content};
     std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
     std::shared_ptr<const accounts::account_directory> m_accounts; // of the same configuration
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -10,6 +10,7 @@
 #include "carawayway/gateway/permit_session.hpp"
 #include "carawayway/gateway/planned_stop.hpp"
 #include "carawayway/gateway/quarantine_publisher.hpp"
+#include "carawayway/gateway/quarantine_trials.hpp"
 #include "carawayway/gateway/record_applier.hpp"
 #include "carawayway/gateway/session_listener.hpp"
 #include "carawayway/gateway/store_session.hpp"
@@ -68,10 +69,15 @@
                       m_crash_notices->share(count);
                   }
               },
-              [this](std::uint64_t fingerprint) { m_quarantine_publisher.publish(fingerprint); },
+              [this](const quarantine_change& change) { m_quarantine_publisher.publish(change); },
+              [this](const steering::crash_count& subject, std::function<void(bool)> done) {
+                  return m_quarantine_trials.try_claim(subject, std::move(done));
+              },
               [this] { m_permit_session.wake(); }),
           m_quarantine_publisher(m_context.get_executor(), endpoint_of(m_settings.store_address),
                                  m_settings.name),
+          m_quarantine_trials(m_context.get_executor(), endpoint_of(m_settings.store_address),
+                              m_settings.name),
           m_permit_session(m_context.get_executor(), endpoint_of(m_settings.store_address), m_state.servers),
           m_applier(m_state, [this] { m_store_session.handle_registration_loss(); }),
           m_store_session(
@@ -655,6 +661,7 @@
     boost::asio::io_context m_context{1}; // one thread runs it
     gateway_state m_state;
     quarantine_publisher<Platform> m_quarantine_publisher;
+    quarantine_trials<Platform> m_quarantine_trials;
     permit_session<Platform> m_permit_session;
     fleet::store_replica m_replica;
     record_applier<Platform> m_applier;
--- a/carawayway/gateway/gateway_state.cpp
+++ b/carawayway/gateway/gateway_state.cpp
@@ -31,7 +31,7 @@
 gateway_state::gateway_state(boost::asio::any_io_executor io_executor, const placement::locality& own,
                              platform_bounds limits, std::size_t message_bytes,
                              content_guard::share_function share, content_guard::publish_function publish,
-                             limit_change_handler on_limit_change)
+                             content_guard::claim_function claim, limit_change_handler on_limit_change)
     : executor(std::move(io_executor)), bounds(limits), servers(own, limits.cold),
       quotas(own.gateway, random_session(), limits.quota_tolerance), affinity(maximum_remembered_objects),
       region_shifts(own.region, limits.region_shift_share), region_spillover(own.region),
@@ -40,7 +40,8 @@
       contact(executor, servers, round_trips,
               [this](base::time_point failing_since) { leave_servers(failing_since); }),
       messages(message_bytes), metrics(metric_series_limit),
-      guard(metrics, std::move(share), std::move(publish)), m_on_limit_change(std::move(on_limit_change)) {
+      guard(metrics, std::move(share), std::move(publish), std::move(claim)),
+      m_on_limit_change(std::move(on_limit_change)) {
     metrics.declare("carawayway_gateway_requests_total", metrics::metric_type::counter,
                     "Requests of callers by service, priority and status.");
     metrics.declare("carawayway_gateway_request_duration_seconds", metrics::metric_type::histogram,
--- a/carawayway/gateway/gateway_state.hpp
+++ b/carawayway/gateway/gateway_state.hpp
@@ -39,10 +39,12 @@
     // Runs when a server has named a rate limit, or no longer does.
     using limit_change_handler = std::function<void()>;
 
-    // `share` and `publish` are those of the content guard. `message_bytes` is the memory for all messages.
+    // `share`, `publish` and `claim` are those of the content guard. `message_bytes` is the memory for all
+    // messages.
     gateway_state(boost::asio::any_io_executor executor, const placement::locality& own,
                   platform_bounds bounds, std::size_t message_bytes, content_guard::share_function share,
-                  content_guard::publish_function publish, limit_change_handler on_limit_change);
+                  content_guard::publish_function publish, content_guard::claim_function claim,
+                  limit_change_handler on_limit_change);
 
     gateway_state(const gateway_state&) = delete;
     gateway_state(gateway_state&&) = delete;
--- a/carawayway/gateway/quarantine_publisher.hpp
+++ b/carawayway/gateway/quarantine_publisher.hpp
@@ -1,8 +1,10 @@
-// Writes quarantined content to the store, so that gateways that start later know it.
+// Writes quarantines of content and their ends to the store, so that all gateways and those that start later
+// know them.
 #pragma once
 
 #include "carawayway/base/log.hpp"
 #include "carawayway/gateway/content_fingerprint.hpp"
+#include "carawayway/gateway/content_guard.hpp"
 #include "carawayway/gateway/store_channel.hpp"
 #include "carawayway/gateway/wire_types.hpp"
 #include "carawayway/steering/crash_history.hpp"
@@ -38,7 +40,7 @@
         : m_executor(std::move(executor)), m_gateway(std::move(gateway)), m_channel(m_executor, store),
           m_retry_timer(m_executor) {}
 
-    void publish(std::uint64_t fingerprint) { publish({fingerprint, base::monotonic_now()}); }
+    void publish(const quarantine_change& change) { publish({change, base::monotonic_now()}); }
 
     // Writes again what may have been lost when the store was restored from an older copy.
     void publish_again() {
@@ -51,19 +53,19 @@
     }
 
 private:
-    struct pending_quarantine {
-        std::uint64_t fingerprint = 0;
+    struct pending_change {
+        quarantine_change change;
         base::time_point since;
     };
 
-    static bool is_over(const pending_quarantine& item) {
+    static bool is_over(const pending_change& item) {
         return base::monotonic_now() - item.since >= key_lifetime;
     }
 
-    void publish(const pending_quarantine& item) {
+    void publish(const pending_change& item) {
         if (m_pending.size() >= maximum_pending) {
             base::log(base::log_level::warning, "quarantine-not-published",
-                      {{"content", to_text(item.fingerprint)}, {"pending", m_pending.size()}});
+                      {{"content", to_text(item.change.fingerprint)}, {"pending", m_pending.size()}});
             return;
         }
         m_pending.push_back(item);
@@ -75,15 +77,19 @@
     boost::asio::awaitable<void> write_pending() {
         while (!m_pending.empty()) {
             const auto item = m_pending.front();
-            const bool written = co_await write(item.fingerprint);
+            const bool written = co_await write(item.change);
             if (written) {
-                std::erase_if(m_published, is_over);
+                std::erase_if(m_published, [&item](const pending_change& earlier) {
+                    return is_over(earlier) || earlier.change.fingerprint == item.change.fingerprint;
+                });
                 m_published.push_back(item);
             }
             if (written || is_over(item)) {
                 base::log(base::log_level::info,
                           written ? "quarantine-published" : "quarantine-not-published",
-                          {{"content", to_text(item.fingerprint)}});
+                          {{"content", to_text(item.change.fingerprint)},
+                           {"losses", item.change.losses},
+                           {"released", item.change.is_released}});
                 m_pending.pop_front();
                 continue;
             }
@@ -94,15 +100,24 @@
         }
     }
 
-    boost::asio::awaitable<bool> write(std::uint64_t fingerprint) {
-        const auto granted = co_await m_channel.call(Platform::grant_call(key_lifetime), call_timeout);
-        const auto lease =
-            granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
-        if (lease.status != fleet::store_status::done) {
+    boost::asio::awaitable<fleet::store_lease> grant(base::duration lifetime) {
+        const auto granted = co_await m_channel.call(Platform::grant_call(lifetime), call_timeout);
+        co_return granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
+    }
+
+    boost::asio::awaitable<bool> write(quarantine_change change) {
+        const auto lease = co_await grant(key_lifetime);
+        fleet::store_lease trial_lease{fleet::store_status::done}; // none
+        if (lease.status == fleet::store_status::done && !change.is_released) {
+            trial_lease = co_await grant(steering::crash_history::trial_interval(change.losses));
+        }
+        if (lease.status != fleet::store_status::done || trial_lease.status != fleet::store_status::done) {
             co_return false;
         }
+        const fleet::content_quarantine record{to_text(change.fingerprint), m_gateway, change.losses,
+                                               change.is_released};
         const auto written = co_await m_channel.call(
-            Platform::quarantine_call(to_text(fingerprint), m_gateway, lease.id), call_timeout);
+            Platform::quarantine_call(record, lease.id, trial_lease.id), call_timeout);
         co_return written&& Platform::read_status(written->status) == fleet::store_status::done;
     }
 
@@ -110,8 +125,8 @@
     std::string m_gateway;
     store_channel m_channel;
     boost::asio::steady_timer m_retry_timer;
-    std::deque<pending_quarantine> m_pending;    // the first one is being written
-    std::vector<pending_quarantine> m_published; // by this gateway, without those that are over
+    std::deque<pending_change> m_pending;    // the first one is being written
+    std::vector<pending_change> m_published; // by this gateway: the last of each fingerprint that is not over
 };
 
 } // namespace carawayway::gateway
--- /dev/null
+++ b/carawayway/gateway/quarantine_trials.hpp
@@ -0,0 +1,80 @@
+// Claims trials of quarantined content in the store, so that the gateways together make one at a time.
+#pragma once
+
+#include "carawayway/base/log.hpp"
+#include "carawayway/base/time.hpp"
+#include "carawayway/gateway/content_fingerprint.hpp"
+#include "carawayway/gateway/store_channel.hpp"
+#include "carawayway/gateway/wire_types.hpp"
+#include "carawayway/steering/crash_history.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace carawayway::gateway {
+
+// A claim is a key with a lease that is not renewed: the next trial follows when it has ended, unless a good
+// answer has ended the quarantine, or a further loss has written the key with a longer lease. Without the
+// store there are no trials.
+template <platform_protocol Platform>
+class quarantine_trials {
+public:
+    using result_handler = std::function<void(bool is_claimed)>;
+
+    // A request waits for the claim.
+    static constexpr base::duration call_timeout = std::chrono::milliseconds{400};
+    // Between two claims of this gateway.
+    static constexpr base::duration claim_interval = std::chrono::seconds{1};
+
+    // `gateway` is the name of this gateway, which the keys give as their author.
+    quarantine_trials(boost::asio::any_io_executor executor, const boost::asio::ip::tcp::endpoint& store,
+                      std::string gateway)
+        : m_executor(std::move(executor)), m_gateway(std::move(gateway)), m_channel(m_executor, store) {}
+
+    // Returns false, and does not call `done`, if a claim is in progress or was made just before.
+    bool try_claim(const steering::crash_count& subject, result_handler done) {
+        const auto now = base::monotonic_now();
+        if (m_is_claiming || now < m_next_claim_at) {
+            return false;
+        }
+        m_is_claiming = true;
+        m_next_claim_at = now + claim_interval;
+        boost::asio::co_spawn(m_executor, claim(subject, std::move(done)), boost::asio::detached);
+        return true;
+    }
+
+private:
+    boost::asio::awaitable<void> claim(steering::crash_count subject, result_handler done) {
+        const bool is_claimed = co_await write_claim(subject.fingerprint);
+        m_is_claiming = false;
+        base::log(base::log_level::info,
+                  is_claimed ? "quarantine-trial-claimed" : "quarantine-trial-not-claimed",
+                  {{"content", to_text(subject.fingerprint)}, {"losses", subject.losses}});
+        done(is_claimed);
+    }
+
+    boost::asio::awaitable<bool> write_claim(std::uint64_t fingerprint) {
+        constexpr auto lifetime = steering::crash_history::shortest_trial_interval;
+        const auto granted = co_await m_channel.call(Platform::grant_call(lifetime), call_timeout);
+        const auto lease =
+            granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
+        if (lease.status != fleet::store_status::done) {
+            co_return false;
+        }
+        const auto written = co_await m_channel.call(
+            Platform::claim_trial_call(to_text(fingerprint), m_gateway, lease.id), call_timeout);
+        co_return written&& Platform::read_status(written->status) == fleet::store_status::done;
+    }
+
+    boost::asio::any_io_executor m_executor;
+    std::string m_gateway;
+    store_channel m_channel; // used by one claim at a time
+    bool m_is_claiming = false;
+    base::time_point m_next_claim_at{};
+};
+
+} // namespace carawayway::gateway
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -8,6 +8,7 @@
 #include "carawayway/gateway/removal_certainty.hpp"
 #include "carawayway/net/endpoint.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <set>
 #include <string>
@@ -38,6 +39,9 @@
             case fleet::store_key_kind::gateway:
                 apply_gateway(subject.name, record, certainty, now);
                 break;
+            case fleet::store_key_kind::quarantine_trial:
+                apply_quarantine_trial(subject.name, record);
+                break;
             case fleet::store_key_kind::quarantine:
                 apply_quarantine(subject.name, record, now);
                 break;
@@ -182,8 +186,18 @@
                       {{"content", name}, {"revision", record.revision}});
             return;
         }
-        m_state.guard.merge({*fingerprint, steering::crash_history::quarantine_losses},
-                            quarantine_source::store, now);
+        // A record that cannot be read is a quarantine none the less.
+        const auto quarantine =
+            Platform::read_quarantine(name, record.value).value_or(fleet::content_quarantine{});
+        const auto losses = std::max(quarantine.losses, steering::crash_history::quarantine_losses);
+        m_state.guard.apply({*fingerprint, losses, quarantine.is_released}, now);
+    }
+
+    void apply_quarantine_trial(const std::string& name, const fleet::store_record& record) {
+        const auto fingerprint = fingerprint_from_text(name);
+        if (fingerprint) {
+            m_state.guard.set_trial_claimed(*fingerprint, !record.erased);
+        }
     }
 
     void apply_permit(const std::string& name, const fleet::store_record& record, base::time_point now) {
--- a/carawayway/gateway/request_content.cpp
+++ b/carawayway/gateway/request_content.cpp
@@ -14,14 +14,14 @@
     return m_guard.is_idle() ? content_losses{} : m_guard.losses(fingerprints(), now);
 }
 
-bool request_content::is_quarantined(base::time_point now) {
-    return known_losses(now).maximum() >= steering::crash_history::quarantine_losses;
-}
-
 base::duration request_content::quarantine_left(base::time_point now) {
     return m_guard.is_idle() ? base::duration::zero() : m_guard.quarantine_left(fingerprints(), now);
 }
 
+std::optional<steering::crash_count> request_content::trial_subject(base::time_point now) {
+    return m_guard.trial_subject(fingerprints(), now);
+}
+
 void request_content::record_loss(const content_losses& losses_when_sent, base::time_point now) {
     m_guard.record_loss(fingerprints(), losses_when_sent, now);
 }
--- a/carawayway/gateway/request_content.hpp
+++ b/carawayway/gateway/request_content.hpp
@@ -6,8 +6,10 @@
 #include "carawayway/gateway/wire_types.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace carawayway::gateway {
 
@@ -23,8 +25,15 @@
 
     // Losses in sequence that are known now.
     content_losses known_losses(base::time_point now);
-    bool is_quarantined(base::time_point now);
+    // Zero unless the request is quarantined.
     base::duration quarantine_left(base::time_point now);
+    // What a trial of this quarantined request would test, if one is due.
+    std::optional<steering::crash_count> trial_subject(base::time_point now);
+    // Claims the trial; see content_guard::claim_function.
+    bool try_claim_trial(const steering::crash_count& subject, std::function<void(bool is_claimed)> done) {
+        return m_guard.try_claim_trial(subject, std::move(done));
+    }
+    void release(const steering::crash_count& tested, base::time_point now) { m_guard.release(tested, now); }
 
     void record_loss(const content_losses& losses_when_sent, base::time_point now);
     // Returns whether the answer of a server has cleared the suspected variant.
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/accounts/quota_bucket.hpp"
 #include "carawayway/base/time.hpp"
+#include "carawayway/fleet/content_quarantine.hpp"
 #include "carawayway/fleet/registrations.hpp"
 #include "carawayway/fleet/store_messages.hpp"
 #include "carawayway/gateway/message_memory.hpp"
@@ -105,7 +106,8 @@
                                      unsigned status, const fleet::gateway_registration& own,
                                      const std::vector<std::string>& addresses,
                                      const fleet::permit_key& permit_key, const fleet::permit_claim& claim,
-                                     const fleet::permit_release& release) {
+                                     const fleet::permit_release& release,
+                                     const fleet::content_quarantine& quarantine) {
     { Platform::read_bounds(text) } -> std::same_as<std::optional<platform_bounds>>;
 
     // Callers and servers.
@@ -126,9 +128,10 @@
     { Platform::grant_call(duration) } -> std::same_as<fleet::store_call>;
     { Platform::renew_call(number) } -> std::same_as<fleet::store_call>;
     { Platform::revoke_call(number) } -> std::same_as<fleet::store_call>;
-    { Platform::register_call(own, number) } -> std::same_as<fleet::store_call>; // lease
+    { Platform::register_call(own, number) } -> std::same_as<fleet::store_call>;                  // lease
+    { Platform::quarantine_call(quarantine, number, number) } -> std::same_as<fleet::store_call>; // leases
     // Fingerprint of the content, name of this gateway, lease.
-    { Platform::quarantine_call(text, text, number) } -> std::same_as<fleet::store_call>;
+    { Platform::claim_trial_call(text, text, number) } -> std::same_as<fleet::store_call>;
     { Platform::claim_call(claim, number) } -> std::same_as<fleet::store_call>;     // lease
     { Platform::release_call(release, number) } -> std::same_as<fleet::store_call>; // lease
     { Platform::read_transaction(status, body) } -> std::same_as<fleet::transaction_result>;
@@ -143,6 +146,7 @@
     { Platform::read_server(text, text) } -> std::same_as<std::optional<fleet::server_registration>>;
     { Platform::read_configuration(text) } -> std::same_as<std::optional<routing::configuration>>;
     { Platform::read_gateway(text, text) } -> std::same_as<std::optional<fleet::gateway_registration>>;
+    { Platform::read_quarantine(text, text) } -> std::same_as<std::optional<fleet::content_quarantine>>;
     { Platform::read_permit_key(text) } -> std::same_as<std::optional<fleet::permit_key>>;
     { Platform::read_permit(permit_key, text) } -> std::same_as<std::optional<fleet::request_permit>>;
 };
--- a/carawayway/steering/crash_history.cpp
+++ b/carawayway/steering/crash_history.cpp
@@ -12,29 +12,31 @@
 }
 
 crash_suspicion crash_history::suspicion(std::uint64_t fingerprint, base::time_point now) const {
-    const auto known_losses = losses(fingerprint, now);
-    if (known_losses == 0) {
+    const auto* const known = find_unexpired(fingerprint, now);
+    if (known == nullptr) {
         return crash_suspicion::none;
     }
-    return known_losses < quarantine_losses ? crash_suspicion::suspected : crash_suspicion::quarantined;
+    return known->is_quarantined() ? crash_suspicion::quarantined : crash_suspicion::suspected;
 }
 
 base::duration crash_history::quarantine_left(std::uint64_t fingerprint, base::time_point now) const {
     const auto* const known = find_unexpired(fingerprint, now);
-    return known == nullptr || known->losses < quarantine_losses ? base::duration::zero()
-                                                                 : known->expires - now;
+    return known == nullptr || !known->is_quarantined() ? base::duration::zero() : known->expires - now;
 }
 
 void crash_history::record_loss(std::uint64_t fingerprint, std::uint32_t losses_when_sent,
                                 base::time_point now) {
     const auto known_losses = losses(fingerprint, now);
-    const bool is_next = known_losses <= losses_when_sent;
-    raise(fingerprint, is_next ? known_losses + 1 : known_losses, now);
+    if (known_losses <= losses_when_sent) {
+        raise(fingerprint, known_losses + 1, now);
+        return;
+    }
+    m_records.at(fingerprint).expires = now + m_limits.expiry;
 }
 
 bool crash_history::record_answer(std::uint64_t fingerprint, std::uint32_t answers_that_clear) {
     const auto found = m_records.find(fingerprint);
-    if (found == m_records.end() || found->second.losses >= quarantine_losses) {
+    if (found == m_records.end() || found->second.is_quarantined()) {
         return false;
     }
     if (++found->second.answers < answers_that_clear) {
@@ -44,6 +46,28 @@
     return true;
 }
 
+base::duration crash_history::trial_interval(std::uint32_t losses) {
+    auto interval = shortest_trial_interval;
+    for (auto further = quarantine_losses; further < std::min(losses, maximum_losses); ++further) {
+        interval *= trial_interval_growth;
+    }
+    return std::min<base::duration>(interval, crash_history_limits{}.expiry);
+}
+
+bool crash_history::release(const crash_count& released, base::time_point now) {
+    if (losses(released.fingerprint, now) < released.losses) {
+        raise(released.fingerprint, released.losses, now);
+    }
+    const auto found = m_records.find(released.fingerprint);
+    const bool is_lifted = found != m_records.end() && found->second.is_quarantined() &&
+                           found->second.losses <= std::min(released.losses, maximum_losses);
+    if (is_lifted) {
+        found->second.is_released = true;
+        found->second.answers = 0;
+    }
+    return is_lifted;
+}
+
 bool crash_history::merge(const crash_count& received, base::time_point now) {
     if (received.losses == 0) {
         record_answer(received.fingerprint);
@@ -53,8 +77,10 @@
     if (received.losses <= known_losses) {
         return false;
     }
+    const auto before = suspicion(received.fingerprint, now);
     raise(received.fingerprint, received.losses, now);
-    return received.losses >= quarantine_losses;
+    return before != crash_suspicion::quarantined &&
+           suspicion(received.fingerprint, now) == crash_suspicion::quarantined;
 }
 
 const crash_history::record* crash_history::find_unexpired(std::uint64_t fingerprint,
@@ -68,10 +94,11 @@
         make_room(now);
     }
     auto& raised = m_records[fingerprint];
-    if (raised.expires <= now) {
+    if (raised.expires <= now || raised.is_released) {
         raised.answers = 0;
     }
-    raised.losses = std::min(losses, quarantine_losses);
+    raised.is_released = false;
+    raised.losses = std::min(losses, maximum_losses);
     raised.expires = now + m_limits.expiry;
 }
 
--- a/carawayway/steering/crash_history.hpp
+++ b/carawayway/steering/crash_history.hpp
@@ -40,6 +40,13 @@
 public:
     // One loss may be a lost answer, and a second one the failure of a whole failure domain.
     static constexpr std::uint32_t quarantine_losses = 3;
+    // Further losses only make the trials rarer.
+    static constexpr std::uint32_t maximum_losses = 6;
+
+    // Quarantined content is tried again after this time, and less often with each server that it takes: it
+    // loses three servers at most before its quarantine is over.
+    static constexpr base::duration shortest_trial_interval = std::chrono::seconds{10};
+    static constexpr int trial_interval_growth = 4;
 
     explicit crash_history(crash_history_limits limits) : m_limits(limits) {}
 
@@ -52,21 +59,31 @@
     // Time until the content may be sent again; zero unless it is quarantined.
     base::duration quarantine_left(std::uint64_t fingerprint, base::time_point now) const;
 
+    // Time from the loss that made the count, or from a trial without a result, to the next trial.
+    static base::duration trial_interval(std::uint32_t losses);
+
     // Records that a server was lost while it ran this content. `losses_when_sent` is the value of losses()
     // when the request was sent.
     void record_loss(std::uint64_t fingerprint, std::uint32_t losses_when_sent, base::time_point now);
 
     // Records that a server has answered this content. Suspected content is cleared by this many answers
-    // since its first loss; returns whether it was. Quarantine is not lifted.
+    // since its first loss or its release; returns whether it was. Quarantine is not lifted.
     bool record_answer(std::uint64_t fingerprint, std::uint32_t answers_that_clear = 1);
 
+    // Lifts the quarantine of content that has these losses. It stays suspected, and its next loss
+    // quarantines it again. Returns whether it was quarantined.
+    bool release(const crash_count& released, base::time_point now);
+
     // Applies what another gateway knows. Returns whether the content is newly quarantined.
     bool merge(const crash_count& received, base::time_point now);
 
 private:
     struct record {
-        std::uint32_t losses = 0;  // at least 1, at most quarantine_losses
-        std::uint32_t answers = 0; // since the first loss
+        std::uint32_t losses = 0;  // at least 1, at most maximum_losses
+        std::uint32_t answers = 0; // since the first loss or the release
+        bool is_released = false;  // only with quarantine_losses or more
+
+        bool is_quarantined() const { return losses >= quarantine_losses && !is_released; }
         base::time_point expires;
     };
 
