gateway: Defer trials of quarantined content that the store does not tell of

Change: a gateway that has lost the server itself, learned of it by a notice, or reads a record without a count of losses makes no trial for 10 s. Others go by the key in the store, also after a restart.

--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -55,6 +55,7 @@
         m_history.suspicion(fingerprint, now) == steering::crash_suspicion::quarantined;
     if (is_quarantined && losses_after > losses_before) {
         report_quarantine(fingerprint, quarantine_source::own_loss);
+        defer_trial(fingerprint, now);
         share_loss_of(fingerprint, now);
         m_publish({fingerprint, losses_after, false});
     }
@@ -102,7 +103,9 @@
     const bool is_conclusive =
         is_variant != is_content && (is_variant || m_history.losses(request.variant, now) == 0);
     const auto subject = is_content ? request.content : request.variant;
-    if (!is_conclusive || m_claimed_trials.contains(subject)) {
+    const auto deferred = m_trials_not_before.find(subject);
+    const bool is_due = deferred == m_trials_not_before.end() || deferred->second <= now;
+    if (!is_conclusive || !is_due || m_claimed_trials.contains(subject)) {
         return std::nullopt;
     }
     return steering::crash_count{subject, m_history.losses(subject, now)};
@@ -124,9 +127,13 @@
 }
 
 void content_guard::apply(const quarantine_change& change, base::time_point now) {
-    const steering::crash_count count{change.fingerprint, change.losses};
+    const steering::crash_count count{change.fingerprint,
+                                      std::max(change.losses, steering::crash_history::quarantine_losses)};
     if (!change.is_released) {
         merge(count, quarantine_source::store, now);
+        if (change.losses == 0) {
+            defer_trial(change.fingerprint, now);
+        }
     } else if (m_history.release(count, now)) {
         report_release(change.fingerprint, "store");
     }
@@ -134,7 +141,12 @@
 
 void content_guard::merge(const steering::crash_count& received, quarantine_source source,
                           base::time_point now) {
-    if (m_history.merge(received, now)) {
+    const auto known_losses = m_history.losses(received.fingerprint, now);
+    const bool is_newly_quarantined = m_history.merge(received, now);
+    if (source == quarantine_source::peer && received.losses > known_losses) {
+        defer_trial(received.fingerprint, now);
+    }
+    if (is_newly_quarantined) {
         report_quarantine(received.fingerprint, source);
         return;
     }
@@ -144,6 +156,11 @@
                {"known", m_history.losses(received.fingerprint, now)}});
 }
 
+void content_guard::defer_trial(std::uint64_t fingerprint, base::time_point now) {
+    std::erase_if(m_trials_not_before, [now](const auto& item) { return item.second <= now; });
+    m_trials_not_before[fingerprint] = now + steering::crash_history::shortest_trial_interval;
+}
+
 void content_guard::report_release(std::uint64_t fingerprint, std::string_view source) {
     base::log(base::log_level::warning, "content-released",
               {{"content", gateway::to_text(fingerprint)}, {"source", source}});
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -21,7 +22,7 @@
 // The quarantine of one content or variant, or its end.
 struct quarantine_change {
     std::uint64_t fingerprint = 0;
-    std::uint32_t losses = 0;
+    std::uint32_t losses = 0; // 0 in the records of older gateways, which write no key for the trial either
     bool is_released = false; // after a good answer
 
     bool operator==(const quarantine_change&) const = default;
@@ -100,12 +101,15 @@
     void record_loss_of(std::uint64_t fingerprint, std::uint32_t losses_when_sent, base::time_point now);
     void share_loss_of(std::uint64_t fingerprint, base::time_point now);
     bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
+    // The key that keeps gateways from trials may not be in the store yet, or not be written at all.
+    void defer_trial(std::uint64_t fingerprint, base::time_point now);
     void report_release(std::uint64_t fingerprint, std::string_view source);
     void report_quarantine(std::uint64_t fingerprint, quarantine_source source);
 
     steering::crash_history m_history{{}};
     std::unordered_set<std::uint64_t> m_unshared; // fingerprints with a loss that other gateways do not know
     std::unordered_set<std::uint64_t> m_claimed_trials; // fingerprints; as long as the store has their keys
+    std::unordered_map<std::uint64_t, base::time_point> m_trials_not_before; // fingerprints
     metrics::metric_registry& m_metrics;
     share_function m_share;
     publish_function m_publish;
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -8,7 +8,6 @@
 #include "carawayway/gateway/removal_certainty.hpp"
 #include "carawayway/net/endpoint.hpp"
 
-#include <algorithm>
 #include <functional>
 #include <set>
 #include <string>
@@ -189,8 +188,7 @@
         // A record that cannot be read is a quarantine none the less.
         const auto quarantine =
             Platform::read_quarantine(name, record.value).value_or(fleet::content_quarantine{});
-        const auto losses = std::max(quarantine.losses, steering::crash_history::quarantine_losses);
-        m_state.guard.apply({*fingerprint, losses, quarantine.is_released}, now);
+        m_state.guard.apply({*fingerprint, quarantine.losses, quarantine.is_released}, now);
     }
 
     void apply_quarantine_trial(const std::string& name, const fleet::store_record& record) {
