--- a/carawayway/placement/server_selector.hpp
+++ b/carawayway/placement/server_selector.hpp
@@ -48,7 +48,7 @@
     resting,    // every usable server rests, or limits the rate of its requests
 };
 
-// The parts of an expected latency that do not follow from each other.
+// What an expected latency is made of, besides the round trip and the speed of the server.
 struct latency_estimate {
     base::duration wait{};     // until the request would start to run
     base::duration run_time{}; // on a server of usual speed
