gateway: Count answers to a content when servers end under it

Cause: the verdict looked at losses alone. Three of them in sequence condemned a content of which servers had answered all other requests, unless eight answers came to one gateway between the first and the third loss, which a service with few callers does not reach. Change: gateways remember, for each content, a set of the variants (query, object) that servers have answered in the last ten minutes. Two of them excuse a loss, six losses at most. The sets travel with the notices of losses: a gateway that hears of a new loss replies with what it has seen, and the next notices have the union. Stored quarantines have the count without excused losses, so that gateways that start later judge as before. New log line content-losses-excused; content-quarantined says losses= and unexcused=. Why it works: a content that crashes servers has hardly any answered variant, and is quarantined by the third loss as before; one that servers answer keeps running while they crash for another reason, so that there is nothing to recover from. Tests that were changed: the notice after an answer has the answered variant; codec, packet size and handlers know the set.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -111,7 +111,7 @@
     lose_server(first);
     lose_server(second);
     m_guard.record_answer(second, now);
-    EXPECT_THAT(m_shared, ElementsAre(crash_count{10, 2}));
+    EXPECT_THAT(m_shared, ElementsAre(crash_count{10, 2, steering::set_of_variant(second.variant)}));
 }
 
 // Guards against a busy path that is refused to all callers, because three servers ended for other reasons.
@@ -136,6 +136,86 @@
     EXPECT_THAT(text, testing::HasSubstr("carawayway_gateway_quarantines_total{source=\"store\"} 1"));
 }
 
+class answered_content_test : public content_guard_test {
+protected:
+    static constexpr content_fingerprints other{10, 9};
+
+    // Records answers to further variants.
+    void answer_variants(std::uint64_t count) {
+        for (std::uint64_t index = 0; index < count; ++index) {
+            m_guard.record_answer({10, 30 + index}, now);
+        }
+    }
+    void lose_variants(std::uint64_t count) {
+        for (std::uint64_t index = 0; index < count; ++index) {
+            lose_server({10, 20 + index});
+        }
+    }
+    static steering::variant_set set_of(std::uint64_t first_variant, std::uint64_t count) {
+        steering::variant_set result = 0;
+        for (std::uint64_t index = 0; index < count; ++index) {
+            result |= steering::set_of_variant(first_variant + index);
+        }
+        return result;
+    }
+};
+
+// Guards against a path that is refused to all callers, because servers crashed while they ran some of the
+// many requests for it that servers answer.
+TEST_F(answered_content_test, a_content_that_servers_answer_is_not_quarantined_by_three_crashes) {
+    answer_variants(4);
+    lose_variants(4);
+    EXPECT_FALSE(is_quarantined(other));
+    EXPECT_THAT(m_published, IsEmpty());
+}
+
+// Guards against content that was harmless once and takes one server after the other.
+TEST_F(answered_content_test, more_losses_than_answers_excuse_quarantine_the_content) {
+    answer_variants(4);
+    lose_variants(5);
+    EXPECT_TRUE(is_quarantined(other));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{10, 3, false}));
+    EXPECT_EQ(m_guard.trial_interval(other, now), steering::crash_history::trial_interval(3));
+}
+
+// Guards against gateways that take a content for harmful, because its callers use other gateways, too.
+TEST_F(answered_content_test, answers_of_other_gateways_excuse_losses) {
+    m_guard.merge({10, 1, set_of(40, 4)}, quarantine_source::peer, now);
+    lose_variants(3);
+    EXPECT_FALSE(is_quarantined(other));
+    lose_server(first);
+    EXPECT_TRUE(is_quarantined(other));
+}
+
+TEST_F(answered_content_test, a_gateway_that_has_lost_a_server_is_told_of_answers_that_it_does_not_know) {
+    answer_variants(2);
+    const crash_count answered{10, 1, set_of(30, 2)};
+    EXPECT_EQ(m_guard.reply_to({10, 1}, now), answered);
+    EXPECT_EQ(m_guard.reply_to({10, 1, set_of(30, 1)}, now), answered);
+    EXPECT_EQ(m_guard.reply_to(answered, now), std::nullopt);
+    EXPECT_EQ(m_guard.reply_to({10, 1, set_of(40, 12)}, now), std::nullopt) << "it knows enough";
+    EXPECT_EQ(m_guard.reply_to({11, 1}, now), std::nullopt);
+    m_guard.merge({10, 1}, quarantine_source::peer, now);
+    EXPECT_EQ(m_guard.reply_to({10, 1}, now), std::nullopt) << "repeated";
+    EXPECT_EQ(m_guard.reply_to({10, 2}, now), (crash_count{10, 2, set_of(30, 2)}));
+}
+
+// Guards against a quarantine that lasts, because the other gateways could tell of their answers only later.
+TEST_F(answered_content_test, a_quarantine_ends_when_answers_become_known) {
+    lose_variants(3);
+    EXPECT_TRUE(is_quarantined(other));
+    m_guard.merge({10, 3, set_of(40, 2)}, quarantine_source::peer, now);
+    EXPECT_FALSE(is_quarantined(other));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{10, 3, false}, quarantine_change{10, 2, true}));
+}
+
+TEST_F(answered_content_test, only_the_gateway_that_has_published_a_quarantine_publishes_its_end) {
+    m_guard.merge({10, 3}, quarantine_source::peer, now);
+    answer_variants(2); // of requests that were on their way
+    EXPECT_FALSE(is_quarantined(other));
+    EXPECT_THAT(m_published, IsEmpty());
+}
+
 class quarantine_trial_test : public content_guard_test {
 protected:
     static constexpr base::duration interval = steering::crash_history::shortest_trial_interval;
--- a/Tests/gateway/crash_notices_test.cpp
+++ b/Tests/gateway/crash_notices_test.cpp
@@ -19,7 +19,7 @@
 }
 
 TEST(crash_notice_codec_test, a_decoded_notice_equals_the_encoded_one) {
-    const std::vector<crash_count> counts{{0xfedcba9876543210U, 2}, {1, 0}};
+    const std::vector<crash_count> counts{{0xfedcba9876543210U, 2, 0x8000000000000001U}, {1, 0}};
     EXPECT_EQ(decode_crash_notice(bytes_of(encode_crash_notice(counts))), counts);
 }
 
@@ -32,7 +32,8 @@
 
 TEST(crash_notice_codec_test, the_largest_notice_fits_into_one_packet) {
     constexpr std::size_t packet_payload_bytes = 1472;
-    const std::vector<crash_count> counts(crash_notices::maximum_counts, {UINT64_MAX, UINT32_MAX});
+    const std::vector<crash_count> counts(crash_notices::maximum_counts,
+                                          {UINT64_MAX, UINT32_MAX, UINT64_MAX});
     EXPECT_LE(encode_crash_notice(counts).size(), packet_payload_bytes);
 }
 
@@ -48,12 +49,20 @@
 
     boost::asio::io_context m_context;
     std::vector<std::vector<crash_count>> m_received;
+    std::vector<crash_count> m_reply; // of the receiver
+    std::vector<std::vector<crash_count>> m_replies;
     std::vector<udp::endpoint> m_recipients;
     crash_notices m_sender{m_context.get_executor(), any_port(), [this] { return m_recipients; },
-                           [](const auto&) {}};
+                           [this](const auto& counts) {
+                               m_replies.push_back(counts);
+                               return std::vector<crash_count>{};
+                           }};
     crash_notices m_receiver{m_context.get_executor(), any_port(),
                              [] { return std::vector<udp::endpoint>{}; },
-                             [this](const auto& counts) { m_received.push_back(counts); }};
+                             [this](const auto& counts) {
+                                 m_received.push_back(counts);
+                                 return m_reply;
+                             }};
 };
 
 // Guards against a lost datagram that leaves a gateway without knowledge of a crash.
@@ -85,6 +94,17 @@
     EXPECT_THAT(m_received.front(), UnorderedElementsAre(crash_count{7, 1}, crash_count{8, 2}));
 }
 
+// Guards against a gateway that goes on telling the others less than it has learned.
+TEST_F(crash_notices_test, a_reply_is_sent_on_with_the_repeats_of_its_count) {
+    m_recipients = {m_receiver.endpoint()};
+    m_reply = {{7, 1, 0b10}};
+    m_sender.share({7, 1, 0b01});
+    run_until([this] { return m_replies.size() == 1 && m_received.size() == 2; });
+    EXPECT_THAT(m_replies.front(), ElementsAre(crash_count{7, 1, 0b10}));
+    EXPECT_THAT(m_received.at(0), ElementsAre(crash_count{7, 1, 0b01}));
+    EXPECT_THAT(m_received.at(1), ElementsAre(crash_count{7, 1, 0b11}));
+}
+
 TEST_F(crash_notices_test, other_datagrams_are_ignored) {
     udp::socket stranger(m_context, any_port());
     stranger.send_to(boost::asio::buffer("not a notice", 12), m_receiver.endpoint());
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -210,6 +210,34 @@
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
 }
 
+// Guards against a path that is refused to all callers, after servers have ended by chance while they ran
+// some of the many requests for it that servers answer (RECOVER).
+TEST(crash_content_test, content_that_servers_answer_runs_on_while_servers_end_by_chance) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    constexpr std::size_t answers_before = 12;
+    constexpr std::size_t ends = 2 * servers_until_known;
+    std::size_t caller = 0;
+    const auto is_served = [&] {
+        const auto gateway = ++caller % fleet.gateway_count();
+        return fleet.send(gateway, "POST", path, harmless_object(caller)).status == 200;
+    };
+    for (std::size_t index = 0; index < answers_before; ++index) {
+        EXPECT_TRUE(is_served());
+    }
+    for (std::size_t index = 0; index < ends; ++index) {
+        fleet.send(index % fleet.gateway_count(), "POST", path, std::to_string(index));
+        std::this_thread::sleep_for(resend_interval);
+        EXPECT_TRUE(is_served()) << "after " << index + 1 << " servers have ended";
+    }
+    EXPECT_EQ(fleet.ended_servers(), ends);
+    fleet.restart_all_gateways();
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        EXPECT_TRUE(is_served()) << "after the restart";
+    }
+    EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
+}
+
 // Guards against trials that take one server after the other.
 TEST(crash_content_test, content_that_crashes_servers_is_tried_once_in_the_interval) {
     gateway_fleet fleet(gateway_fleet::crashing_lookup);
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -28,8 +28,9 @@
                              publish_function publish, claim_function claim)
     : m_metrics(metrics), m_share(std::move(share)), m_publish(std::move(publish)),
       m_claim(std::move(claim)) {
-    m_metrics.declare(releases_metric, metrics::metric_type::counter,
-                      "Quarantines that ended with a good answer to a trial, by who made the trial.");
+    m_metrics.declare(
+        releases_metric, metrics::metric_type::counter,
+        "Quarantines that ended, by how: a trial of this gateway, the store, or answers to other variants.");
     m_metrics.declare(
         "carawayway_gateway_quarantines_total", metrics::metric_type::counter,
         "Request contents and variants that were quarantined because they crash servers, by source.");
@@ -49,15 +50,37 @@
                                    base::time_point now) {
     const auto losses_before = m_history.losses(fingerprint, now);
     m_history.record_loss(fingerprint, losses_when_sent, now);
+    excuse_losses(fingerprint, now);
     const auto losses_after = m_history.losses(fingerprint, now);
     m_unshared.insert(fingerprint);
-    const bool is_quarantined =
-        m_history.suspicion(fingerprint, now) == steering::crash_suspicion::quarantined;
-    if (is_quarantined && losses_after > losses_before) {
-        report_quarantine(fingerprint, quarantine_source::own_loss);
+    if (losses_after == losses_before) {
+        return;
+    }
+    if (is_quarantined(fingerprint, now)) {
+        report_quarantine(fingerprint, quarantine_source::own_loss, now);
         defer_trial(fingerprint, now);
         share_loss_of(fingerprint, now);
-        m_publish({fingerprint, losses_after, false});
+        publish_quarantine(fingerprint, now);
+    } else if (losses_after >= steering::crash_history::quarantine_losses) {
+        base::log(base::log_level::info, "content-losses-excused",
+                  {{"content", gateway::to_text(fingerprint)},
+                   {"losses", losses_after},
+                   {"unexcused", m_history.unexcused_losses(fingerprint, now)}});
+    }
+}
+
+void content_guard::publish_quarantine(std::uint64_t fingerprint, base::time_point now) {
+    std::erase_if(m_own_quarantines, [now](const auto& item) {
+        return now - item.second >= steering::crash_history_limits{}.expiry;
+    });
+    m_own_quarantines[fingerprint] = now;
+    m_publish({fingerprint, m_history.unexcused_losses(fingerprint, now), false});
+}
+
+void content_guard::end_quarantine(std::uint64_t content, base::time_point now) {
+    report_release(content, "answers");
+    if (m_own_quarantines.erase(content) > 0) {
+        m_publish({content, m_history.unexcused_losses(content, now), true});
     }
 }
 
@@ -67,13 +90,24 @@
 }
 
 void content_guard::share_loss_of(std::uint64_t fingerprint, base::time_point now) {
-    const auto known_losses = m_history.losses(fingerprint, now);
-    if (m_unshared.erase(fingerprint) > 0 && known_losses > 0) {
-        m_share({fingerprint, known_losses});
+    const auto known = count_of(fingerprint, now);
+    if (m_unshared.erase(fingerprint) > 0 && known.losses > 0) {
+        m_share(known);
     }
 }
 
 bool content_guard::record_answer(const content_fingerprints& request, base::time_point now) {
+    const bool is_new_variant = m_answered.record(request.content, request.variant, now);
+    if (is_idle()) {
+        return false;
+    }
+    const bool was_quarantined = is_quarantined(request.content, now);
+    if (is_new_variant) {
+        excuse_losses(request.content, now);
+    }
+    if (was_quarantined && !is_quarantined(request.content, now)) {
+        end_quarantine(request.content, now);
+    }
     const bool is_variant_cleared = record_answer_of(request.variant, 1);
     const bool is_only_lost_variant = is_variant_cleared && m_history.losses(request.content, now) == 1;
     if (!record_answer_of(request.content, is_only_lost_variant ? 1 : answers_that_clear_content)) {
@@ -95,10 +129,8 @@
 
 std::optional<steering::crash_count> content_guard::trial_subject(const content_fingerprints& request,
                                                                   base::time_point now) const {
-    const bool is_content =
-        m_history.suspicion(request.content, now) == steering::crash_suspicion::quarantined;
-    const bool is_variant =
-        m_history.suspicion(request.variant, now) == steering::crash_suspicion::quarantined;
+    const bool is_content = is_quarantined(request.content, now);
+    const bool is_variant = is_quarantined(request.variant, now);
     // The content is tested with a variant that has lost no server, as that of any other caller.
     const bool is_conclusive =
         is_variant != is_content && (is_variant || m_history.losses(request.variant, now) == 0);
@@ -111,6 +143,12 @@
     return steering::crash_count{subject, m_history.losses(subject, now)};
 }
 
+base::duration content_guard::trial_interval(const content_fingerprints& request,
+                                             base::time_point now) const {
+    return steering::crash_history::trial_interval(std::max(
+        m_history.unexcused_losses(request.content, now), m_history.unexcused_losses(request.variant, now)));
+}
+
 void content_guard::set_trial_claimed(std::uint64_t fingerprint, bool is_claimed) {
     if (is_claimed) {
         m_claimed_trials.insert(fingerprint);
@@ -122,7 +160,8 @@
 void content_guard::release(const steering::crash_count& tested, base::time_point now) {
     if (m_history.release(tested, now)) {
         report_release(tested.fingerprint, "own-trial");
-        m_publish({tested.fingerprint, tested.losses, true});
+        m_own_quarantines.erase(tested.fingerprint);
+        m_publish({tested.fingerprint, m_history.unexcused_losses(tested.fingerprint, now), true});
     }
 }
 
@@ -139,15 +178,33 @@
     }
 }
 
+std::optional<steering::crash_count> content_guard::reply_to(const steering::crash_count& received,
+                                                             base::time_point now) const {
+    const auto answered = m_answered.find(received.fingerprint, now);
+    const bool tells_more = (answered & ~received.answered) != 0;
+    if (!tells_more || steering::excuses_most(received.answered) ||
+        received.losses <= m_history.losses(received.fingerprint, now)) {
+        return std::nullopt;
+    }
+    return steering::crash_count{received.fingerprint, received.losses, answered};
+}
+
 void content_guard::merge(const steering::crash_count& received, quarantine_source source,
                           base::time_point now) {
     const auto known_losses = m_history.losses(received.fingerprint, now);
-    const bool is_newly_quarantined = m_history.merge(received, now);
+    const bool was_quarantined = is_quarantined(received.fingerprint, now);
+    m_answered.merge(received.fingerprint, received.answered, now);
+    m_history.merge(received, now);
+    excuse_losses(received.fingerprint, now);
     if (source == quarantine_source::peer && received.losses > known_losses) {
         defer_trial(received.fingerprint, now);
     }
-    if (is_newly_quarantined) {
-        report_quarantine(received.fingerprint, source);
+    if (!was_quarantined && is_quarantined(received.fingerprint, now)) {
+        report_quarantine(received.fingerprint, source, now);
+        return;
+    }
+    if (was_quarantined && !is_quarantined(received.fingerprint, now)) {
+        end_quarantine(received.fingerprint, now);
         return;
     }
     base::log(base::log_level::debug, "content-losses-learned",
@@ -167,9 +224,13 @@
     m_metrics.add(releases_metric, {{"source", std::string(source)}});
 }
 
-void content_guard::report_quarantine(std::uint64_t fingerprint, quarantine_source source) {
+void content_guard::report_quarantine(std::uint64_t fingerprint, quarantine_source source,
+                                      base::time_point now) {
     base::log(base::log_level::warning, "content-quarantined",
-              {{"content", gateway::to_text(fingerprint)}, {"source", to_text(source)}});
+              {{"content", gateway::to_text(fingerprint)},
+               {"source", to_text(source)},
+               {"losses", m_history.losses(fingerprint, now)},
+               {"unexcused", m_history.unexcused_losses(fingerprint, now)}});
     m_metrics.add(quarantines_metric, {{"source", std::string(to_text(source))}});
 }
 
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/gateway/content_fingerprint.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
+#include "carawayway/steering/answered_variants.hpp"
 #include "carawayway/steering/crash_history.hpp"
 
 #include <algorithm>
@@ -22,7 +23,8 @@
 // The quarantine of one content or variant, or its end.
 struct quarantine_change {
     std::uint64_t fingerprint = 0;
-    std::uint32_t losses = 0; // 0 in the records of older gateways, which write no key for the trial either
+    std::uint32_t losses =
+        0; // without an excuse; 0 in the records of older gateways, which write no key for the trial either
     bool is_released = false; // after a good answer
 
     bool operator==(const quarantine_change&) const = default;
@@ -41,10 +43,15 @@
 
 // Counts losses of contents and of their variants, so that content that ends servers is recognised whatever
 // object its callers name, and content that ends them for a single object stays available for the others.
+// Remembers answers as well: if servers answer most variants of a content, those that end while they run
+// others have ended for another reason.
 class content_guard {
 public:
     // An answer for another query or object is weak evidence that the content is harmless.
     static constexpr std::uint32_t answers_that_clear_content = 8;
+    // While no content is suspected, answers to requests with larger bodies are not recorded: hashing them
+    // all would delay other requests.
+    static constexpr std::size_t maximum_body_hashed_in_calm = 4U << 10U;
 
     // Tells the other gateways; they may miss it.
     using share_function = std::function<void(const steering::crash_count&)>;
@@ -75,6 +82,8 @@
     // a reason to refuse it as well, or if the next trial is not due.
     std::optional<steering::crash_count> trial_subject(const content_fingerprints& request,
                                                        base::time_point now) const;
+    // Time from one trial of this quarantined request to the next.
+    base::duration trial_interval(const content_fingerprints& request, base::time_point now) const;
     bool try_claim_trial(const steering::crash_count& subject, std::function<void(bool is_claimed)> done) {
         return m_claim(subject, std::move(done));
     }
@@ -95,21 +104,42 @@
     // Returns whether the suspected variant was cleared.
     bool record_answer(const content_fingerprints& request, base::time_point now);
 
+    // What the gateway that has lost a server should know of answers that this one has seen. Empty if it
+    // knows enough, or if the loss is not new. Called before merge().
+    std::optional<steering::crash_count> reply_to(const steering::crash_count& received,
+                                                  base::time_point now) const;
     void merge(const steering::crash_count& received, quarantine_source source, base::time_point now);
 
 private:
     void record_loss_of(std::uint64_t fingerprint, std::uint32_t losses_when_sent, base::time_point now);
     void share_loss_of(std::uint64_t fingerprint, base::time_point now);
+    // The losses and the answers that are known of a content or a variant.
+    steering::crash_count count_of(std::uint64_t fingerprint, base::time_point now) const {
+        return {fingerprint, m_history.losses(fingerprint, now), m_answered.find(fingerprint, now)};
+    }
+    bool is_quarantined(std::uint64_t fingerprint, base::time_point now) const {
+        return m_history.suspicion(fingerprint, now) == steering::crash_suspicion::quarantined;
+    }
+    // Excuses losses of a suspected content by the answers to other variants that are known.
+    void excuse_losses(std::uint64_t content, base::time_point now) {
+        m_history.excuse(content, steering::excused_losses(m_answered.find(content, now)), now);
+    }
+    void publish_quarantine(std::uint64_t fingerprint, base::time_point now);
+    // The losses of quarantined content are excused.
+    void end_quarantine(std::uint64_t content, base::time_point now);
     bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
     // The key that keeps gateways from trials may not be in the store yet, or not be written at all.
     void defer_trial(std::uint64_t fingerprint, base::time_point now);
     void report_release(std::uint64_t fingerprint, std::string_view source);
-    void report_quarantine(std::uint64_t fingerprint, quarantine_source source);
+    void report_quarantine(std::uint64_t fingerprint, quarantine_source source, base::time_point now);
 
     steering::crash_history m_history{{}};
+    steering::answered_variants m_answered;       // by content
     std::unordered_set<std::uint64_t> m_unshared; // fingerprints with a loss that other gateways do not know
     std::unordered_set<std::uint64_t> m_claimed_trials; // fingerprints; as long as the store has their keys
     std::unordered_map<std::uint64_t, base::time_point> m_trials_not_before; // fingerprints
+    // Fingerprints that this gateway has published, and when. Some are not quarantined any more.
+    std::unordered_map<std::uint64_t, base::time_point> m_own_quarantines;
     metrics::metric_registry& m_metrics;
     share_function m_share;
     publish_function m_publish;
--- a/carawayway/gateway/crash_notice_codec.cpp
+++ b/carawayway/gateway/crash_notice_codec.cpp
@@ -16,8 +16,12 @@
                    [](const steering::crash_count& count) {
                        return schema::CrashCount(count.fingerprint, count.losses);
                    });
+    std::vector<std::uint64_t> answered;
+    answered.reserve(counts.size());
+    std::transform(counts.begin(), counts.end(), std::back_inserter(answered),
+                   [](const steering::crash_count& count) { return count.answered; });
     flatbuffers::FlatBufferBuilder builder;
-    const auto notice = schema::CreateCrashNoticeDirect(builder, &items);
+    const auto notice = schema::CreateCrashNoticeDirect(builder, &items, &answered);
     builder.Finish(schema::CreateMessage(builder, schema::Body::CrashNotice, notice.Union()));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -36,6 +40,13 @@
     for (const auto* const item : *notice->counts()) {
         counts.push_back({item->fingerprint(), item->losses()});
     }
+    // Gateways of older builds do not tell.
+    const auto* const answered = notice->answered();
+    for (std::uint32_t index = 0; answered != nullptr && index < answered->size(); ++index) {
+        if (index < counts.size()) {
+            counts[index].answered = answered->Get(index);
+        }
+    }
     return counts;
 }
 
--- a/carawayway/gateway/crash_notices.cpp
+++ b/carawayway/gateway/crash_notices.cpp
@@ -9,6 +9,8 @@
 
 namespace carawayway::gateway {
 
+using boost::asio::ip::udp;
+
 crash_notices::crash_notices(const boost::asio::any_io_executor& executor,
                              const boost::asio::ip::udp::endpoint& address, recipients_function recipients,
                              counts_handler on_counts)
@@ -54,15 +56,30 @@
     }
     std::erase_if(m_scheduled, [](const auto& item) { return item.second.times_sent == send_times.size(); });
     if (!due.empty()) {
-        send(due);
+        send(due, m_recipients());
     }
     schedule_sending();
 }
 
-void crash_notices::send(const std::vector<steering::crash_count>& counts) {
+// What this gateway still has to send tells of the answers that others know, too.
+void crash_notices::handle_counts(const std::vector<steering::crash_count>& counts) {
+    for (const auto& count : counts) {
+        const auto scheduled = m_scheduled.find(count.fingerprint);
+        if (scheduled != m_scheduled.end() && scheduled->second.count.losses > 0) {
+            scheduled->second.count.answered |= count.answered;
+        }
+    }
+    const auto reply = m_on_counts(counts);
+    if (!reply.empty()) {
+        send(reply, {m_sender});
+    }
+}
+
+void crash_notices::send(const std::vector<steering::crash_count>& counts,
+                         const std::vector<udp::endpoint>& recipients) {
     const auto payload = encode_crash_notice(counts);
     std::size_t failed = 0;
-    for (const auto& recipient : m_recipients()) {
+    for (const auto& recipient : recipients) {
         boost::system::error_code error;
         m_socket.send_to(boost::asio::buffer(payload), recipient, 0, error);
         failed += error ? 1U : 0U;
@@ -81,7 +98,7 @@
             // Any other error concerns one datagram, for example one that a recipient's host rejected.
             const auto counts = error ? std::nullopt : decode_crash_notice(std::span(m_received).first(size));
             if (counts) {
-                m_on_counts(*counts);
+                handle_counts(*counts);
             } else {
                 base::log(base::log_level::debug, "crash-notice-invalid", {{"reason", error.message()}});
             }
--- a/carawayway/gateway/crash_notices.hpp
+++ b/carawayway/gateway/crash_notices.hpp
@@ -24,12 +24,14 @@
     static constexpr std::array<base::duration, 3> send_times{
         std::chrono::milliseconds{0}, std::chrono::milliseconds{300}, std::chrono::milliseconds{1500}};
     // Counts in one datagram, which then fits into one packet.
-    static constexpr std::size_t maximum_counts = 64;
+    static constexpr std::size_t maximum_counts = 48;
     // Contents that are waiting to be sent. If many servers are lost at once, some contents are not shared.
     static constexpr std::size_t maximum_scheduled = 512;
 
     using recipients_function = std::function<std::vector<boost::asio::ip::udp::endpoint>()>;
-    using counts_handler = std::function<void(const std::vector<steering::crash_count>&)>;
+    // Returns what the sender of the counts is to be told in reply, once.
+    using counts_handler =
+        std::function<std::vector<steering::crash_count>(const std::vector<steering::crash_count>&)>;
 
     // Throws boost::system::system_error when the address cannot be bound.
     crash_notices(const boost::asio::any_io_executor& executor, const boost::asio::ip::udp::endpoint& address,
@@ -54,7 +56,9 @@
     void receive_next();
     void schedule_sending();
     void send_due_counts();
-    void send(const std::vector<steering::crash_count>& counts);
+    void handle_counts(const std::vector<steering::crash_count>& counts);
+    void send(const std::vector<steering::crash_count>& counts,
+              const std::vector<boost::asio::ip::udp::endpoint>& recipients);
 
     boost::asio::ip::udp::socket m_socket;
     net::timer m_timer;
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -238,9 +238,7 @@
     }
 
     void refuse_quarantined(base::time_point now) {
-        const auto next_trial =
-            steering::crash_history::trial_interval(m_content.known_losses(now).maximum());
-        m_retry_after = std::min(m_content.quarantine_left(now), next_trial);
+        m_retry_after = std::min(m_content.quarantine_left(now), m_content.trial_interval(now));
         respond_with_failure(base::error_kind::request_quarantined, now);
     }
 
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -289,9 +289,15 @@
             m_context.get_executor(), udp_endpoint(endpoint_of(address)),
             [this] { return notice_recipients(); },
             [this](const std::vector<steering::crash_count>& counts) {
+                const auto now = base::monotonic_now();
+                std::vector<steering::crash_count> replies;
                 for (const auto& count : counts) {
-                    m_state.guard.merge(count, quarantine_source::peer, base::monotonic_now());
+                    if (const auto reply = m_state.guard.reply_to(count, now)) {
+                        replies.push_back(*reply);
+                    }
+                    m_state.guard.merge(count, quarantine_source::peer, now);
                 }
+                return replies;
             });
     }
 
--- a/carawayway/gateway/request_content.cpp
+++ b/carawayway/gateway/request_content.cpp
@@ -18,6 +18,10 @@
     return m_guard.is_idle() ? base::duration::zero() : m_guard.quarantine_left(fingerprints(), now);
 }
 
+base::duration request_content::trial_interval(base::time_point now) {
+    return m_guard.trial_interval(fingerprints(), now);
+}
+
 std::optional<steering::crash_count> request_content::trial_subject(base::time_point now) {
     return m_guard.trial_subject(fingerprints(), now);
 }
@@ -26,8 +30,15 @@
     m_guard.record_loss(fingerprints(), losses_when_sent, now);
 }
 
+void request_content::release(const steering::crash_count& tested, base::time_point now) {
+    m_guard.release(tested, now);
+    m_guard.record_answer(fingerprints(), now);
+}
+
 bool request_content::record_answer(base::time_point now) {
-    return !m_guard.is_idle() && m_guard.record_answer(fingerprints(), now);
+    const bool is_skipped =
+        m_guard.is_idle() && m_request.body().size() > content_guard::maximum_body_hashed_in_calm;
+    return !is_skipped && m_guard.record_answer(fingerprints(), now);
 }
 
 void request_content::share_losses(base::time_point now) {
--- a/carawayway/gateway/request_content.hpp
+++ b/carawayway/gateway/request_content.hpp
@@ -13,7 +13,8 @@
 
 namespace carawayway::gateway {
 
-// Computes the fingerprints only when they are needed: while no content at all is suspected, they are not.
+// Computes the fingerprints only when they are needed: while no content at all is suspected, only those of
+// answered requests without a large body are.
 class request_content {
 public:
     // The guard, the request and its object must outlive this object. The parts of the request that the
@@ -27,16 +28,19 @@
     content_losses known_losses(base::time_point now);
     // Zero unless the request is quarantined.
     base::duration quarantine_left(base::time_point now);
+    // Time from one trial of this quarantined request to the next.
+    base::duration trial_interval(base::time_point now);
     // What a trial of this quarantined request would test, if one is due.
     std::optional<steering::crash_count> trial_subject(base::time_point now);
     // Claims the trial; see content_guard::claim_function.
     bool try_claim_trial(const steering::crash_count& subject, std::function<void(bool is_claimed)> done) {
         return m_guard.try_claim_trial(subject, std::move(done));
     }
-    void release(const steering::crash_count& tested, base::time_point now) { m_guard.release(tested, now); }
+    // Records a good answer to a trial.
+    void release(const steering::crash_count& tested, base::time_point now);
 
     void record_loss(const content_losses& losses_when_sent, base::time_point now);
-    // Returns whether the answer of a server has cleared the suspected variant.
+    // Records a good answer. Returns whether it has cleared the suspected variant.
     bool record_answer(base::time_point now);
     // Tells the other gateways of losses that this request has recorded.
     void share_losses(base::time_point now);
--- a/carawayway/steering/crash_history.cpp
+++ b/carawayway/steering/crash_history.cpp
@@ -11,6 +11,11 @@
     return known == nullptr ? 0 : known->losses;
 }
 
+std::uint32_t crash_history::unexcused_losses(std::uint64_t fingerprint, base::time_point now) const {
+    const auto* const known = find_unexpired(fingerprint, now);
+    return known == nullptr ? 0 : known->unexcused();
+}
+
 crash_suspicion crash_history::suspicion(std::uint64_t fingerprint, base::time_point now) const {
     const auto* const known = find_unexpired(fingerprint, now);
     if (known == nullptr) {
@@ -46,21 +51,29 @@
     return true;
 }
 
-base::duration crash_history::trial_interval(std::uint32_t losses) {
+base::duration crash_history::trial_interval(std::uint32_t unexcused_losses) {
     auto interval = shortest_trial_interval;
-    for (auto further = quarantine_losses; further < std::min(losses, maximum_losses); ++further) {
+    const auto counted = std::min(unexcused_losses, maximum_unexcused_losses);
+    for (auto further = quarantine_losses; further < counted; ++further) {
         interval *= trial_interval_growth;
     }
     return std::min<base::duration>(interval, crash_history_limits{}.expiry);
 }
 
+void crash_history::excuse(std::uint64_t fingerprint, std::uint32_t excused, base::time_point now) {
+    if (find_unexpired(fingerprint, now) != nullptr) {
+        auto& known = m_records.at(fingerprint);
+        known.excused = std::max(known.excused, excused);
+    }
+}
+
 bool crash_history::release(const crash_count& released, base::time_point now) {
     if (losses(released.fingerprint, now) < released.losses) {
         raise(released.fingerprint, released.losses, now);
     }
     const auto found = m_records.find(released.fingerprint);
     const bool is_lifted = found != m_records.end() && found->second.is_quarantined() &&
-                           found->second.losses <= std::min(released.losses, maximum_losses);
+                           found->second.unexcused() <= released.losses;
     if (is_lifted) {
         found->second.is_released = true;
         found->second.answers = 0;
@@ -94,7 +107,10 @@
         make_room(now);
     }
     auto& raised = m_records[fingerprint];
-    if (raised.expires <= now || raised.is_released) {
+    if (raised.expires <= now) {
+        raised = {};
+    }
+    if (raised.is_released) {
         raised.answers = 0;
     }
     raised.is_released = false;
--- a/carawayway/steering/crash_history.hpp
+++ b/carawayway/steering/crash_history.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "carawayway/base/time.hpp"
+#include "carawayway/steering/answered_variants.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -15,6 +17,7 @@
 struct crash_count {
     std::uint64_t fingerprint = 0;
     std::uint32_t losses = 0;
+    variant_set answered = 0; // of a content; none in a message of an older gateway
 
     bool operator==(const crash_count&) const = default;
 };
@@ -34,14 +37,15 @@
 
 // A loss counts only if the request was sent when all earlier losses of its content were known, so that one
 // failure of many servers raises the count of each content by one at most. Answers of servers clear suspected
-// content. The crash_guard of an entry instance also isolates suspected content, which requires
-// that the instance owns the server, and therefore needs fewer losses.
+// content, and answers to other variants excuse losses. The crash_guard of an entry instance also isolates
+// suspected content, which requires that the instance owns the server, and therefore needs fewer losses.
 class crash_history {
 public:
     // One loss may be a lost answer, and a second one the failure of a whole failure domain.
     static constexpr std::uint32_t quarantine_losses = 3;
-    // Further losses only make the trials rarer.
-    static constexpr std::uint32_t maximum_losses = 6;
+    // Further losses without an excuse only make the trials rarer.
+    static constexpr std::uint32_t maximum_unexcused_losses = 6;
+    static constexpr std::uint32_t maximum_losses = 64;
 
     // Quarantined content is tried again after this time, and less often with each server that it takes: it
     // loses three servers at most before its quarantine is over.
@@ -55,12 +59,14 @@
 
     // Losses of this content that are known; zero when the record has expired.
     std::uint32_t losses(std::uint64_t fingerprint, base::time_point now) const;
+    // Those that answers to other variants do not excuse.
+    std::uint32_t unexcused_losses(std::uint64_t fingerprint, base::time_point now) const;
     crash_suspicion suspicion(std::uint64_t fingerprint, base::time_point now) const;
     // Time until the content may be sent again; zero unless it is quarantined.
     base::duration quarantine_left(std::uint64_t fingerprint, base::time_point now) const;
 
     // Time from the loss that made the count, or from a trial without a result, to the next trial.
-    static base::duration trial_interval(std::uint32_t losses);
+    static base::duration trial_interval(std::uint32_t unexcused_losses);
 
     // Records that a server was lost while it ran this content. `losses_when_sent` is the value of losses()
     // when the request was sent.
@@ -70,8 +76,12 @@
     // since its first loss or its release; returns whether it was. Quarantine is not lifted.
     bool record_answer(std::uint64_t fingerprint, std::uint32_t answers_that_clear = 1);
 
-    // Lifts the quarantine of content that has these losses. It stays suspected, and its next loss
-    // quarantines it again. Returns whether it was quarantined.
+    // Excuses this many losses of known content, or as many as before if that is more.
+    void excuse(std::uint64_t fingerprint, std::uint32_t excused, base::time_point now);
+
+    // Lifts the quarantine of content that has no more than these losses without an excuse. It stays
+    // suspected, and its next loss without an excuse quarantines it again. Returns whether it was
+    // quarantined.
     bool release(const crash_count& released, base::time_point now);
 
     // Applies what another gateway knows. Returns whether the content is newly quarantined.
@@ -80,10 +90,12 @@
 private:
     struct record {
         std::uint32_t losses = 0;  // at least 1, at most maximum_losses
+        std::uint32_t excused = 0; // may be more than the losses
         std::uint32_t answers = 0; // since the first loss or the release
         bool is_released = false;  // only with quarantine_losses or more
 
-        bool is_quarantined() const { return losses >= quarantine_losses && !is_released; }
+        std::uint32_t unexcused() const { return losses - std::min(losses, excused); }
+        bool is_quarantined() const { return unexcused() >= quarantine_losses && !is_released; }
         base::time_point expires;
     };
 
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -529,15 +529,21 @@
   typedef CrashNoticeBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_COUNTS = 4
+    VT_COUNTS = 4,
+    VT_ANSWERED = 6
   };
   const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *counts() const {
     return GetPointer<const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *>(VT_COUNTS);
   }
+  const flatbuffers::Vector<uint64_t> *answered() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ANSWERED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COUNTS) &&
            verifier.VerifyVector(counts()) &&
+           VerifyOffset(verifier, VT_ANSWERED) &&
+           verifier.VerifyVector(answered()) &&
            verifier.EndTable();
   }
 };
@@ -549,6 +555,9 @@
   void add_counts(flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts) {
     fbb_.AddOffset(CrashNotice::VT_COUNTS, counts);
   }
+  void add_answered(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered) {
+    fbb_.AddOffset(CrashNotice::VT_ANSWERED, answered);
+  }
   explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -563,8 +572,10 @@
 
 inline flatbuffers::Offset<CrashNotice> CreateCrashNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered = 0) {
   CrashNoticeBuilder builder_(_fbb);
+  builder_.add_answered(answered);
   builder_.add_counts(counts);
   return builder_.Finish();
 }
@@ -576,11 +587,14 @@
 
 inline flatbuffers::Offset<CrashNotice> CreateCrashNoticeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<carawayway::wire::relay::CrashCount> *counts = nullptr) {
+    const std::vector<carawayway::wire::relay::CrashCount> *counts = nullptr,
+    const std::vector<uint64_t> *answered = nullptr) {
   auto counts__ = counts ? _fbb.CreateVectorOfStructs<carawayway::wire::relay::CrashCount>(*counts) : 0;
+  auto answered__ = answered ? _fbb.CreateVector<uint64_t>(*answered) : 0;
   return carawayway::wire::relay::CreateCrashNotice(
       _fbb,
-      counts__);
+      counts__,
+      answered__);
 }
 
 struct UsageReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
