--- a/Tests/steering_decisions/crash_history_test.cpp
+++ b/Tests/steering_decisions/crash_history_test.cpp
@@ -113,9 +113,13 @@
 
 // Guards against content that takes more servers in trials than the users allow in retries, three.
 TEST_F(crash_history_test, three_trials_at_most_are_made_before_a_quarantine_is_over) {
+    constexpr auto recovery_time = seconds{15}; // in which the users expect service after a fault
     int trials = 0;
     auto now = start;
     for (auto losses = crash_history::quarantine_losses; losses <= crash_history::maximum_losses; ++losses) {
+        if (trials < 3) {
+            EXPECT_LT(crash_history::trial_interval(losses), recovery_time) << losses;
+        }
         now += crash_history::trial_interval(losses);
         trials += now - start < crash_history_limits{}.expiry ? 1 : 0;
     }
