gateway: Make no fourth trial when the store lacks the key against it

Cause: after three lost trials the key in the store keeps all gateways from further ones for ten minutes, but the gateways themselves waited for the shortest interval only. If the store did not take the key (away, slow), the next claim succeeded, and each one cost a server. Change: the gateway that lost the server, and those that learned of it by a notice, wait for the interval that belongs to the losses.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -300,6 +300,19 @@
     EXPECT_EQ(m_guard.trial_subject({40, 9}, now), (crash_count{40, 3}));
 }
 
+// Guards against a fourth trial after three lost ones, because the store did not take the key that forbids
+// it.
+TEST_F(quarantine_trial_test, nothing_is_tried_after_three_lost_trials_whatever_the_store_knows) {
+    quarantine_content();
+    for (std::uint64_t trial = 0; trial < steering::crash_history::maximum_losses_in_trials; ++trial) {
+        lose_server({10, 50 + trial});
+    }
+    m_guard.merge({20, 6}, quarantine_source::peer, now);
+    const auto last = now + steering::crash_history_limits{}.expiry - std::chrono::milliseconds{1};
+    EXPECT_EQ(m_guard.trial_subject(fresh, last), std::nullopt);
+    EXPECT_EQ(m_guard.trial_subject({20, 9}, last), std::nullopt);
+}
+
 TEST_F(quarantine_trial_test, content_is_tried_only_with_variants_that_have_lost_nothing) {
     quarantine_content();
     EXPECT_EQ(m_guard.trial_subject(first, now + interval), std::nullopt);
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -215,7 +215,8 @@
 
 void content_guard::defer_trial(std::uint64_t fingerprint, base::time_point now) {
     std::erase_if(m_trials_not_before, [now](const auto& item) { return item.second <= now; });
-    m_trials_not_before[fingerprint] = now + steering::crash_history::shortest_trial_interval;
+    const auto losses = m_history.unexcused_losses(fingerprint, now);
+    m_trials_not_before[fingerprint] = now + steering::crash_history::trial_interval(losses);
 }
 
 void content_guard::report_release(std::uint64_t fingerprint, std::string_view source) {
