gateway: Keep a claimed trial until it has a result

Callers saw: content that was quarantined after unrelated crashes stayed refused for as long as the store took more than 400 ms for one of the two calls that claim a trial, and for another 10 s each time that a trial had no result (a server failed the request, no server had room, its caller left). Cause: a claim belonged to the request that asked for it. The request cannot wait long for the store, and the key that was written meanwhile kept all gateways from trials until its lease had ended; then the same came again. Change: the claim belongs to the gateway until its lease ends. A request waits 400 ms for it as before and is refused then; the permit is left for the next request, and so is that of a trial without a result. It is not given back before the end of a server that had the request has been checked. Calls to the store may take 3 s; a claim whose outcome is unknown is given back by ending its lease. Why it works: neither the store's answers nor a failed request use up the interval any more. Still one request at a time: there is one permit for each claim, and a loss defers the next trial as before. Tests that were changed: a claim without an answer is now followed by the end of its lease, which the test expects as well.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -33,9 +33,15 @@
     metrics::metric_registry m_metrics{10};
     std::vector<crash_count> m_shared;
     std::vector<quarantine_change> m_published;
+    std::vector<crash_count> m_claimed;
+    std::function<void(bool is_claimed)> m_finish_claim; // of the last claim
     content_guard m_guard{m_metrics, [this](const crash_count& count) { m_shared.push_back(count); },
                           [this](const quarantine_change& change) { m_published.push_back(change); },
-                          [](const crash_count&, const std::function<void(bool)>&) { return false; }};
+                          [this](const crash_count& subject, std::function<void(bool)> done) {
+                              m_claimed.push_back(subject);
+                              m_finish_claim = std::move(done);
+                              return true;
+                          }};
 };
 
 // Guards against a flood of notices when answers are lost and the repeats of the requests succeed.
@@ -279,12 +285,49 @@
 // Guards against gateways that try the same content at the same time.
 TEST_F(quarantine_trial_test, nothing_is_tried_while_a_trial_is_claimed) {
     quarantine_content();
-    m_guard.set_trial_claimed(10, true);
+    m_guard.set_trial_claimed(10, true, now + interval);
     EXPECT_EQ(m_guard.trial_subject(fresh, now + interval), std::nullopt);
-    m_guard.set_trial_claimed(10, false);
+    m_guard.set_trial_claimed(10, false, now + interval);
     EXPECT_EQ(m_guard.trial_subject(fresh, now + interval), content_after_three);
 }
 
+// Guards against a trial without a result, which makes callers wait for another interval.
+TEST_F(quarantine_trial_test, a_trial_without_a_result_is_made_by_the_next_request) {
+    quarantine_content();
+    const auto due = now + interval;
+    trial_permit held;
+    const auto keep_permit = [&held](trial_permit permit) { held = std::move(permit); };
+    EXPECT_TRUE(m_guard.begin_trial(content_after_three, due, keep_permit));
+    EXPECT_EQ(held, nullptr) << "the claim is not done";
+    m_finish_claim(true);
+    EXPECT_NE(held, nullptr);
+    m_guard.set_trial_claimed(10, true, due);
+    EXPECT_EQ(m_guard.trial_subject(fresh, due), std::nullopt) << "one at a time";
+    held.reset();
+    EXPECT_EQ(m_guard.trial_subject(fresh, due), content_after_three);
+    EXPECT_TRUE(m_guard.begin_trial(content_after_three, due, keep_permit));
+    EXPECT_NE(held, nullptr);
+    EXPECT_THAT(m_claimed, ElementsAre(content_after_three));
+}
+
+// Guards against a further server that is lost to the claim of a trial which has lost one.
+TEST_F(quarantine_trial_test, a_claim_ends_with_a_lost_server_and_after_the_interval) {
+    quarantine_content();
+    const auto due = now + interval;
+    const auto ignore_permit = [](const trial_permit&) {};
+    m_guard.begin_trial(content_after_three, due, ignore_permit);
+    m_finish_claim(true);
+    m_guard.set_trial_claimed(10, true, due);
+    EXPECT_EQ(m_guard.trial_subject(fresh, due), content_after_three);
+    m_guard.record_loss(fresh, m_guard.losses(fresh, due), due);
+    EXPECT_EQ(m_guard.trial_subject({10, 8}, due + interval - std::chrono::milliseconds{1}), std::nullopt);
+    m_guard.set_trial_claimed(10, false, due + interval);
+    const auto next = m_guard.trial_subject({10, 8}, due + interval);
+    EXPECT_EQ(next, (crash_count{10, 4}));
+    m_guard.begin_trial(*next, due + interval, ignore_permit);
+    EXPECT_EQ(m_claimed.size(), 2U) << "claimed again";
+}
+
 // Guards against trials that begin before the store has the key that keeps gateways from them, which older
 // gateways do not write.
 TEST_F(quarantine_trial_test, nothing_is_tried_within_the_interval_unless_the_store_has_told_of_the_losses) {
--- a/Tests/gateway/quarantine_trials_test.cpp
+++ b/Tests/gateway/quarantine_trials_test.cpp
@@ -50,9 +50,11 @@
     EXPECT_FALSE(is_claimed());
 }
 
-TEST_F(quarantine_trials_test, no_trial_is_made_if_the_store_does_not_answer) {
+// Also guards against a key that nobody makes a trial for, because the store wrote it and did not answer.
+TEST_F(quarantine_trials_test, no_trial_is_made_if_the_store_does_not_answer_and_its_key_is_given_back) {
     m_transaction_answer = {store_reaction::close, {}};
     EXPECT_FALSE(is_claimed());
+    EXPECT_THAT(m_calls, ElementsAre("/kv-lease", "/kv-txn", "/kv-lease-end/5"));
 }
 
 // Guards against a call to the store for each request that is refused.
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -210,6 +210,37 @@
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
 }
 
+// Guards against content that is refused because the store is too slow for a request to wait for the claim of
+// a trial.
+TEST(crash_content_test, content_runs_again_while_the_store_is_slow) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    quarantine_content(fleet, "POST", path);
+    fleet.set_store_fault(soak::store_fault::slow);
+    std::size_t caller = 0;
+    EXPECT_TRUE(test_support::wait_until([&] {
+        ++caller;
+        return fleet.send(caller % fleet.gateway_count(), "POST", path, harmless_object(caller)).status ==
+               200;
+    }));
+    EXPECT_EQ(fleet.ended_servers(), servers_until_known);
+}
+
+// Guards against content that is refused for another interval, because a server has failed the request of a
+// trial.
+TEST(crash_content_test, a_trial_that_a_server_fails_is_made_again_by_the_next_request) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    quarantine_content(fleet, "POST", path);
+    fleet.set_server_fault(soak::server_fault::error_answer);
+    std::size_t caller = 0;
+    const auto send_next = [&] { return fleet.send(0, "POST", path, harmless_object(++caller)).status; };
+    EXPECT_TRUE(test_support::wait_until([&] { return send_next() == 500; })) << "no trial";
+    fleet.set_server_fault(soak::server_fault::none);
+    EXPECT_EQ(send_next(), 200U);
+    EXPECT_EQ(fleet.ended_servers(), servers_until_known);
+}
+
 // Guards against a path that is refused to all callers, after servers have ended by chance while they ran
 // some of the many requests for it that servers answer (RECOVER).
 TEST(crash_content_test, content_that_servers_answer_runs_on_while_servers_end_by_chance) {
--- a/Tests/soak/store_stand_in.cpp
+++ b/Tests/soak/store_stand_in.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t page_size = 20;     // small, so that listings have several pages
 constexpr milliseconds hang_time{60'000}; // longer than any timeout of a gateway
 constexpr milliseconds lease_check_interval{50};
+// Of each of the calls that a request may wait for.
+constexpr milliseconds slow_time{700};
 constexpr milliseconds copy_interval{200};
 constexpr std::size_t maximum_copies = 40;
 constexpr unsigned status_conflict = 412;
@@ -208,6 +210,9 @@
         auto events = co_await watch(parse_query(target));
         co_return events;
     }
+    if (m_fault == store_fault::slow) {
+        co_await sleep_for(slow_time);
+    }
     auto response = execute(request, path, parse_query(target));
     if (m_fault == store_fault::responses_lost) {
         co_return std::nullopt;
--- a/Tests/soak/store_stand_in.hpp
+++ b/Tests/soak/store_stand_in.hpp
@@ -25,6 +25,7 @@
     reset,             // connections are reset before a request takes effect
     responses_lost,    // requests take effect, then the connection is reset
     history_compacted, // the history is compacted, so that watches get status 410
+    slow,              // requests take effect after slow_time, except for watches
 };
 
 class store_stand_in {
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -137,7 +137,11 @@
     const auto subject = is_content ? request.content : request.variant;
     const auto deferred = m_trials_not_before.find(subject);
     const bool is_due = deferred == m_trials_not_before.end() || deferred->second <= now;
-    if (!is_conclusive || !is_due || m_claimed_trials.contains(subject)) {
+    const auto own_claim = m_claimed_trials.find(subject);
+    const bool is_claimed_here = own_claim != m_claimed_trials.end() && now < own_claim->second.ends;
+    const bool is_available =
+        is_claimed_here ? own_claim->second.is_available(now) : !is_claimed_in_store(subject);
+    if (!is_conclusive || !is_due || !is_available) {
         return std::nullopt;
     }
     return steering::crash_count{subject, m_history.losses(subject, now)};
@@ -149,11 +153,43 @@
         m_history.unexcused_losses(request.content, now), m_history.unexcused_losses(request.variant, now)));
 }
 
-void content_guard::set_trial_claimed(std::uint64_t fingerprint, bool is_claimed) {
+bool content_guard::begin_trial(const steering::crash_count& subject, base::time_point now,
+                                std::function<void(trial_permit)> done) {
+    const auto own_claim = m_claimed_trials.find(subject.fingerprint);
+    if (own_claim != m_claimed_trials.end() && own_claim->second.is_available(now)) {
+        done(permit_for(subject.fingerprint));
+        return true;
+    }
+    return m_claim(
+        subject, [this, fingerprint = subject.fingerprint, now, done = std::move(done)](bool is_claimed) {
+            if (!is_claimed) {
+                done(nullptr);
+                return;
+            }
+            std::erase_if(m_claimed_trials, [now](const auto& item) { return item.second.ends <= now; });
+            m_claimed_trials[fingerprint] = {now + steering::crash_history::shortest_trial_interval, {}};
+            done(permit_for(fingerprint));
+        });
+}
+
+trial_permit content_guard::permit_for(std::uint64_t fingerprint) {
+    auto permit = std::make_shared<const std::uint64_t>(fingerprint);
+    m_claimed_trials.at(fingerprint).permit = permit;
+    return permit;
+}
+
+bool content_guard::is_claimed_in_store(std::uint64_t fingerprint) const {
+    return m_trial_keys.contains(fingerprint);
+}
+
+void content_guard::set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now) {
+    std::erase_if(m_trial_keys, [now](const auto& item) {
+        return now - item.second >= steering::crash_history_limits{}.expiry;
+    });
     if (is_claimed) {
-        m_claimed_trials.insert(fingerprint);
+        m_trial_keys[fingerprint] = now;
     } else {
-        m_claimed_trials.erase(fingerprint);
+        m_trial_keys.erase(fingerprint);
     }
 }
 
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -41,6 +42,9 @@
     bool operator==(const content_losses&) const = default;
 };
 
+// Permits one trial. Given back when it is destroyed, for the next request if the trial had no result.
+using trial_permit = std::shared_ptr<const std::uint64_t>;
+
 // Counts losses of contents and of their variants, so that content that ends servers is recognised whatever
 // object its callers name, and content that ends them for a single object stays available for the others.
 // Remembers answers as well: if servers answer most variants of a content, those that end while they run
@@ -59,7 +63,7 @@
     using publish_function = std::function<void(const quarantine_change&)>;
 
     // Claims the next trial of a fingerprint for this gateway, unless it has asked just before, and passes on
-    // whether it got the trial. Returns false if it does not ask.
+    // whether it got the trial, maybe seconds later. Returns false if it does not ask.
     using claim_function =
         std::function<bool(const steering::crash_count&, std::function<void(bool is_claimed)>)>;
 
@@ -84,11 +88,12 @@
                                                        base::time_point now) const;
     // Time from one trial of this quarantined request to the next.
     base::duration trial_interval(const content_fingerprints& request, base::time_point now) const;
-    bool try_claim_trial(const steering::crash_count& subject, std::function<void(bool is_claimed)> done) {
-        return m_claim(subject, std::move(done));
-    }
+    // Passes on the permit for a trial, at once or when this gateway has claimed it, or null if it does not
+    // get it. Returns false, and does not call `done`, if it does not ask.
+    bool begin_trial(const steering::crash_count& subject, base::time_point now,
+                     std::function<void(trial_permit)> done);
     // Whether the store has a key that keeps all gateways from trials of this fingerprint.
-    void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed);
+    void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now);
     // Ends the quarantine of what a trial has tested, after a good answer.
     void release(const steering::crash_count& tested, base::time_point now);
     // Applies the change that another gateway has written to the store.
@@ -128,6 +133,16 @@
     // The losses of quarantined content are excused.
     void end_quarantine(std::uint64_t content, base::time_point now);
     bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
+    struct claimed_trial {
+        base::time_point ends; // before the lease of the key in the store
+        std::weak_ptr<const std::uint64_t> permit;
+
+        bool is_available(base::time_point now) const { return now < ends && permit.expired(); }
+    };
+
+    // Whether other gateways may make trials of this fingerprint, according to the store.
+    bool is_claimed_in_store(std::uint64_t fingerprint) const;
+    trial_permit permit_for(std::uint64_t fingerprint);
     // The key that keeps gateways from trials may not be in the store yet, or not be written at all.
     void defer_trial(std::uint64_t fingerprint, base::time_point now);
     void report_release(std::uint64_t fingerprint, std::string_view source);
@@ -136,7 +151,9 @@
     steering::crash_history m_history{{}};
     steering::answered_variants m_answered;       // by content
     std::unordered_set<std::uint64_t> m_unshared; // fingerprints with a loss that other gateways do not know
-    std::unordered_set<std::uint64_t> m_claimed_trials; // fingerprints; as long as the store has their keys
+    // Fingerprints of which the store has the key, and since when. Its removal may be learned late.
+    std::unordered_map<std::uint64_t, base::time_point> m_trial_keys;
+    std::unordered_map<std::uint64_t, claimed_trial> m_claimed_trials; // of this gateway, by fingerprint
     std::unordered_map<std::uint64_t, base::time_point> m_trials_not_before; // fingerprints
     // Fingerprints that this gateway has published, and when. Some are not quarantined any more.
     std::unordered_map<std::uint64_t, base::time_point> m_own_quarantines;
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -38,6 +38,8 @@
     static constexpr std::uint32_t maximum_connect_failures = 3;
     // Load relative to the slots above which a refusal is attributed to overload and not to a failing server.
     static constexpr double full_server_load = 1.5;
+    // For the claim of a trial. The store may be slow; a later request then makes the trial.
+    static constexpr base::duration longest_wait_for_trial = std::chrono::milliseconds{400};
     // From the arrival of a request until its quota is used up, although it has not run.
     static constexpr base::duration longest_refund_time = std::chrono::milliseconds{500};
     // Sent to callers while this gateway has no configuration.
@@ -249,22 +251,40 @@
             return false;
         }
         const auto subject = m_content.trial_subject(now);
-        return subject && m_content.try_claim_trial(
-                              *subject, [self = this->shared_from_this(), subject](bool is_claimed) {
-                                  self->continue_trial(is_claimed ? subject : std::nullopt);
-                              });
+        if (!subject) {
+            return false;
+        }
+        m_waits_for_trial = true;
+        const bool is_asked = m_content.begin_trial(
+            *subject, now, [self = this->shared_from_this(), subject](trial_permit permit) {
+                self->continue_trial(*subject, std::move(permit));
+            });
+        if (!is_asked) {
+            m_waits_for_trial = false;
+        }
+        if (m_waits_for_trial) {
+            m_hedge_timer.start(now + longest_wait_for_trial, this->weak_from_this(),
+                                [](forwarded_request& self) {
+                                    self.m_waits_for_trial = false;
+                                    self.refuse_quarantined(base::monotonic_now());
+                                });
+        }
+        return is_asked;
     }
 
-    void continue_trial(const std::optional<steering::crash_count>& subject) {
-        if (m_is_completed || m_caller_disconnected) {
+    // If this request does not wait any more, the permit is left for the next one.
+    void continue_trial(const steering::crash_count& subject, trial_permit permit) {
+        if (m_is_completed || m_caller_disconnected || !m_waits_for_trial) {
             return;
         }
-        const auto now = base::monotonic_now();
-        if (!subject) {
-            refuse_quarantined(now);
+        m_hedge_timer.cancel();
+        m_waits_for_trial = false;
+        if (!permit) {
+            refuse_quarantined(base::monotonic_now());
             return;
         }
         m_tested_content = subject;
+        m_trial_permit = std::move(permit);
         send_to_next_server();
     }
 
@@ -771,6 +791,7 @@
         if (m_relayed) {
             write_relay_verdict(response, {std::nullopt, m_answering_server});
         }
+        m_trial_permit.reset();
         complete_request(std::move(response), now);
     }
 
@@ -806,6 +827,8 @@
     request_metadata m_metadata;
     request_content m_content{m_state.guard, *m_request, m_metadata.object};
     std::optional<steering::crash_count> m_tested_content; // while the request is a trial of it
+    trial_permit m_trial_permit;                           // of a trial, until its result is known
+    bool m_waits_for_trial = false;                        // for the permit
     request_log m_log{m_state.log, m_metadata, m_content};
     std::shared_ptr<const routing::route_table> m_routes; // keeps m_route alive across new configurations
     std::shared_ptr<const accounts::account_directory> m_accounts; // of the same configuration
--- a/carawayway/gateway/quarantine_trials.hpp
+++ b/carawayway/gateway/quarantine_trials.hpp
@@ -18,15 +18,15 @@
 namespace carawayway::gateway {
 
 // A claim is a key with a lease that is not renewed: the next trial follows when it has ended, unless a good
-// answer has ended the quarantine, or a further loss has written the key with a longer lease. Without the
+// answer has ended the quarantine, or a further loss has written the key with another lease. Without the
 // store there are no trials.
 template <platform_protocol Platform>
 class quarantine_trials {
 public:
     using result_handler = std::function<void(bool is_claimed)>;
 
-    // A request waits for the claim.
-    static constexpr base::duration call_timeout = std::chrono::milliseconds{400};
+    // Two calls leave time for the trial before the lease ends, also while the store is slow.
+    static constexpr base::duration call_timeout = std::chrono::seconds{3};
     // Between two claims of this gateway.
     static constexpr base::duration claim_interval = std::chrono::seconds{1};
 
@@ -67,6 +67,12 @@
         }
         const auto written = co_await m_channel.call(
             Platform::claim_trial_call(to_text(fingerprint), m_gateway, lease.id), call_timeout);
+        if (!written) {
+            // The key may have been written, or be written later, unless its lease has ended.
+            const auto ended = co_await m_channel.call(Platform::revoke_call(lease.id), call_timeout);
+            base::log(base::log_level::info, "quarantine-trial-given-back",
+                      {{"content", to_text(fingerprint)}, {"answered", ended.has_value()}});
+        }
         co_return written&& Platform::read_status(written->status) == fleet::store_status::done;
     }
 
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -39,7 +39,7 @@
                 apply_gateway(subject.name, record, certainty, now);
                 break;
             case fleet::store_key_kind::quarantine_trial:
-                apply_quarantine_trial(subject.name, record);
+                apply_quarantine_trial(subject.name, record, now);
                 break;
             case fleet::store_key_kind::quarantine:
                 apply_quarantine(subject.name, record, now);
@@ -191,10 +191,11 @@
         m_state.guard.apply({*fingerprint, quarantine.losses, quarantine.is_released}, now);
     }
 
-    void apply_quarantine_trial(const std::string& name, const fleet::store_record& record) {
+    void apply_quarantine_trial(const std::string& name, const fleet::store_record& record,
+                                base::time_point now) {
         const auto fingerprint = fingerprint_from_text(name);
         if (fingerprint) {
-            m_state.guard.set_trial_claimed(*fingerprint, !record.erased);
+            m_state.guard.set_trial_claimed(*fingerprint, !record.erased, now);
         }
     }
 
--- a/carawayway/gateway/request_content.hpp
+++ b/carawayway/gateway/request_content.hpp
@@ -32,9 +32,10 @@
     base::duration trial_interval(base::time_point now);
     // What a trial of this quarantined request would test, if one is due.
     std::optional<steering::crash_count> trial_subject(base::time_point now);
-    // Claims the trial; see content_guard::claim_function.
-    bool try_claim_trial(const steering::crash_count& subject, std::function<void(bool is_claimed)> done) {
-        return m_guard.try_claim_trial(subject, std::move(done));
+    // See content_guard::begin_trial.
+    bool begin_trial(const steering::crash_count& subject, base::time_point now,
+                     std::function<void(trial_permit)> done) {
+        return m_guard.begin_trial(subject, now, std::move(done));
     }
     // Records a good answer to a trial.
     void release(const steering::crash_count& tested, base::time_point now);
