gateway: Let a trial's key count no longer than its lease

Cause: a gateway made no trial for as long as it knew the key of one, and learned of its removal only from the store's events. If these come late or are lost with a watch, it went on refusing content that could have been tried, also while all other gateways were away. Change: the key counts for the interval that belongs to the losses, from when it was learned. The store still refuses a claim that comes too early. Result: quarantine_trial_test.a_claim_counts_no_longer_than_its_lease fails if the key counts without an end, which was tried on a scratch copy, and passes. Found by reading; no play has shown it.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -291,6 +291,15 @@
     EXPECT_EQ(m_guard.trial_subject(fresh, now + interval), content_after_three);
 }
 
+// Guards against content that is refused because the end of a claim was not learned from the store.
+TEST_F(quarantine_trial_test, a_claim_counts_no_longer_than_its_lease) {
+    quarantine_content();
+    m_guard.set_trial_claimed(10, true, now + interval);
+    const auto end = now + 2 * interval;
+    EXPECT_EQ(m_guard.trial_subject(fresh, end - std::chrono::milliseconds{1}), std::nullopt);
+    EXPECT_EQ(m_guard.trial_subject(fresh, end), content_after_three);
+}
+
 // Guards against a trial without a result, which makes callers wait for another interval.
 TEST_F(quarantine_trial_test, a_trial_without_a_result_is_made_by_the_next_request) {
     quarantine_content();
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -140,7 +140,7 @@
     const auto own_claim = m_claimed_trials.find(subject);
     const bool is_claimed_here = own_claim != m_claimed_trials.end() && now < own_claim->second.ends;
     const bool is_available =
-        is_claimed_here ? own_claim->second.is_available(now) : !is_claimed_in_store(subject);
+        is_claimed_here ? own_claim->second.is_available(now) : !is_claimed_in_store(subject, now);
     if (!is_conclusive || !is_due || !is_available) {
         return std::nullopt;
     }
@@ -178,8 +178,10 @@
     return permit;
 }
 
-bool content_guard::is_claimed_in_store(std::uint64_t fingerprint) const {
-    return m_trial_keys.contains(fingerprint);
+bool content_guard::is_claimed_in_store(std::uint64_t fingerprint, base::time_point now) const {
+    const auto key = m_trial_keys.find(fingerprint);
+    const auto losses = m_history.unexcused_losses(fingerprint, now);
+    return key != m_trial_keys.end() && now - key->second < steering::crash_history::trial_interval(losses);
 }
 
 void content_guard::set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now) {
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -141,7 +141,7 @@
     };
 
     // Whether other gateways may make trials of this fingerprint, according to the store.
-    bool is_claimed_in_store(std::uint64_t fingerprint) const;
+    bool is_claimed_in_store(std::uint64_t fingerprint, base::time_point now) const;
     trial_permit permit_for(std::uint64_t fingerprint);
     // The key that keeps gateways from trials may not be in the store yet, or not be written at all.
     void defer_trial(std::uint64_t fingerprint, base::time_point now);
