gateway: Count answers to a variant when servers end under it

Callers saw: a request that all callers send alike, without query and object, was refused to all of them after three servers had crashed while they ran it, although servers had answered it many times. Such a request is a single variant; answers excused losses of contents only. Change: answers are remembered by variant as well, as a set of the requests that were answered. Why it works: a request that crashes servers has no good answer under the same content, query and object, so that it is quarantined by the third loss as before.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -175,6 +175,23 @@
     EXPECT_THAT(m_published, IsEmpty());
 }
 
+// Guards against a request that all callers send alike and that is refused to all of them, because servers
+// crashed while they ran it.
+TEST_F(answered_content_test, a_variant_that_servers_have_answered_is_not_quarantined_by_three_crashes) {
+    for (std::uint64_t request = 1; request <= 4; ++request) {
+        m_guard.record_answer(other, now, request);
+        m_guard.record_answer(other, now, request); // sent again
+    }
+    for (int loss = 0; loss < 4; ++loss) {
+        lose_server(other);
+    }
+    EXPECT_FALSE(is_quarantined(other));
+    EXPECT_FALSE(is_quarantined(first)) << "the content has lost one variant";
+    lose_server(other);
+    EXPECT_TRUE(is_quarantined(other));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{9, 3, false}));
+}
+
 // Guards against content that was harmless once and takes one server after the other.
 TEST_F(answered_content_test, more_losses_than_answers_excuse_quarantine_the_content) {
     answer_variants(4);
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -269,6 +269,28 @@
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
 }
 
+// The same for a request that all callers send alike, so that there is a single variant of it.
+TEST(crash_content_test, a_request_that_servers_answer_is_not_refused_after_servers_ended_by_chance) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    constexpr std::size_t answers_before = 12;
+    std::size_t request = 0;
+    const auto send_next = [&] {
+        return fleet.send(++request % fleet.gateway_count(), "POST", "/book/7").status;
+    };
+    for (std::size_t index = 0; index < answers_before; ++index) {
+        EXPECT_EQ(send_next(), 200U);
+    }
+    fleet.set_all_requests_crash(true);
+    for (std::size_t ended = 0; ended < servers_until_known + 1; ++ended) {
+        EXPECT_EQ(send_next(), 502U) << "after " << ended << " servers have ended";
+        std::this_thread::sleep_for(resend_interval);
+    }
+    fleet.set_all_requests_crash(false);
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        EXPECT_EQ(send_next(), 200U);
+    }
+}
+
 // Guards against trials that take one server after the other.
 TEST(crash_content_test, content_that_crashes_servers_is_tried_once_in_the_interval) {
     gateway_fleet fleet(gateway_fleet::crashing_lookup);
--- a/Tests/gateway_processes/gateway_fleet.cpp
+++ b/Tests/gateway_processes/gateway_fleet.cpp
@@ -161,7 +161,7 @@
     auto& server = *made;
     const auto crashes = [this](const soak::http_request& request) {
         const bool is_harmless = request[http::field::cookie].ends_with(harmless_object);
-        return !is_harmless && request.target().starts_with(m_crashing_prefix);
+        return m_all_requests_crash || (!is_harmless && request.target().starts_with(m_crashing_prefix));
     };
     server.end_on(crashes, m_end_kind, [this, &server, domain] {
         ++m_ended_servers;
--- a/Tests/gateway_processes/gateway_fleet.hpp
+++ b/Tests/gateway_processes/gateway_fleet.hpp
@@ -16,6 +16,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -112,6 +113,8 @@
     void restore_store(std::chrono::milliseconds age);
     void set_server_fault(soak::server_fault fault);
     void set_link_fault(soak::link_fault fault);
+    // Servers end with whatever they execute, as if each crashed by chance just then.
+    void set_all_requests_crash(bool all_crash) { m_all_requests_crash = all_crash; }
     // Kills one gateway, which does not start again.
     void kill_gateway(std::size_t index);
     // Asks a gateway to end, as for planned work.
@@ -218,6 +221,7 @@
     boost::json::object m_caller_limits;
     std::uint64_t m_configuration = 0; // version
     std::string m_crashing_prefix;
+    std::atomic<bool> m_all_requests_crash = false;
     soak::server_stand_in::end_kind m_end_kind;
     std::vector<std::unique_ptr<soak::server_stand_in>> m_servers; // also those that ended
     std::unique_ptr<soak::linked_servers> m_links;
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -77,10 +77,10 @@
     m_publish({fingerprint, m_history.unexcused_losses(fingerprint, now), false});
 }
 
-void content_guard::end_quarantine(std::uint64_t content, base::time_point now) {
-    report_release(content, "answers");
-    if (m_own_quarantines.erase(content) > 0) {
-        m_publish({content, m_history.unexcused_losses(content, now), true});
+void content_guard::end_quarantine(std::uint64_t fingerprint, base::time_point now) {
+    report_release(fingerprint, "answers");
+    if (m_own_quarantines.erase(fingerprint) > 0) {
+        m_publish({fingerprint, m_history.unexcused_losses(fingerprint, now), true});
     }
 }
 
@@ -96,18 +96,13 @@
     }
 }
 
-bool content_guard::record_answer(const content_fingerprints& request, base::time_point now) {
-    const bool is_new_variant = m_answered.record(request.content, request.variant, now);
+bool content_guard::record_answer(const content_fingerprints& request, base::time_point now,
+                                  std::uint64_t request_hash) {
+    record_answered(request.content, request.variant, now);
+    record_answered(request.variant, request_hash, now);
     if (is_idle()) {
         return false;
     }
-    const bool was_quarantined = is_quarantined(request.content, now);
-    if (is_new_variant) {
-        excuse_losses(request.content, now);
-    }
-    if (was_quarantined && !is_quarantined(request.content, now)) {
-        end_quarantine(request.content, now);
-    }
     const bool is_variant_cleared = record_answer_of(request.variant, 1);
     const bool is_only_lost_variant = is_variant_cleared && m_history.losses(request.content, now) == 1;
     if (!record_answer_of(request.content, is_only_lost_variant ? 1 : answers_that_clear_content)) {
@@ -116,6 +111,17 @@
     return is_variant_cleared;
 }
 
+void content_guard::record_answered(std::uint64_t fingerprint, std::uint64_t answered, base::time_point now) {
+    if (!m_answered.record(fingerprint, answered, now) || is_idle()) {
+        return;
+    }
+    const bool was_quarantined = is_quarantined(fingerprint, now);
+    excuse_losses(fingerprint, now);
+    if (was_quarantined && !is_quarantined(fingerprint, now)) {
+        end_quarantine(fingerprint, now);
+    }
+}
+
 bool content_guard::record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear) {
     if (!m_history.record_answer(fingerprint, answers_that_clear)) {
         return false;
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -47,8 +47,8 @@
 
 // Counts losses of contents and of their variants, so that content that ends servers is recognised whatever
 // object its callers name, and content that ends them for a single object stays available for the others.
-// Remembers answers as well: if servers answer most variants of a content, those that end while they run
-// others have ended for another reason.
+// Remembers answers as well: if servers answer most variants of a content, or have answered a variant before,
+// those that end while they run it have ended for another reason.
 class content_guard {
 public:
     // An answer for another query or object is weak evidence that the content is harmless.
@@ -106,8 +106,10 @@
     // Tells the other gateways of a recorded loss. Called before a caller learns of the failure, since the
     // caller may then send the same content to any of them.
     void share_loss(const content_fingerprints& request, base::time_point now);
-    // Returns whether the suspected variant was cleared.
-    bool record_answer(const content_fingerprints& request, base::time_point now);
+    // `request_hash` tells requests of the same variant apart. Returns whether the suspected variant was
+    // cleared.
+    bool record_answer(const content_fingerprints& request, base::time_point now,
+                       std::uint64_t request_hash = 0);
 
     // What the gateway that has lost a server should know of answers that this one has seen. Empty if it
     // knows enough, or if the loss is not new. Called before merge().
@@ -125,14 +127,17 @@
     bool is_quarantined(std::uint64_t fingerprint, base::time_point now) const {
         return m_history.suspicion(fingerprint, now) == steering::crash_suspicion::quarantined;
     }
-    // Excuses losses of a suspected content by the answers to other variants that are known.
-    void excuse_losses(std::uint64_t content, base::time_point now) {
-        m_history.excuse(content, steering::excused_losses(m_answered.find(content, now)), now);
+    // Excuses losses of a suspected content or variant by the answers that are known.
+    void excuse_losses(std::uint64_t fingerprint, base::time_point now) {
+        m_history.excuse(fingerprint, steering::excused_losses(m_answered.find(fingerprint, now)), now);
     }
     void publish_quarantine(std::uint64_t fingerprint, base::time_point now);
-    // The losses of quarantined content are excused.
-    void end_quarantine(std::uint64_t content, base::time_point now);
+    // The losses of what was quarantined are excused.
+    void end_quarantine(std::uint64_t fingerprint, base::time_point now);
+    // Adds an answer to those of a content or a variant.
+    void record_answered(std::uint64_t fingerprint, std::uint64_t answered, base::time_point now);
     bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
+
     struct claimed_trial {
         base::time_point ends; // before the lease of the key in the store
         std::weak_ptr<const std::uint64_t> permit;
@@ -149,7 +154,7 @@
     void report_quarantine(std::uint64_t fingerprint, quarantine_source source, base::time_point now);
 
     steering::crash_history m_history{{}};
-    steering::answered_variants m_answered;       // by content
+    steering::answered_variants m_answered;       // by fingerprint
     std::unordered_set<std::uint64_t> m_unshared; // fingerprints with a loss that other gateways do not know
     // Fingerprints of which the store has the key, and since when. Its removal may be learned late.
     std::unordered_map<std::uint64_t, base::time_point> m_trial_keys;
--- a/carawayway/gateway/forwarded_request.hpp
+++ b/carawayway/gateway/forwarded_request.hpp
@@ -825,7 +825,7 @@
     pause_aware_timer m_deadline_timer;
     pause_aware_timer m_hedge_timer;
     request_metadata m_metadata;
-    request_content m_content{m_state.guard, *m_request, m_metadata.object};
+    request_content m_content{m_state.guard, *m_request, m_metadata.request_id, m_metadata.object};
     std::optional<steering::crash_count> m_tested_content; // while the request is a trial of it
     trial_permit m_trial_permit;                           // of a trial, until its result is known
     bool m_waits_for_trial = false;                        // for the permit
--- a/carawayway/gateway/request_content.cpp
+++ b/carawayway/gateway/request_content.cpp
@@ -1,6 +1,8 @@
 // Computes the fingerprints of a request when the content guard needs it.
 #include "carawayway/gateway/request_content.hpp"
 
+#include "carawayway/base/hash.hpp"
+
 namespace carawayway::gateway {
 
 const content_fingerprints& request_content::fingerprints() {
@@ -32,13 +34,13 @@
 
 void request_content::release(const steering::crash_count& tested, base::time_point now) {
     m_guard.release(tested, now);
-    m_guard.record_answer(fingerprints(), now);
+    m_guard.record_answer(fingerprints(), now, base::hash_bytes(m_request_id));
 }
 
 bool request_content::record_answer(base::time_point now) {
     const bool is_skipped =
         m_guard.is_idle() && m_request.body().size() > content_guard::maximum_body_hashed_in_calm;
-    return !is_skipped && m_guard.record_answer(fingerprints(), now);
+    return !is_skipped && m_guard.record_answer(fingerprints(), now, base::hash_bytes(m_request_id));
 }
 
 void request_content::share_losses(base::time_point now) {
--- a/carawayway/gateway/request_content.hpp
+++ b/carawayway/gateway/request_content.hpp
@@ -17,10 +17,11 @@
 // answered requests without a large body are.
 class request_content {
 public:
-    // The guard, the request and its object must outlive this object. The parts of the request that the
-    // fingerprints cover must not change.
-    request_content(content_guard& guard, const http_request& request, const std::string& object)
-        : m_guard(guard), m_request(request), m_object(object) {}
+    // The guard, the request, its ID and its object must outlive this object. The parts of the request that
+    // the fingerprints cover must not change.
+    request_content(content_guard& guard, const http_request& request, const std::string& request_id,
+                    const std::string& object)
+        : m_guard(guard), m_request(request), m_request_id(request_id), m_object(object) {}
 
     const content_fingerprints& fingerprints();
 
@@ -49,6 +50,7 @@
 private:
     content_guard& m_guard;
     const http_request& m_request;
+    const std::string& m_request_id;
     const std::string& m_object;
     std::optional<content_fingerprints> m_fingerprints;
 };
--- a/carawayway/steering/answered_variants.hpp
+++ b/carawayway/steering/answered_variants.hpp
@@ -1,4 +1,4 @@
-// Remembers which variants of request contents servers have answered, as evidence that a content is harmless.
+// Remembers what servers have answered of request contents, as evidence that a content is harmless.
 #pragma once
 
 #include "carawayway/base/time.hpp"
@@ -9,25 +9,26 @@
 
 namespace carawayway::steering {
 
-// A set of variants of one content: bit N stands for all variants whose hash is N modulo 64. Sets of several
-// gateways are joined with |, which counts each variant once.
+// A set of variants of one content, or of requests of one variant: bit N stands for all of them whose hash is
+// N modulo 64. Sets of several gateways are joined with |, which counts each variant or request once.
 using variant_set = std::uint64_t;
 
-// The set that has just this variant.
+// The set that has just this variant or request.
 variant_set set_of_variant(std::uint64_t variant);
 
-// How many losses of a content these answers excuse: servers that ended while they ran a content of which
-// other variants are answered have more likely ended for another reason.
+// How many losses of a content or a variant these answers excuse: servers that ended while they ran a content
+// of which other variants are answered, or a variant that was answered before, have more likely ended for
+// another reason.
 std::uint32_t excused_losses(variant_set answered);
 
 // Whether more answers would excuse no further loss.
 bool excuses_most(variant_set answered);
 
-// A table of fixed size in which each content has one place. A content that is seldom answered, or under a
-// single variant, gives way to the next one of its place.
+// A table of fixed size in which each content and each variant has one place. One that is seldom answered, or
+// was answered once, gives way to the next one of its place.
 class answered_variants {
 public:
-    static constexpr std::size_t capacity = 4096;                           // contents
+    static constexpr std::size_t capacity = 8192;                           // contents and variants
     static constexpr base::duration expiry = std::chrono::minutes{10};      // since the last answer
     static constexpr base::duration undisturbed = std::chrono::seconds{10}; // since the last answer
 
