gateway: Tell the other gateways of the end of a quarantine by notices

Callers saw (by reading; no play has shown it alone): after a good answer to a trial, only the gateway that made it served the content, until the store had taken the release and told the others. With a store that takes over 900 ms for a call the write never succeeded, and each gateway had to make a trial of its own, one after the other. Change: the release goes out as a notice, beside the write to the store, with the losses that it ends; a notice that is older than a further loss ends nothing. Calls that write quarantines and releases may take 3 s. Older gateways pass over the new list of the notice. No process test.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -287,6 +287,23 @@
     EXPECT_EQ(m_guard.trial_interval({10, 8}, now), interval);
 }
 
+// Guards against gateways that refuse what another one has found to be harmless, because the store is slow or
+// away.
+TEST_F(quarantine_trial_test, the_end_of_a_quarantine_is_learned_from_the_gateway_that_made_the_trial) {
+    quarantine_content();
+    m_shared.clear();
+    m_guard.release(content_after_three, now);
+    const crash_count released{10, 3, 0, true};
+    EXPECT_THAT(m_shared, ElementsAre(released));
+    m_guard.merge({20, 3}, quarantine_source::peer, now);
+    m_guard.merge({20, 3, 0, true}, quarantine_source::peer, now);
+    EXPECT_FALSE(is_quarantined({20, 9}));
+    m_guard.merge({20, 4}, quarantine_source::peer, now);
+    m_guard.merge({20, 3, 0, true}, quarantine_source::peer, now);
+    EXPECT_TRUE(is_quarantined({20, 9})) << "a repeated notice of before the loss";
+    EXPECT_EQ(m_guard.reply_to({20, 9, 0, true}, now), std::nullopt);
+}
+
 // Guards against gateways that refuse for ten minutes what another one has found to be harmless.
 TEST_F(quarantine_trial_test, the_end_of_a_quarantine_is_learned_from_the_store) {
     quarantine_content();
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -30,7 +30,7 @@
       m_claim(std::move(claim)) {
     m_metrics.declare(
         releases_metric, metrics::metric_type::counter,
-        "Quarantines that ended, by how: a trial of this gateway, the store, or answers to other variants.");
+        "Quarantines that ended, by how: a trial of this gateway, a peer, the store, or answers.");
     m_metrics.declare(
         "carawayway_gateway_quarantines_total", metrics::metric_type::counter,
         "Request contents and variants that were quarantined because they crash servers, by source.");
@@ -79,11 +79,18 @@
 
 void content_guard::end_quarantine(std::uint64_t fingerprint, base::time_point now) {
     report_release(fingerprint, "answers");
-    if (m_own_quarantines.erase(fingerprint) > 0) {
-        m_publish({fingerprint, m_history.unexcused_losses(fingerprint, now), true});
+    if (m_own_quarantines.contains(fingerprint)) {
+        publish_release(fingerprint, now);
     }
 }
 
+void content_guard::publish_release(std::uint64_t fingerprint, base::time_point now) {
+    m_own_quarantines.erase(fingerprint);
+    const auto losses = m_history.unexcused_losses(fingerprint, now);
+    m_share({fingerprint, losses, m_answered.find(fingerprint, now), true});
+    m_publish({fingerprint, losses, true});
+}
+
 void content_guard::share_loss(const content_fingerprints& request, base::time_point now) {
     share_loss_of(request.variant, now);
     share_loss_of(request.content, now);
@@ -204,8 +211,7 @@
 void content_guard::release(const steering::crash_count& tested, base::time_point now) {
     if (m_history.release(tested, now)) {
         report_release(tested.fingerprint, "own-trial");
-        m_own_quarantines.erase(tested.fingerprint);
-        m_publish({tested.fingerprint, m_history.unexcused_losses(tested.fingerprint, now), true});
+        publish_release(tested.fingerprint, now);
     }
 }
 
@@ -226,7 +232,7 @@
                                                              base::time_point now) const {
     const auto answered = m_answered.find(received.fingerprint, now);
     const bool tells_more = (answered & ~received.answered) != 0;
-    if (!tells_more || steering::excuses_most(received.answered) ||
+    if (!tells_more || received.is_released || steering::excuses_most(received.answered) ||
         received.losses <= m_history.losses(received.fingerprint, now)) {
         return std::nullopt;
     }
@@ -238,6 +244,13 @@
     const auto known_losses = m_history.losses(received.fingerprint, now);
     const bool was_quarantined = is_quarantined(received.fingerprint, now);
     m_answered.merge(received.fingerprint, received.answered, now);
+    if (received.is_released) {
+        excuse_losses(received.fingerprint, now);
+        if (m_history.release(received, now)) {
+            report_release(received.fingerprint, "peer");
+        }
+        return;
+    }
     m_history.merge(received, now);
     excuse_losses(received.fingerprint, now);
     if (source == quarantine_source::peer && received.losses > known_losses) {
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -132,6 +132,8 @@
         m_history.excuse(fingerprint, steering::excused_losses(m_answered.find(fingerprint, now)), now);
     }
     void publish_quarantine(std::uint64_t fingerprint, base::time_point now);
+    // Tells the others, also while the store is away, and those that start later.
+    void publish_release(std::uint64_t fingerprint, base::time_point now);
     // The losses of what was quarantined are excused.
     void end_quarantine(std::uint64_t fingerprint, base::time_point now);
     // Adds an answer to those of a content or a variant.
--- a/carawayway/gateway/crash_notice_codec.cpp
+++ b/carawayway/gateway/crash_notice_codec.cpp
@@ -20,8 +20,12 @@
     answered.reserve(counts.size());
     std::transform(counts.begin(), counts.end(), std::back_inserter(answered),
                    [](const steering::crash_count& count) { return count.answered; });
+    std::vector<std::uint8_t> released;
+    released.reserve(counts.size());
+    std::transform(counts.begin(), counts.end(), std::back_inserter(released),
+                   [](const steering::crash_count& count) { return count.is_released ? 1U : 0U; });
     flatbuffers::FlatBufferBuilder builder;
-    const auto notice = schema::CreateCrashNoticeDirect(builder, &items, &answered);
+    const auto notice = schema::CreateCrashNoticeDirect(builder, &items, &answered, &released);
     builder.Finish(schema::CreateMessage(builder, schema::Body::CrashNotice, notice.Union()));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -47,6 +51,12 @@
             counts[index].answered = answered->Get(index);
         }
     }
+    const auto* const released = notice->released();
+    for (std::uint32_t index = 0; released != nullptr && index < released->size(); ++index) {
+        if (index < counts.size()) {
+            counts[index].is_released = released->Get(index) != 0;
+        }
+    }
     return counts;
 }
 
--- a/carawayway/gateway/quarantine_publisher.hpp
+++ b/carawayway/gateway/quarantine_publisher.hpp
@@ -29,7 +29,7 @@
 class quarantine_publisher {
 public:
     static constexpr base::duration key_lifetime = steering::crash_history_limits{}.expiry;
-    static constexpr base::duration call_timeout = std::chrono::milliseconds{900};
+    static constexpr base::duration call_timeout = std::chrono::seconds{3}; // the store may be slow
     static constexpr base::duration retry_delay = std::chrono::seconds{1};
     // Content is rarely quarantined; more than this waits only when the store is down for long.
     static constexpr std::size_t maximum_pending = 64;
--- a/carawayway/steering/crash_history.hpp
+++ b/carawayway/steering/crash_history.hpp
@@ -17,7 +17,9 @@
 struct crash_count {
     std::uint64_t fingerprint = 0;
     std::uint32_t losses = 0;
-    variant_set answered = 0; // of a content; none in a message of an older gateway
+    variant_set answered = 0; // none in a message of an older gateway
+    // A server has answered a trial: the content may run again if it has no more losses without an excuse.
+    bool is_released = false;
 
     bool operator==(const crash_count&) const = default;
 };
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -530,7 +530,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_COUNTS = 4,
-    VT_ANSWERED = 6
+    VT_ANSWERED = 6,
+    VT_RELEASED = 8
   };
   const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *counts() const {
     return GetPointer<const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *>(VT_COUNTS);
@@ -538,12 +539,17 @@
   const flatbuffers::Vector<uint64_t> *answered() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ANSWERED);
   }
+  const flatbuffers::Vector<uint8_t> *released() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RELEASED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COUNTS) &&
            verifier.VerifyVector(counts()) &&
            VerifyOffset(verifier, VT_ANSWERED) &&
            verifier.VerifyVector(answered()) &&
+           VerifyOffset(verifier, VT_RELEASED) &&
+           verifier.VerifyVector(released()) &&
            verifier.EndTable();
   }
 };
@@ -558,6 +564,9 @@
   void add_answered(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered) {
     fbb_.AddOffset(CrashNotice::VT_ANSWERED, answered);
   }
+  void add_released(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> released) {
+    fbb_.AddOffset(CrashNotice::VT_RELEASED, released);
+  }
   explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -573,8 +582,10 @@
 inline flatbuffers::Offset<CrashNotice> CreateCrashNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> released = 0) {
   CrashNoticeBuilder builder_(_fbb);
+  builder_.add_released(released);
   builder_.add_answered(answered);
   builder_.add_counts(counts);
   return builder_.Finish();
@@ -588,13 +599,16 @@
 inline flatbuffers::Offset<CrashNotice> CreateCrashNoticeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<carawayway::wire::relay::CrashCount> *counts = nullptr,
-    const std::vector<uint64_t> *answered = nullptr) {
+    const std::vector<uint64_t> *answered = nullptr,
+    const std::vector<uint8_t> *released = nullptr) {
   auto counts__ = counts ? _fbb.CreateVectorOfStructs<carawayway::wire::relay::CrashCount>(*counts) : 0;
   auto answered__ = answered ? _fbb.CreateVector<uint64_t>(*answered) : 0;
+  auto released__ = released ? _fbb.CreateVector<uint8_t>(*released) : 0;
   return carawayway::wire::relay::CreateCrashNotice(
       _fbb,
       counts__,
-      answered__);
+      answered__,
+      released__);
 }
 
 struct UsageReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
