gateway: Judge contents with their query or their object by themselves

The verdict knew only a variant, with query and object, and a content with neither. Change: if a request has a query and an object, its content is also counted with only the query and with only the object. Losses and answers of these count as those of the content do; a trial tests the widest that is quarantined, and a good answer releases all that the request has. attempt-lost has their hashes. Why it works: what stays the same in a request that comes again has no answers of other callers to excuse it.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -142,6 +142,39 @@
     EXPECT_THAT(text, testing::HasSubstr("carawayway_gateway_quarantines_total{source=\"store\"} 1"));
 }
 
+// Guards against a resend with the cookie of another object each time, which hides among other callers of the
+// same path and body: servers answer them, and excuse the losses of the content.
+TEST_F(content_guard_test, a_query_that_loses_servers_under_changing_objects_is_quarantined_by_itself) {
+    constexpr std::uint64_t query = 100;
+    for (std::uint64_t answer = 0; answer < 20; ++answer) {
+        m_guard.record_answer({10, 200 + answer, 300 + answer, 400 + answer}, now);
+    }
+    for (std::uint64_t object = 0; object < 3; ++object) {
+        EXPECT_FALSE(is_quarantined({10, 50, query, 60}));
+        lose_server({10, 20 + object, query, 30 + object});
+    }
+    EXPECT_TRUE(is_quarantined({10, 50, query, 60}));
+    EXPECT_FALSE(is_quarantined({10, 51, query + 1, 61}));
+    EXPECT_THAT(m_published, ElementsAre(quarantine_change{query, 3, false}));
+    const auto due = now + steering::crash_history::shortest_trial_interval;
+    EXPECT_EQ(m_guard.trial_subject({10, 50, query, 60}, due), (crash_count{query, 3}));
+    EXPECT_EQ(m_guard.trial_subject({10, 20, query, 30}, due), std::nullopt) << "has lost a server";
+}
+
+// Guards against a request that stays refused, because a trial has tested only one of its fingerprints.
+TEST_F(content_guard_test, a_good_answer_to_a_trial_releases_all_that_the_request_has_tested) {
+    for (std::uint64_t object = 0; object < 3; ++object) {
+        lose_server({10, 20 + object, 100, 30 + object});
+    }
+    const content_fingerprints fresh{10, 50, 100, 60};
+    const auto subject = m_guard.trial_subject(fresh, now + steering::crash_history::shortest_trial_interval);
+    EXPECT_EQ(subject, (crash_count{10, 3}));
+    m_guard.release(*subject, now);
+    EXPECT_TRUE(is_quarantined(fresh));
+    m_guard.release_others(fresh, now);
+    EXPECT_FALSE(is_quarantined(fresh));
+}
+
 class answered_content_test : public content_guard_test {
 protected:
     static constexpr content_fingerprints other{10, 9};
@@ -432,6 +465,16 @@
     EXPECT_NE(other_object.variant, original.variant);
     EXPECT_NE(other_query.variant, original.variant);
     EXPECT_NE(original.content, original.variant);
+    EXPECT_EQ(original.content_with_query, 0U);
+    EXPECT_EQ(original.content_with_object, 0U);
+    const auto queried_other_object = fingerprints_of(queried, "18");
+    EXPECT_EQ(other_query.content_with_query, queried_other_object.content_with_query);
+    EXPECT_NE(other_query.content_with_object, queried_other_object.content_with_object);
+    queried.target("/book/7?page=3");
+    const auto third_page = fingerprints_of(queried, "17");
+    EXPECT_EQ(third_page.content_with_object, other_query.content_with_object);
+    EXPECT_NE(third_page.content_with_query, other_query.content_with_query);
+    EXPECT_EQ(fingerprints_of(queried, "").content_with_query, 0U);
     auto changed = sample_request();
     changed.body() = "counter 5";
     EXPECT_NE(fingerprints_of(changed, "17").content, original.content);
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -162,6 +162,30 @@
     });
 }
 
+// Guards against a request that hides among other callers of the same path and body, whom servers answer: it
+// has the same query each time, and the cookie of another object.
+TEST(crash_content_test, answers_for_other_queries_do_not_excuse_a_query_that_crashes_servers) {
+    gateway_fleet fleet(gateway_fleet::crashing_lookup);
+    const std::string path = std::string(gateway_fleet::crashing_lookup) + "7";
+    std::size_t caller = 0;
+    const auto send_harmless = [&] {
+        ++caller;
+        return fleet
+            .send(caller % fleet.gateway_count(), "GET", path + "?page=" + std::to_string(caller),
+                  std::to_string(caller) + gateway_fleet::harmless_object)
+            .status;
+    };
+    for (std::size_t index = 0; index < resends; ++index) {
+        EXPECT_EQ(send_harmless(), 200U);
+    }
+    for (std::size_t index = 0; index < resends; ++index) {
+        fleet.send(index % fleet.gateway_count(), "GET", path + "?page=0", std::to_string(index));
+        EXPECT_EQ(send_harmless(), 200U);
+        std::this_thread::sleep_for(resend_interval);
+    }
+    EXPECT_LE(fleet.ended_servers(), servers_until_known + permitted_retries);
+}
+
 // Guards against a suspicion that is cleared by a server that fails the request before it crashes.
 TEST(crash_content_test, error_answers_do_not_clear_content_that_crashes_servers) {
     gateway_fleet fleet(gateway_fleet::crashing_booking);
--- a/carawayway/gateway/content_fingerprint.cpp
+++ b/carawayway/gateway/content_fingerprint.cpp
@@ -29,8 +29,14 @@
     const std::string_view host(request[http::field::host]);
     const std::string_view target(request.target());
     const std::uint64_t seed = base::hash_bytes(request.method_string(), body.size());
-    return {hash_parts(seed, {host, routing::path_of(target), hashed_body}),
-            hash_parts(seed, {host, target, object, hashed_body})};
+    const auto path = routing::path_of(target);
+    content_fingerprints result{hash_parts(seed, {host, path, hashed_body}),
+                                hash_parts(seed, {host, target, object, hashed_body})};
+    if (path.size() < target.size() && !object.empty()) {
+        result.content_with_query = hash_parts(seed, {host, target, hashed_body, "query"});
+        result.content_with_object = hash_parts(seed, {host, path, object, hashed_body, "object"});
+    }
+    return result;
 }
 
 std::string to_text(std::uint64_t fingerprint) {
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -3,6 +3,8 @@
 
 #include "carawayway/base/log.hpp"
 
+#include <algorithm>
+
 namespace carawayway::gateway {
 
 namespace {
@@ -36,13 +38,28 @@
         "Request contents and variants that were quarantined because they crash servers, by source.");
 }
 
+base::duration content_guard::quarantine_left(const content_fingerprints& request,
+                                              base::time_point now) const {
+    auto left = base::duration::zero();
+    for (const auto fingerprint : request.all()) {
+        left = std::max(left, m_history.quarantine_left(fingerprint, now));
+    }
+    return left;
+}
+
 // Further losses of one variant do not count against the others.
 void content_guard::record_loss(const content_fingerprints& request, const content_losses& losses_when_sent,
                                 base::time_point now) {
     const bool is_first_of_variant = m_history.losses(request.variant, now) == 0;
     record_loss_of(request.variant, losses_when_sent.variant, now);
-    if (is_first_of_variant) {
-        record_loss_of(request.content, losses_when_sent.content, now);
+    if (!is_first_of_variant) {
+        return;
+    }
+    const auto groups = request.groups();
+    for (std::size_t index = 0; index < groups.size(); ++index) {
+        if (groups.at(index) != 0) {
+            record_loss_of(groups.at(index), losses_when_sent.groups().at(index), now);
+        }
     }
 }
 
@@ -92,8 +109,9 @@
 }
 
 void content_guard::share_loss(const content_fingerprints& request, base::time_point now) {
-    share_loss_of(request.variant, now);
-    share_loss_of(request.content, now);
+    for (const auto fingerprint : request.all()) {
+        share_loss_of(fingerprint, now);
+    }
 }
 
 void content_guard::share_loss_of(std::uint64_t fingerprint, base::time_point now) {
@@ -105,15 +123,21 @@
 
 bool content_guard::record_answer(const content_fingerprints& request, base::time_point now,
                                   std::uint64_t request_hash) {
-    record_answered(request.content, request.variant, now);
     record_answered(request.variant, request_hash, now);
+    for (const auto group : request.groups()) {
+        if (group != 0) {
+            record_answered(group, request.variant, now);
+        }
+    }
     if (is_idle()) {
         return false;
     }
     const bool is_variant_cleared = record_answer_of(request.variant, 1);
-    const bool is_only_lost_variant = is_variant_cleared && m_history.losses(request.content, now) == 1;
-    if (!record_answer_of(request.content, is_only_lost_variant ? 1 : answers_that_clear_content)) {
-        share_loss_of(request.content, now); // remains suspected, so that the other gateways must know
+    for (const auto group : request.groups()) {
+        const bool is_only_lost_variant = is_variant_cleared && m_history.losses(group, now) == 1;
+        if (!record_answer_of(group, is_only_lost_variant ? 1 : answers_that_clear_content)) {
+            share_loss_of(group, now); // remains suspected, so that the other gateways must know
+        }
     }
     return is_variant_cleared;
 }
@@ -142,14 +166,20 @@
 
 std::optional<steering::crash_count> content_guard::trial_subject(const content_fingerprints& request,
                                                                   base::time_point now) const {
-    const bool is_content = is_quarantined(request.content, now);
+    const auto groups = request.groups();
+    const auto* const group = std::find_if(
+        groups.begin(), groups.end(), [this, now](std::uint64_t item) { return is_quarantined(item, now); });
+    const bool is_group = group != groups.end();
     const bool is_variant = is_quarantined(request.variant, now);
-    // The content is tested with a variant that has lost no server, as that of any other caller.
+    // A group is tested with a variant that has lost no server, as that of any other caller.
     const bool is_conclusive =
-        is_variant != is_content && (is_variant || m_history.losses(request.variant, now) == 0);
-    const auto subject = is_content ? request.content : request.variant;
-    const auto deferred = m_trials_not_before.find(subject);
-    const bool is_due = deferred == m_trials_not_before.end() || deferred->second <= now;
+        is_variant != is_group && (is_variant || m_history.losses(request.variant, now) == 0);
+    const auto subject = is_group ? *group : request.variant;
+    const bool is_due = std::none_of(groups.begin(), groups.end(),
+                                     [this, now](std::uint64_t item) {
+                                         return is_quarantined(item, now) && is_trial_deferred(item, now);
+                                     }) &&
+                        !is_trial_deferred(subject, now);
     const auto own_claim = m_claimed_trials.find(subject);
     const bool is_claimed_here = own_claim != m_claimed_trials.end() && now < own_claim->second.ends;
     const bool is_available =
@@ -162,8 +192,11 @@
 
 base::duration content_guard::trial_interval(const content_fingerprints& request,
                                              base::time_point now) const {
-    return steering::crash_history::trial_interval(std::max(
-        m_history.unexcused_losses(request.content, now), m_history.unexcused_losses(request.variant, now)));
+    std::uint32_t losses = 0;
+    for (const auto fingerprint : request.all()) {
+        losses = std::max(losses, m_history.unexcused_losses(fingerprint, now));
+    }
+    return steering::crash_history::trial_interval(losses);
 }
 
 bool content_guard::begin_trial(const steering::crash_count& subject, base::time_point now,
@@ -215,6 +248,14 @@
     }
 }
 
+void content_guard::release_others(const content_fingerprints& request, base::time_point now) {
+    for (const auto fingerprint : request.all()) {
+        if (is_quarantined(fingerprint, now)) {
+            release(count_of(fingerprint, now), now);
+        }
+    }
+}
+
 void content_guard::apply(const quarantine_change& change, base::time_point now) {
     const steering::crash_count count{change.fingerprint,
                                       std::max(change.losses, steering::crash_history::quarantine_losses)};
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -7,6 +7,7 @@
 #include "carawayway/steering/crash_history.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -33,11 +34,15 @@
 
 // How often a request was lost in sequence.
 struct content_losses {
-    std::uint32_t content = 0; // by how many variants, under any query and object
-    std::uint32_t variant = 0; // with the same query and object
-
-    std::uint32_t maximum() const { return std::max(content, variant); }
-    bool is_suspected() const { return maximum() > 0; }
+    std::uint32_t content = 0;             // by how many variants, under any query and object
+    std::uint32_t variant = 0;             // with the same query and object
+    std::uint32_t content_with_query = 0;  // by how many variants, under any object
+    std::uint32_t content_with_object = 0; // by how many variants, under any query
+
+    std::array<std::uint32_t, 3> groups() const { return {content, content_with_query, content_with_object}; }
+    bool is_suspected() const {
+        return std::max({variant, content, content_with_query, content_with_object}) > 0;
+    }
 
     bool operator==(const content_losses&) const = default;
 };
@@ -74,16 +79,15 @@
     // Whether no content is known to have lost a server, so that fingerprints are not needed.
     bool is_idle() const { return m_history.empty(); }
     content_losses losses(const content_fingerprints& request, base::time_point now) const {
-        return {m_history.losses(request.content, now), m_history.losses(request.variant, now)};
-    }
-    // Time until the quarantine ends by itself; zero unless the content or the variant is quarantined.
-    base::duration quarantine_left(const content_fingerprints& request, base::time_point now) const {
-        return std::max(m_history.quarantine_left(request.content, now),
-                        m_history.quarantine_left(request.variant, now));
+        return {m_history.losses(request.content, now), m_history.losses(request.variant, now),
+                m_history.losses(request.content_with_query, now),
+                m_history.losses(request.content_with_object, now)};
     }
+    // Time until the quarantine ends by itself; zero unless one of the fingerprints is quarantined.
+    base::duration quarantine_left(const content_fingerprints& request, base::time_point now) const;
 
-    // What a trial of this request would test: its quarantined content or variant. Empty if the other one is
-    // a reason to refuse it as well, or if the next trial is not due.
+    // What a trial of this request would test: its variant, or the widest of its other fingerprints that is
+    // quarantined. Empty if both the variant and another one are, or if the next trial is not due.
     std::optional<steering::crash_count> trial_subject(const content_fingerprints& request,
                                                        base::time_point now) const;
     // Time from one trial of this quarantined request to the next.
@@ -96,6 +100,8 @@
     void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now);
     // Ends the quarantine of what a trial has tested, after a good answer.
     void release(const steering::crash_count& tested, base::time_point now);
+    // The same for the other fingerprints of the request that are quarantined.
+    void release_others(const content_fingerprints& request, base::time_point now);
     // Applies the change that another gateway has written to the store.
     void apply(const quarantine_change& change, base::time_point now);
 
@@ -147,6 +153,10 @@
         bool is_available(base::time_point now) const { return now < ends && permit.expired(); }
     };
 
+    bool is_trial_deferred(std::uint64_t fingerprint, base::time_point now) const {
+        const auto deferred = m_trials_not_before.find(fingerprint);
+        return deferred != m_trials_not_before.end() && now < deferred->second;
+    }
     // Whether other gateways may make trials of this fingerprint, according to the store.
     bool is_claimed_in_store(std::uint64_t fingerprint, base::time_point now) const;
     trial_permit permit_for(std::uint64_t fingerprint);
--- a/carawayway/gateway/request_content.cpp
+++ b/carawayway/gateway/request_content.cpp
@@ -34,6 +34,7 @@
 
 void request_content::release(const steering::crash_count& tested, base::time_point now) {
     m_guard.release(tested, now);
+    m_guard.release_others(fingerprints(), now);
     m_guard.record_answer(fingerprints(), now, base::hash_bytes(m_request_id));
 }
 
--- a/carawayway/gateway/request_log.cpp
+++ b/carawayway/gateway/request_log.cpp
@@ -11,6 +11,8 @@
                 {{"request_id", m_metadata.request_id},
                  {"content", to_text(m_content.fingerprints().content)},
                  {"variant", to_text(m_content.fingerprints().variant)},
+                 {"content_with_query", to_text(m_content.fingerprints().content_with_query)},
+                 {"content_with_object", to_text(m_content.fingerprints().content_with_object)},
                  {"server", server.registration.id},
                  {"attempts", attempts},
                  {"after_ms", base::to_milliseconds(after)}},
