gateway: Release no content that was lost again during its trial

Cause: found by reading. A trial remembered all losses of its content, and its good answer ended a quarantine of no more losses without an excuse; if answers had excused some, that included a server that was lost while the trial ran. Change: a trial remembers the losses without an excuse.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -256,6 +256,16 @@
     EXPECT_EQ(m_guard.reply_to({10, 2}, now), (crash_count{10, 2, set_of(30, 2)}));
 }
 
+// Guards against content that is released by a trial which began before the last server was lost.
+TEST_F(answered_content_test, a_trial_does_not_excuse_a_later_loss) {
+    answer_variants(4);
+    lose_variants(5);
+    const auto tested = m_guard.trial_subject(other, now + steering::crash_history::shortest_trial_interval);
+    lose_server(first);
+    m_guard.release(*tested, now);
+    EXPECT_TRUE(is_quarantined(other));
+}
+
 // Guards against a quarantine that lasts, because the other gateways could tell of their answers only later.
 TEST_F(answered_content_test, a_quarantine_ends_when_answers_become_known) {
     lose_variants(3);
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -175,11 +175,10 @@
     const bool is_conclusive =
         is_variant != is_group && (is_variant || m_history.losses(request.variant, now) == 0);
     const auto subject = is_group ? *group : request.variant;
-    const bool is_due = std::none_of(groups.begin(), groups.end(),
-                                     [this, now](std::uint64_t item) {
-                                         return is_quarantined(item, now) && is_trial_deferred(item, now);
-                                     }) &&
-                        !is_trial_deferred(subject, now);
+    const auto all = request.all();
+    const bool is_due = std::none_of(all.begin(), all.end(), [this, now](std::uint64_t item) {
+        return is_quarantined(item, now) && is_trial_deferred(item, now);
+    });
     const auto own_claim = m_claimed_trials.find(subject);
     const bool is_claimed_here = own_claim != m_claimed_trials.end() && now < own_claim->second.ends;
     const bool is_available =
@@ -187,7 +186,7 @@
     if (!is_conclusive || !is_due || !is_available) {
         return std::nullopt;
     }
-    return steering::crash_count{subject, m_history.losses(subject, now)};
+    return steering::crash_count{subject, m_history.unexcused_losses(subject, now)};
 }
 
 base::duration content_guard::trial_interval(const content_fingerprints& request,
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -86,8 +86,9 @@
     // Time until the quarantine ends by itself; zero unless one of the fingerprints is quarantined.
     base::duration quarantine_left(const content_fingerprints& request, base::time_point now) const;
 
-    // What a trial of this request would test: its variant, or the widest of its other fingerprints that is
-    // quarantined. Empty if both the variant and another one are, or if the next trial is not due.
+    // What a trial of this request would test, with its losses without an excuse: its variant, or the widest
+    // of its other fingerprints that is quarantined. Empty if both the variant and another one are, or if the
+    // next trial is not due.
     std::optional<steering::crash_count> trial_subject(const content_fingerprints& request,
                                                        base::time_point now) const;
     // Time from one trial of this quarantined request to the next.
@@ -98,7 +99,7 @@
                      std::function<void(trial_permit)> done);
     // Whether the store has a key that keeps all gateways from trials of this fingerprint.
     void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now);
-    // Ends the quarantine of what a trial has tested, after a good answer.
+    // Ends the quarantine of what a trial has tested, after a good answer, unless it has been lost since.
     void release(const steering::crash_count& tested, base::time_point now);
     // The same for the other fingerprints of the request that are quarantined.
     void release_others(const content_fingerprints& request, base::time_point now);
