--- a/carawayway/gateway/content_fingerprint.hpp
+++ b/carawayway/gateway/content_fingerprint.hpp
@@ -22,7 +22,7 @@
     std::uint64_t content_with_query = 0;
     std::uint64_t content_with_object = 0;
 
-    // Those that other variants share. Some may be 0.
+    // The groups of variants that this one belongs to. Some may be 0.
     std::array<std::uint64_t, 3> groups() const { return {content, content_with_query, content_with_object}; }
     std::array<std::uint64_t, 4> all() const {
         return {variant, content, content_with_query, content_with_object};
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -177,12 +177,9 @@
     const auto subject = is_group ? *group : request.variant;
     const auto all = request.all();
     const bool is_due = std::none_of(all.begin(), all.end(), [this, now](std::uint64_t item) {
-        return is_quarantined(item, now) && is_trial_deferred(item, now);
+        return is_quarantined(item, now) && m_trials.is_deferred(item, now);
     });
-    const auto own_claim = m_claimed_trials.find(subject);
-    const bool is_claimed_here = own_claim != m_claimed_trials.end() && now < own_claim->second.ends;
-    const bool is_available =
-        is_claimed_here ? own_claim->second.is_available(now) : !is_claimed_in_store(subject, now);
+    const bool is_available = m_trials.is_available(subject, trial_interval(subject, now), now);
     if (!is_conclusive || !is_due || !is_available) {
         return std::nullopt;
     }
@@ -200,46 +197,19 @@
 
 bool content_guard::begin_trial(const steering::crash_count& subject, base::time_point now,
                                 std::function<void(trial_permit)> done) {
-    const auto own_claim = m_claimed_trials.find(subject.fingerprint);
-    if (own_claim != m_claimed_trials.end() && own_claim->second.is_available(now)) {
-        done(permit_for(subject.fingerprint));
+    if (auto permit = m_trials.take_permit(subject.fingerprint, now)) {
+        done(std::move(permit));
         return true;
     }
     return m_claim(
         subject, [this, fingerprint = subject.fingerprint, now, done = std::move(done)](bool is_claimed) {
-            if (!is_claimed) {
-                done(nullptr);
-                return;
+            if (is_claimed) {
+                m_trials.add_claim(fingerprint, now + steering::crash_history::shortest_trial_interval, now);
             }
-            std::erase_if(m_claimed_trials, [now](const auto& item) { return item.second.ends <= now; });
-            m_claimed_trials[fingerprint] = {now + steering::crash_history::shortest_trial_interval, {}};
-            done(permit_for(fingerprint));
+            done(is_claimed ? m_trials.take_permit(fingerprint, now) : nullptr);
         });
 }
 
-trial_permit content_guard::permit_for(std::uint64_t fingerprint) {
-    auto permit = std::make_shared<const std::uint64_t>(fingerprint);
-    m_claimed_trials.at(fingerprint).permit = permit;
-    return permit;
-}
-
-bool content_guard::is_claimed_in_store(std::uint64_t fingerprint, base::time_point now) const {
-    const auto key = m_trial_keys.find(fingerprint);
-    const auto losses = m_history.unexcused_losses(fingerprint, now);
-    return key != m_trial_keys.end() && now - key->second < steering::crash_history::trial_interval(losses);
-}
-
-void content_guard::set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now) {
-    std::erase_if(m_trial_keys, [now](const auto& item) {
-        return now - item.second >= steering::crash_history_limits{}.expiry;
-    });
-    if (is_claimed) {
-        m_trial_keys[fingerprint] = now;
-    } else {
-        m_trial_keys.erase(fingerprint);
-    }
-}
-
 void content_guard::release(const steering::crash_count& tested, base::time_point now) {
     if (m_history.release(tested, now)) {
         report_release(tested.fingerprint, "own-trial");
@@ -310,12 +280,6 @@
                {"known", m_history.losses(received.fingerprint, now)}});
 }
 
-void content_guard::defer_trial(std::uint64_t fingerprint, base::time_point now) {
-    std::erase_if(m_trials_not_before, [now](const auto& item) { return item.second <= now; });
-    const auto losses = m_history.unexcused_losses(fingerprint, now);
-    m_trials_not_before[fingerprint] = now + steering::crash_history::trial_interval(losses);
-}
-
 void content_guard::report_release(std::uint64_t fingerprint, std::string_view source) {
     base::log(base::log_level::warning, "content-released",
               {{"content", gateway::to_text(fingerprint)}, {"source", source}});
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "carawayway/gateway/content_fingerprint.hpp"
+#include "carawayway/gateway/trial_schedule.hpp"
 #include "carawayway/metrics/metric_registry.hpp"
 #include "carawayway/steering/answered_variants.hpp"
 #include "carawayway/steering/crash_history.hpp"
@@ -25,8 +26,8 @@
 // The quarantine of one content or variant, or its end.
 struct quarantine_change {
     std::uint64_t fingerprint = 0;
-    std::uint32_t losses =
-        0; // without an excuse; 0 in the records of older gateways, which write no key for the trial either
+    // Without an excuse; 0 in the records of older gateways, which write no key for the trial either.
+    std::uint32_t losses = 0;
     bool is_released = false; // after a good answer
 
     bool operator==(const quarantine_change&) const = default;
@@ -47,9 +48,6 @@
     bool operator==(const content_losses&) const = default;
 };
 
-// Permits one trial. Given back when it is destroyed, for the next request if the trial had no result.
-using trial_permit = std::shared_ptr<const std::uint64_t>;
-
 // Counts losses of contents and of their variants, so that content that ends servers is recognised whatever
 // object its callers name, and content that ends them for a single object stays available for the others.
 // Remembers answers as well: if servers answer most variants of a content, or have answered a variant before,
@@ -97,8 +95,10 @@
     // get it. Returns false, and does not call `done`, if it does not ask.
     bool begin_trial(const steering::crash_count& subject, base::time_point now,
                      std::function<void(trial_permit)> done);
-    // Whether the store has a key that keeps all gateways from trials of this fingerprint.
-    void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now);
+    // See trial_schedule::set_store_key.
+    void set_trial_claimed(std::uint64_t fingerprint, bool is_claimed, base::time_point now) {
+        m_trials.set_store_key(fingerprint, is_claimed, now);
+    }
     // Ends the quarantine of what a trial has tested, after a good answer, unless it has been lost since.
     void release(const steering::crash_count& tested, base::time_point now);
     // The same for the other fingerprints of the request that are quarantined.
@@ -147,32 +147,19 @@
     void record_answered(std::uint64_t fingerprint, std::uint64_t answered, base::time_point now);
     bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
 
-    struct claimed_trial {
-        base::time_point ends; // before the lease of the key in the store
-        std::weak_ptr<const std::uint64_t> permit;
-
-        bool is_available(base::time_point now) const { return now < ends && permit.expired(); }
-    };
-
-    bool is_trial_deferred(std::uint64_t fingerprint, base::time_point now) const {
-        const auto deferred = m_trials_not_before.find(fingerprint);
-        return deferred != m_trials_not_before.end() && now < deferred->second;
+    base::duration trial_interval(std::uint64_t fingerprint, base::time_point now) const {
+        return steering::crash_history::trial_interval(m_history.unexcused_losses(fingerprint, now));
+    }
+    void defer_trial(std::uint64_t fingerprint, base::time_point now) {
+        m_trials.defer(fingerprint, now + trial_interval(fingerprint, now), now);
     }
-    // Whether other gateways may make trials of this fingerprint, according to the store.
-    bool is_claimed_in_store(std::uint64_t fingerprint, base::time_point now) const;
-    trial_permit permit_for(std::uint64_t fingerprint);
-    // The key that keeps gateways from trials may not be in the store yet, or not be written at all.
-    void defer_trial(std::uint64_t fingerprint, base::time_point now);
     void report_release(std::uint64_t fingerprint, std::string_view source);
     void report_quarantine(std::uint64_t fingerprint, quarantine_source source, base::time_point now);
 
     steering::crash_history m_history{{}};
     steering::answered_variants m_answered;       // by fingerprint
     std::unordered_set<std::uint64_t> m_unshared; // fingerprints with a loss that other gateways do not know
-    // Fingerprints of which the store has the key, and since when. Its removal may be learned late.
-    std::unordered_map<std::uint64_t, base::time_point> m_trial_keys;
-    std::unordered_map<std::uint64_t, claimed_trial> m_claimed_trials; // of this gateway, by fingerprint
-    std::unordered_map<std::uint64_t, base::time_point> m_trials_not_before; // fingerprints
+    trial_schedule m_trials;
     // Fingerprints that this gateway has published, and when. Some are not quarantined any more.
     std::unordered_map<std::uint64_t, base::time_point> m_own_quarantines;
     metrics::metric_registry& m_metrics;
