gateway: Count answers since a loss at all gateways together

Callers saw: with ten gateways and six callers, and a busy server that crashed each 1.5 or 1.9 s, nearly nothing was served from some seconds after the restart of all gateways on: a content was refused again and again, then for ten minutes. Cause: losses were counted at all gateways together, but eight answers had to come to one of them to clear them. With ten gateways the losses of some eighty answers added up, more than the answers before the first loss excuse. After a release the next loss counted again, whatever had been answered since. Change: notices and their replies also tell which variants were answered since the first loss or the release. Eight of them, at any gateways, clear the content; two excuse a loss. Content that servers answer is tried on and on, each 10 s. Tests that were changed: the notice after an answer has it twice; a notice has 40 counts at most, to fit into a packet.

--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -117,7 +117,8 @@
     lose_server(first);
     lose_server(second);
     m_guard.record_answer(second, now);
-    EXPECT_THAT(m_shared, ElementsAre(crash_count{10, 2, steering::set_of_variant(second.variant)}));
+    const auto answered = steering::set_of_variant(second.variant);
+    EXPECT_THAT(m_shared, ElementsAre(crash_count{10, 2, answered, false, answered}));
 }
 
 // Guards against a busy path that is refused to all callers, because three servers ended for other reasons.
@@ -256,6 +257,48 @@
     EXPECT_EQ(m_guard.reply_to({10, 2}, now), (crash_count{10, 2, set_of(30, 2)}));
 }
 
+// Guards against losses that add up while answers come to many gateways, a few to each.
+TEST_F(answered_content_test, answers_at_all_gateways_together_clear_the_content) {
+    lose_variants(2);
+    m_guard.share_loss({10, 20}, now);
+    m_guard.share_loss({10, 21}, now);
+    answer_variants(2);
+    m_shared.clear();
+    m_guard.merge({10, 2, 0, false, set_of(40, 5)}, quarantine_source::peer, now);
+    EXPECT_EQ(m_guard.losses(other, now).content, 2U);
+    m_guard.merge({10, 2, 0, false, set_of(44, 2)}, quarantine_source::peer, now);
+    EXPECT_EQ(m_guard.losses(other, now).content, 0U);
+    EXPECT_THAT(m_shared, ElementsAre(crash_count{10, 0}));
+}
+
+TEST_F(answered_content_test, a_gateway_that_has_lost_a_server_is_told_of_answers_since_the_first_loss) {
+    m_guard.merge({10, 1}, quarantine_source::peer, now);
+    answer_variants(1);
+    const auto answered = set_of(30, 1);
+    EXPECT_EQ(m_guard.reply_to({10, 2, answered}, now), (crash_count{10, 2, answered, false, answered}));
+    EXPECT_EQ(m_guard.reply_to({10, 2, answered, false, answered}, now), std::nullopt);
+}
+
+// Guards against released content that is refused again by each loss, whatever servers have answered since.
+TEST_F(answered_content_test, answers_since_the_release_excuse_losses) {
+    lose_variants(3);
+    m_guard.release({10, 3}, now);
+    answer_variants(2);
+    lose_server(first);
+    EXPECT_FALSE(is_quarantined(other));
+    lose_server(second);
+    EXPECT_TRUE(is_quarantined(other));
+}
+
+// Guards against content that is refused for ten minutes, because servers crashed in three trials, although
+// they have answered it.
+TEST_F(answered_content_test, content_that_servers_answer_is_tried_on_and_on) {
+    answer_variants(2);
+    lose_variants(12);
+    EXPECT_TRUE(is_quarantined(other));
+    EXPECT_EQ(m_guard.trial_interval(other, now), steering::crash_history::shortest_trial_interval);
+}
+
 // Guards against content that is released by a trial which began before the last server was lost.
 TEST_F(answered_content_test, a_trial_does_not_excuse_a_later_loss) {
     answer_variants(4);
--- a/Tests/gateway/crash_notices_test.cpp
+++ b/Tests/gateway/crash_notices_test.cpp
@@ -20,7 +20,7 @@
 
 TEST(crash_notice_codec_test, a_decoded_notice_equals_the_encoded_one) {
     const std::vector<crash_count> counts{
-        {0xfedcba9876543210U, 2, 0x8000000000000001U}, {1, 0}, {2, 3, 0, true}};
+        {0xfedcba9876543210U, 2, 0x8000000000000001U}, {1, 0}, {2, 3, 0, true, 0x4000000000000002U}};
     EXPECT_EQ(decode_crash_notice(bytes_of(encode_crash_notice(counts))), counts);
 }
 
@@ -34,7 +34,7 @@
 TEST(crash_notice_codec_test, the_largest_notice_fits_into_one_packet) {
     constexpr std::size_t packet_payload_bytes = 1472;
     const std::vector<crash_count> counts(crash_notices::maximum_counts,
-                                          {UINT64_MAX, UINT32_MAX, UINT64_MAX, true});
+                                          {UINT64_MAX, UINT32_MAX, UINT64_MAX, true, UINT64_MAX});
     EXPECT_LE(encode_crash_notice(counts).size(), packet_payload_bytes);
 }
 
@@ -98,12 +98,12 @@
 // Guards against a gateway that goes on telling the others less than it has learned.
 TEST_F(crash_notices_test, a_reply_is_sent_on_with_the_repeats_of_its_count) {
     m_recipients = {m_receiver.endpoint()};
-    m_reply = {{7, 1, 0b10}};
+    m_reply = {{7, 1, 0b10, false, 0b100}};
     m_sender.share({7, 1, 0b01});
     run_until([this] { return m_replies.size() == 1 && m_received.size() == 2; });
-    EXPECT_THAT(m_replies.front(), ElementsAre(crash_count{7, 1, 0b10}));
+    EXPECT_THAT(m_replies.front(), ElementsAre(crash_count{7, 1, 0b10, false, 0b100}));
     EXPECT_THAT(m_received.at(0), ElementsAre(crash_count{7, 1, 0b01}));
-    EXPECT_THAT(m_received.at(1), ElementsAre(crash_count{7, 1, 0b11}));
+    EXPECT_THAT(m_received.at(1), ElementsAre(crash_count{7, 1, 0b11, false, 0b100}));
 }
 
 TEST_F(crash_notices_test, other_datagrams_are_ignored) {
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -293,6 +293,34 @@
     EXPECT_EQ(fleet.executed_refused_bookings(), 0U);
 }
 
+// The same while servers go on ending, with answers that come to many gateways, a few to each, before and
+// after all of them were killed.
+TEST(crash_content_test, content_that_servers_answer_runs_on_at_many_gateways_while_servers_go_on_ending) {
+    constexpr std::size_t gateways = 10;
+    constexpr std::size_t ends = 16;
+    constexpr std::size_t answers_between = 3;
+    gateway_fleet fleet(gateway_fleet::crashing_booking, soak::server_stand_in::end_kind::reset_connections,
+                        gateways);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    std::size_t caller = 0;
+    for (int life = 0; life < 2; ++life) {
+        std::size_t served = 0;
+        for (std::size_t index = 0; index < ends; ++index) {
+            for (std::size_t answer = 0; answer < answers_between; ++answer) {
+                ++caller;
+                const auto status =
+                    fleet.send(caller % gateways, "POST", path, harmless_object(caller)).status;
+                served += status == 200 ? 1U : 0U;
+            }
+            ++caller;
+            fleet.send(caller % gateways, "POST", path, std::to_string(caller));
+            std::this_thread::sleep_for(resend_interval);
+        }
+        EXPECT_GE(served, ends * answers_between * 3 / 4) << "in life " << life;
+        fleet.restart_all_gateways();
+    }
+}
+
 // The same for a request that all callers send alike, so that there is a single variant of it.
 TEST(crash_content_test, a_request_that_servers_answer_is_not_refused_after_servers_ended_by_chance) {
     gateway_fleet fleet(gateway_fleet::crashing_booking);
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -91,7 +91,7 @@
         return now - item.second >= steering::crash_history_limits{}.expiry;
     });
     m_own_quarantines[fingerprint] = now;
-    m_publish({fingerprint, m_history.unexcused_losses(fingerprint, now), false});
+    m_publish({fingerprint, counted_losses(fingerprint, now), false});
 }
 
 void content_guard::end_quarantine(std::uint64_t fingerprint, base::time_point now) {
@@ -132,10 +132,12 @@
     if (is_idle()) {
         return false;
     }
-    const bool is_variant_cleared = record_answer_of(request.variant, 1);
+    const bool is_variant_cleared =
+        record_answer_of(request.variant, steering::set_of_variant(request_hash), 1, now);
     for (const auto group : request.groups()) {
         const bool is_only_lost_variant = is_variant_cleared && m_history.losses(group, now) == 1;
-        if (!record_answer_of(group, is_only_lost_variant ? 1 : answers_that_clear_content)) {
+        if (!record_answer_of(group, steering::set_of_variant(request.variant),
+                              is_only_lost_variant ? 1 : answers_that_clear_content, now)) {
             share_loss_of(group, now); // remains suspected, so that the other gateways must know
         }
     }
@@ -153,8 +155,14 @@
     }
 }
 
-bool content_guard::record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear) {
-    if (!m_history.record_answer(fingerprint, answers_that_clear)) {
+bool content_guard::record_answer_of(std::uint64_t fingerprint, steering::variant_set answered,
+                                     std::uint32_t answers_that_clear, base::time_point now) {
+    const bool was_quarantined = is_quarantined(fingerprint, now);
+    if (!m_history.record_answer(fingerprint, answers_that_clear) &&
+        !m_history.add_answers(fingerprint, answered, answers_that_clear, now)) {
+        if (was_quarantined && !is_quarantined(fingerprint, now)) {
+            end_quarantine(fingerprint, now);
+        }
         return false;
     }
     const bool was_shared = m_unshared.erase(fingerprint) == 0;
@@ -164,6 +172,15 @@
     return true;
 }
 
+std::uint32_t content_guard::counted_losses(std::uint64_t fingerprint, base::time_point now) const {
+    constexpr auto most_with_answers =
+        steering::crash_history::quarantine_losses + steering::crash_history::maximum_losses_in_trials - 1;
+    const auto losses = m_history.unexcused_losses(fingerprint, now);
+    const bool is_answered = steering::excused_losses(m_answered.find(fingerprint, now) |
+                                                      m_history.answered_since(fingerprint, now)) > 0;
+    return is_answered ? std::min(losses, most_with_answers) : losses;
+}
+
 std::optional<steering::crash_count> content_guard::trial_subject(const content_fingerprints& request,
                                                                   base::time_point now) const {
     const auto groups = request.groups();
@@ -190,7 +207,7 @@
                                              base::time_point now) const {
     std::uint32_t losses = 0;
     for (const auto fingerprint : request.all()) {
-        losses = std::max(losses, m_history.unexcused_losses(fingerprint, now));
+        losses = std::max(losses, counted_losses(fingerprint, now));
     }
     return steering::crash_history::trial_interval(losses);
 }
@@ -240,13 +257,16 @@
 
 std::optional<steering::crash_count> content_guard::reply_to(const steering::crash_count& received,
                                                              base::time_point now) const {
-    const auto answered = m_answered.find(received.fingerprint, now);
-    const bool tells_more = (answered & ~received.answered) != 0;
-    if (!tells_more || received.is_released || steering::excuses_most(received.answered) ||
-        received.losses <= m_history.losses(received.fingerprint, now)) {
+    const auto known = count_of(received.fingerprint, now);
+    const bool tells_more =
+        (known.answered & ~received.answered) != 0 && !steering::excuses_most(received.answered);
+    const bool tells_more_since = (known.answered_since & ~received.answered_since) != 0;
+    const bool is_new = received.losses > known.losses && !received.is_released;
+    if (!is_new || !(tells_more || tells_more_since)) {
         return std::nullopt;
     }
-    return steering::crash_count{received.fingerprint, received.losses, answered};
+    return steering::crash_count{received.fingerprint, received.losses, known.answered, false,
+                                 known.answered_since};
 }
 
 void content_guard::merge(const steering::crash_count& received, quarantine_source source,
@@ -263,6 +283,11 @@
     }
     m_history.merge(received, now);
     excuse_losses(received.fingerprint, now);
+    const bool is_cleared =
+        m_history.add_answers(received.fingerprint, received.answered_since, answers_that_clear_content, now);
+    if (is_cleared && received.losses == known_losses) { // replies to this gateway have told enough
+        m_share({received.fingerprint, 0});
+    }
     if (source == quarantine_source::peer && received.losses > known_losses) {
         defer_trial(received.fingerprint, now);
     }
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -129,7 +129,8 @@
     void share_loss_of(std::uint64_t fingerprint, base::time_point now);
     // The losses and the answers that are known of a content or a variant.
     steering::crash_count count_of(std::uint64_t fingerprint, base::time_point now) const {
-        return {fingerprint, m_history.losses(fingerprint, now), m_answered.find(fingerprint, now)};
+        return {fingerprint, m_history.losses(fingerprint, now), m_answered.find(fingerprint, now), false,
+                m_history.answered_since(fingerprint, now)};
     }
     bool is_quarantined(std::uint64_t fingerprint, base::time_point now) const {
         return m_history.suspicion(fingerprint, now) == steering::crash_suspicion::quarantined;
@@ -145,10 +146,13 @@
     void end_quarantine(std::uint64_t fingerprint, base::time_point now);
     // Adds an answer to those of a content or a variant.
     void record_answered(std::uint64_t fingerprint, std::uint64_t answered, base::time_point now);
-    bool record_answer_of(std::uint64_t fingerprint, std::uint32_t answers_that_clear);
+    bool record_answer_of(std::uint64_t fingerprint, steering::variant_set answered,
+                          std::uint32_t answers_that_clear, base::time_point now);
+    // Losses that count for the intervals of trials. Content that servers answer is tried on and on.
+    std::uint32_t counted_losses(std::uint64_t fingerprint, base::time_point now) const;
 
     base::duration trial_interval(std::uint64_t fingerprint, base::time_point now) const {
-        return steering::crash_history::trial_interval(m_history.unexcused_losses(fingerprint, now));
+        return steering::crash_history::trial_interval(counted_losses(fingerprint, now));
     }
     void defer_trial(std::uint64_t fingerprint, base::time_point now) {
         m_trials.defer(fingerprint, now + trial_interval(fingerprint, now), now);
--- a/carawayway/gateway/crash_notice_codec.cpp
+++ b/carawayway/gateway/crash_notice_codec.cpp
@@ -9,6 +9,16 @@
 
 namespace schema = carawayway::wire::relay;
 
+namespace {
+
+// Gateways of older builds do not send all lists.
+template <class Vector>
+std::uint64_t element_or_zero(const Vector* list, std::uint32_t index) {
+    return list == nullptr || index >= list->size() ? 0 : list->Get(index);
+}
+
+} // namespace
+
 std::string encode_crash_notice(std::span<const steering::crash_count> counts) {
     std::vector<schema::CrashCount> items;
     items.reserve(counts.size());
@@ -17,15 +27,16 @@
                        return schema::CrashCount(count.fingerprint, count.losses);
                    });
     std::vector<std::uint64_t> answered;
-    answered.reserve(counts.size());
-    std::transform(counts.begin(), counts.end(), std::back_inserter(answered),
-                   [](const steering::crash_count& count) { return count.answered; });
     std::vector<std::uint8_t> released;
-    released.reserve(counts.size());
-    std::transform(counts.begin(), counts.end(), std::back_inserter(released),
-                   [](const steering::crash_count& count) { return count.is_released ? 1U : 0U; });
+    std::vector<std::uint64_t> answered_since;
+    for (const auto& count : counts) {
+        answered.push_back(count.answered);
+        released.push_back(count.is_released ? 1U : 0U);
+        answered_since.push_back(count.answered_since);
+    }
     flatbuffers::FlatBufferBuilder builder;
-    const auto notice = schema::CreateCrashNoticeDirect(builder, &items, &answered, &released);
+    const auto notice =
+        schema::CreateCrashNoticeDirect(builder, &items, &answered, &released, &answered_since);
     builder.Finish(schema::CreateMessage(builder, schema::Body::CrashNotice, notice.Union()));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -44,18 +55,13 @@
     for (const auto* const item : *notice->counts()) {
         counts.push_back({item->fingerprint(), item->losses()});
     }
-    // Gateways of older builds do not tell.
     const auto* const answered = notice->answered();
-    for (std::uint32_t index = 0; answered != nullptr && index < answered->size(); ++index) {
-        if (index < counts.size()) {
-            counts[index].answered = answered->Get(index);
-        }
-    }
     const auto* const released = notice->released();
-    for (std::uint32_t index = 0; released != nullptr && index < released->size(); ++index) {
-        if (index < counts.size()) {
-            counts[index].is_released = released->Get(index) != 0;
-        }
+    const auto* const answered_since = notice->answered_since();
+    for (std::uint32_t index = 0; index < counts.size(); ++index) {
+        counts[index].answered = element_or_zero(answered, index);
+        counts[index].is_released = element_or_zero(released, index) != 0;
+        counts[index].answered_since = element_or_zero(answered_since, index);
     }
     return counts;
 }
--- a/carawayway/gateway/crash_notices.cpp
+++ b/carawayway/gateway/crash_notices.cpp
@@ -67,6 +67,7 @@
         const auto scheduled = m_scheduled.find(count.fingerprint);
         if (scheduled != m_scheduled.end() && scheduled->second.count.losses > 0) {
             scheduled->second.count.answered |= count.answered;
+            scheduled->second.count.answered_since |= count.answered_since;
         }
     }
     const auto reply = m_on_counts(counts);
--- a/carawayway/gateway/crash_notices.hpp
+++ b/carawayway/gateway/crash_notices.hpp
@@ -24,7 +24,7 @@
     static constexpr std::array<base::duration, 3> send_times{
         std::chrono::milliseconds{0}, std::chrono::milliseconds{300}, std::chrono::milliseconds{1500}};
     // Counts in one datagram, which then fits into one packet.
-    static constexpr std::size_t maximum_counts = 48;
+    static constexpr std::size_t maximum_counts = 40;
     // Contents that are waiting to be sent. If many servers are lost at once, some contents are not shared.
     static constexpr std::size_t maximum_scheduled = 512;
 
--- a/carawayway/steering/crash_history.cpp
+++ b/carawayway/steering/crash_history.cpp
@@ -2,6 +2,7 @@
 #include "carawayway/steering/crash_history.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 
 namespace carawayway::steering {
@@ -51,6 +52,27 @@
     return true;
 }
 
+bool crash_history::add_answers(std::uint64_t fingerprint, variant_set answered,
+                                std::uint32_t answers_that_clear, base::time_point now) {
+    if (find_unexpired(fingerprint, now) == nullptr) {
+        return false;
+    }
+    auto& known = m_records.at(fingerprint);
+    known.answered_since |= answered;
+    const bool is_cleared =
+        !known.is_quarantined() &&
+        static_cast<std::uint32_t>(std::popcount(known.answered_since)) >= answers_that_clear;
+    if (is_cleared) {
+        m_records.erase(fingerprint);
+    }
+    return is_cleared;
+}
+
+variant_set crash_history::answered_since(std::uint64_t fingerprint, base::time_point now) const {
+    const auto* const known = find_unexpired(fingerprint, now);
+    return known == nullptr ? 0 : known->answered_since;
+}
+
 base::duration crash_history::trial_interval(std::uint32_t unexcused_losses) {
     return unexcused_losses < quarantine_losses + maximum_losses_in_trials ? shortest_trial_interval
                                                                            : crash_history_limits{}.expiry;
@@ -73,6 +95,8 @@
     if (is_lifted) {
         found->second.is_released = true;
         found->second.answers = 0;
+        found->second.excused_before_release += excused_losses(found->second.answered_since);
+        found->second.answered_since = 0;
     }
     return is_lifted;
 }
--- a/carawayway/steering/crash_history.hpp
+++ b/carawayway/steering/crash_history.hpp
@@ -17,9 +17,10 @@
 struct crash_count {
     std::uint64_t fingerprint = 0;
     std::uint32_t losses = 0;
-    variant_set answered = 0; // none in a message of an older gateway
+    variant_set answered = 0; // in the last ten minutes; none in a message of an older gateway
     // A server has answered a trial: the content may run again if it has no more losses without an excuse.
     bool is_released = false;
+    variant_set answered_since = 0; // since the first loss or the release
 
     bool operator==(const crash_count&) const = default;
 };
@@ -77,7 +78,15 @@
     // since its first loss or its release; returns whether it was. Quarantine is not lifted.
     bool record_answer(std::uint64_t fingerprint, std::uint32_t answers_that_clear = 1);
 
-    // Excuses this many losses of known content, or as many as before if that is more.
+    // The same for answers at all gateways: suspected content is cleared by this many variants. They also
+    // excuse losses, and can end a quarantine by that.
+    bool add_answers(std::uint64_t fingerprint, variant_set answered, std::uint32_t answers_that_clear,
+                     base::time_point now);
+    // Answered since the first loss or the release.
+    variant_set answered_since(std::uint64_t fingerprint, base::time_point now) const;
+
+    // Excuses this many losses of known content, or as many as before if that is more, beside those that are
+    // excused by answers since the first one.
     void excuse(std::uint64_t fingerprint, std::uint32_t excused, base::time_point now);
 
     // Lifts the quarantine of content that has no more than these losses without an excuse. It stays
@@ -91,11 +100,16 @@
 private:
     struct record {
         std::uint32_t losses = 0;  // at least 1, at most maximum_losses
-        std::uint32_t excused = 0; // may be more than the losses
-        std::uint32_t answers = 0; // since the first loss or the release
-        bool is_released = false;  // only with quarantine_losses or more
-
-        std::uint32_t unexcused() const { return losses - std::min(losses, excused); }
+        std::uint32_t excused = 0; // by answers before the first loss
+        std::uint32_t excused_before_release = 0;
+        std::uint32_t answers = 0;      // at this gateway, since the first loss or the release
+        variant_set answered_since = 0; // at all gateways, since the first loss or the release
+        bool is_released = false;       // only with quarantine_losses or more
+
+        std::uint32_t unexcused() const {
+            const auto all_excused = excused + excused_before_release + excused_losses(answered_since);
+            return losses - std::min(losses, all_excused);
+        }
         bool is_quarantined() const { return unexcused() >= quarantine_losses && !is_released; }
         base::time_point expires;
     };
--- a/carawayway/wire/relay_generated.h
+++ b/carawayway/wire/relay_generated.h
@@ -531,7 +531,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_COUNTS = 4,
     VT_ANSWERED = 6,
-    VT_RELEASED = 8
+    VT_RELEASED = 8,
+    VT_ANSWERED_SINCE = 10
   };
   const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *counts() const {
     return GetPointer<const flatbuffers::Vector<const carawayway::wire::relay::CrashCount *> *>(VT_COUNTS);
@@ -542,6 +543,9 @@
   const flatbuffers::Vector<uint8_t> *released() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RELEASED);
   }
+  const flatbuffers::Vector<uint64_t> *answered_since() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ANSWERED_SINCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COUNTS) &&
@@ -550,6 +554,8 @@
            verifier.VerifyVector(answered()) &&
            VerifyOffset(verifier, VT_RELEASED) &&
            verifier.VerifyVector(released()) &&
+           VerifyOffset(verifier, VT_ANSWERED_SINCE) &&
+           verifier.VerifyVector(answered_since()) &&
            verifier.EndTable();
   }
 };
@@ -567,6 +573,9 @@
   void add_released(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> released) {
     fbb_.AddOffset(CrashNotice::VT_RELEASED, released);
   }
+  void add_answered_since(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_since) {
+    fbb_.AddOffset(CrashNotice::VT_ANSWERED_SINCE, answered_since);
+  }
   explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -583,8 +592,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const carawayway::wire::relay::CrashCount *>> counts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> released = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> released = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_since = 0) {
   CrashNoticeBuilder builder_(_fbb);
+  builder_.add_answered_since(answered_since);
   builder_.add_released(released);
   builder_.add_answered(answered);
   builder_.add_counts(counts);
@@ -600,15 +611,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<carawayway::wire::relay::CrashCount> *counts = nullptr,
     const std::vector<uint64_t> *answered = nullptr,
-    const std::vector<uint8_t> *released = nullptr) {
+    const std::vector<uint8_t> *released = nullptr,
+    const std::vector<uint64_t> *answered_since = nullptr) {
   auto counts__ = counts ? _fbb.CreateVectorOfStructs<carawayway::wire::relay::CrashCount>(*counts) : 0;
   auto answered__ = answered ? _fbb.CreateVector<uint64_t>(*answered) : 0;
   auto released__ = released ? _fbb.CreateVector<uint8_t>(*released) : 0;
+  auto answered_since__ = answered_since ? _fbb.CreateVector<uint64_t>(*answered_since) : 0;
   return carawayway::wire::relay::CreateCrashNotice(
       _fbb,
       counts__,
       answered__,
-      released__);
+      released__,
+      answered_since__);
 }
 
 struct UsageReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
