gateway: Try quarantined content without the store, one gateway after the other

Change: if the store does not answer a claim, the gateways take turns of one second, in the order of their rendezvous rank for the fingerprint, counted from the first claim without an answer. A claim that the store refuses because another gateway has it is no turn. Tests that were changed: no trial without an answer of the store is now expected of a gateway whose turn it is not.

--- a/Tests/gateway/quarantine_trials_test.cpp
+++ b/Tests/gateway/quarantine_trials_test.cpp
@@ -36,7 +36,9 @@
                                                                             R"({"lease":5,"ttlMs":10000})"};
                            },
                            [](const std::string&) {}};
-    quarantine_trials<platform::protocol> m_trials{m_context.get_executor(), m_store.endpoint(), "g-1"};
+    std::size_t m_rank = 1;
+    quarantine_trials<platform::protocol> m_trials{m_context.get_executor(), m_store.endpoint(), "g-1",
+                                                   [this](std::string_view) { return m_rank; }};
 };
 
 TEST_F(quarantine_trials_test, a_trial_is_claimed_with_a_key_under_a_lease) {
@@ -57,6 +59,20 @@
     EXPECT_THAT(m_calls, ElementsAre("/kv-lease", "/kv-txn", "/kv-lease-end/5"));
 }
 
+// Guards against content that stays refused while the store is away.
+TEST_F(quarantine_trials_test, without_the_store_the_first_gateway_makes_the_trial) {
+    m_transaction_answer = {store_reaction::close, {}};
+    m_rank = 0;
+    EXPECT_TRUE(is_claimed());
+}
+
+// Guards against several gateways that try the same content at the same time.
+TEST_F(quarantine_trials_test, the_first_gateway_makes_no_trial_that_another_one_has_claimed) {
+    m_transaction_answer = {store_reaction::answer, R"({"items":[]})", {}, boost::beast::http::status{412}};
+    m_rank = 0;
+    EXPECT_FALSE(is_claimed());
+}
+
 // Guards against a call to the store for each request that is refused.
 TEST_F(quarantine_trials_test, claims_are_made_one_at_a_time_and_with_a_pause) {
     bool is_done = false;
--- a/carawayway/gateway/gateway_instance.hpp
+++ b/carawayway/gateway/gateway_instance.hpp
@@ -77,7 +77,8 @@
           m_quarantine_publisher(m_context.get_executor(), endpoint_of(m_settings.store_address),
                                  m_settings.name),
           m_quarantine_trials(m_context.get_executor(), endpoint_of(m_settings.store_address),
-                              m_settings.name),
+                              m_settings.name,
+                              [this](std::string_view fingerprint) { return trial_rank(fingerprint); }),
           m_permit_session(m_context.get_executor(), endpoint_of(m_settings.store_address), m_state.servers),
           m_applier(m_state, [this] { m_store_session.handle_registration_loss(); }),
           m_store_session(
@@ -323,6 +324,15 @@
         return {address.address(), address.port()};
     }
 
+    std::size_t trial_rank(std::string_view fingerprint) const {
+        const auto others = m_state.servers.gateways().others_that_may_run(base::monotonic_now());
+        const auto own = base::rendezvous_rank(fingerprint, m_settings.name);
+        return static_cast<std::size_t>(
+            std::count_if(others.begin(), others.end(), [&](const fleet::gateway_registration& other) {
+                return base::rendezvous_rank(fingerprint, other.name) > own;
+            }));
+    }
+
     std::vector<boost::asio::ip::udp::endpoint> notice_recipients() const {
         std::vector<boost::asio::ip::udp::endpoint> recipients;
         const auto& gateways = m_state.servers.gateways();
