--- a/Tests/gateway/content_guard_test.cpp
+++ b/Tests/gateway/content_guard_test.cpp
@@ -32,11 +32,14 @@
 
     metrics::metric_registry m_metrics{10};
     std::vector<crash_count> m_shared;
-    std::vector<quarantine_change> m_published;
+    std::vector<quarantine_change> m_published; // without those that tell only of answers
+    std::vector<quarantine_change> m_published_answers;
     std::vector<crash_count> m_claimed;
     std::function<void(bool is_claimed)> m_finish_claim; // of the last claim
     content_guard m_guard{m_metrics, [this](const crash_count& count) { m_shared.push_back(count); },
-                          [this](const quarantine_change& change) { m_published.push_back(change); },
+                          [this](const quarantine_change& change) {
+                              (change.answered == 0 ? m_published : m_published_answers).push_back(change);
+                          },
                           [this](const crash_count& subject, std::function<void(bool)> done) {
                               m_claimed.push_back(subject);
                               m_finish_claim = std::move(done);
@@ -279,6 +282,27 @@
     EXPECT_EQ(m_guard.reply_to({10, 2, answered, false, answered}, now), std::nullopt);
 }
 
+// Guards against gateways that start after all were killed, and take for harmful what servers have answered.
+TEST_F(answered_content_test, answers_that_excuse_losses_are_published_for_gateways_that_start_later) {
+    answer_variants(1);
+    lose_variants(1);
+    EXPECT_THAT(m_published_answers, IsEmpty()) << "it excuses nothing";
+    answer_variants(4);
+    lose_server(first);
+    lose_server(second);
+    EXPECT_THAT(m_published_answers, ElementsAre(quarantine_change{10, 0, false, set_of(30, 4)}));
+    m_guard.merge({10, 3, set_of(40, 4)}, quarantine_source::peer, now);
+    EXPECT_EQ(m_published_answers.back(), (quarantine_change{10, 0, false, set_of(30, 4) | set_of(40, 4)}))
+        << "told in a reply";
+    content_guard later{m_metrics, [](const crash_count&) {}, [](const quarantine_change&) {},
+                        [](const crash_count&, const std::function<void(bool)>&) { return false; }};
+    later.apply_answers(10, set_of(30, 4), now);
+    for (std::uint64_t variant = 20; variant < 24; ++variant) {
+        later.record_loss({10, variant}, later.losses({10, variant}, now), now);
+    }
+    EXPECT_EQ(later.quarantine_left(other, now), base::duration::zero());
+}
+
 // Guards against released content that is refused again by each loss, whatever servers have answered since.
 TEST_F(answered_content_test, answers_since_the_release_excuse_losses) {
     lose_variants(3);
--- a/Tests/gateway/quarantine_publisher_test.cpp
+++ b/Tests/gateway/quarantine_publisher_test.cpp
@@ -49,6 +49,10 @@
     EXPECT_THAT(publish({7, 3, true}), ElementsAre("/kv-lease", "/kv-txn"));
 }
 
+TEST_F(quarantine_publisher_test, answers_are_written_under_a_lease) {
+    EXPECT_THAT(publish({7, 0, false, 0b11}), ElementsAre("/kv-lease", "/kv-txn"));
+}
+
 // Guards against a quarantine that gateways which start later do not learn, because one call failed.
 TEST_F(quarantine_publisher_test, a_write_without_an_answer_is_repeated) {
     m_reactions = {store_reaction::close,  store_reaction::answer, store_reaction::close,
--- a/Tests/gateway_processes/crash_content_test.cpp
+++ b/Tests/gateway_processes/crash_content_test.cpp
@@ -321,6 +321,49 @@
     }
 }
 
+// Guards against gateways that start after all were killed, and do not know what servers have answered.
+TEST(crash_content_test, content_that_servers_answered_is_not_refused_after_a_restart) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    constexpr std::size_t answers_before = 12;
+    std::size_t caller = 0;
+    const auto is_served = [&] {
+        ++caller;
+        return fleet.send(caller % fleet.gateway_count(), "POST", path, harmless_object(caller)).status ==
+               200;
+    };
+    for (std::size_t index = 0; index < answers_before; ++index) {
+        EXPECT_TRUE(is_served());
+    }
+    fleet.send(0, "POST", path, "first");
+    EXPECT_TRUE(test_support::wait_until([&] { return fleet.store_keys("carawayway/answers/") == 1; }));
+    fleet.restart_all_gateways();
+    for (std::size_t index = 0; index < servers_until_known + 1; ++index) {
+        fleet.send(index % fleet.gateway_count(), "POST", path, std::to_string(index));
+        std::this_thread::sleep_for(resend_interval);
+    }
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        EXPECT_TRUE(is_served());
+    }
+}
+
+// Guards against content that stays refused while the store is away.
+TEST(crash_content_test, content_runs_again_while_the_store_is_away) {
+    gateway_fleet fleet(gateway_fleet::crashing_booking);
+    const std::string path = std::string(gateway_fleet::crashing_booking) + "7";
+    quarantine_content(fleet, "POST", path);
+    fleet.set_store_fault(soak::store_fault::unavailable);
+    std::size_t caller = 0;
+    for (std::size_t gateway = 0; gateway < fleet.gateway_count(); ++gateway) {
+        EXPECT_TRUE(test_support::wait_until([&] {
+            ++caller;
+            return fleet.send(gateway, "POST", path, harmless_object(caller)).status == 200;
+        })) << "gateway "
+            << gateway;
+    }
+    EXPECT_EQ(fleet.ended_servers(), servers_until_known);
+}
+
 // The same for a request that all callers send alike, so that there is a single variant of it.
 TEST(crash_content_test, a_request_that_servers_answer_is_not_refused_after_servers_ended_by_chance) {
     gateway_fleet fleet(gateway_fleet::crashing_booking);
--- a/Tests/platform/store_records_test.cpp
+++ b/Tests/platform/store_records_test.cpp
@@ -289,6 +289,19 @@
     EXPECT_EQ(protocol::read_quarantine("7", "{"), std::nullopt);
 }
 
+TEST(answers_record, it_is_read_back) {
+    const auto call = protocol::answers_call({"0123456789abcdef", "g", 0x8000000000000001U}, 42);
+    EXPECT_THAT(call.body, testing::HasSubstr(R"("key":"carawayway/answers/0123456789abcdef")"));
+    EXPECT_THAT(call.body, testing::HasSubstr(R"("lease":42)"));
+    EXPECT_EQ(protocol::subject_of("carawayway/answers/0123456789abcdef"),
+              (fleet::store_key_subject{store_key_kind::answered_content, "0123456789abcdef"}));
+    EXPECT_EQ(protocol::read_answers("7", R"({"recordedBy":"g","variants":"8000000000000001"})"),
+              (fleet::answered_content{"7", "g", 0x8000000000000001U}));
+    for (const auto* const value : {"{", "{}", R"({"variants":"1"})", R"({"variants":1})"}) {
+        EXPECT_EQ(protocol::read_answers("7", value), std::nullopt) << value;
+    }
+}
+
 TEST(permit_record, a_claim_holds_only_if_the_key_is_unchanged) {
     const fleet::request_permit permit{"i-1", 5, "r", 3, "g", "s", 7.5, false};
     const auto call = protocol::claim_call({permit, 9}, 42);
--- a/carawayway/fleet/store_messages.hpp
+++ b/carawayway/fleet/store_messages.hpp
@@ -63,14 +63,15 @@
     gateway,
     quarantine,
     quarantine_trial,
+    answered_content,
     permit
 };
 
 // What a key is about.
 struct store_key_subject {
     store_key_kind kind = store_key_kind::other;
-    // Of the server, failure domain or gateway; the fingerprint of quarantined content, also for its trial;
-    // SERVER/NUMBER of a permit.
+    // Of the server, failure domain or gateway; the fingerprint of quarantined or answered content, also for
+    // its trial; SERVER/NUMBER of a permit.
     std::string name;
 
     bool operator==(const store_key_subject&) const = default;
--- a/carawayway/gateway/content_guard.cpp
+++ b/carawayway/gateway/content_guard.cpp
@@ -78,7 +78,10 @@
         defer_trial(fingerprint, now);
         share_loss_of(fingerprint, now);
         publish_quarantine(fingerprint, now);
-    } else if (losses_after >= steering::crash_history::quarantine_losses) {
+        return;
+    }
+    publish_answers(fingerprint, now);
+    if (losses_after >= steering::crash_history::quarantine_losses) {
         base::log(base::log_level::info, "content-losses-excused",
                   {{"content", gateway::to_text(fingerprint)},
                    {"losses", losses_after},
@@ -94,6 +97,28 @@
     m_publish({fingerprint, counted_losses(fingerprint, now), false});
 }
 
+void content_guard::publish_answers(std::uint64_t fingerprint, base::time_point now) {
+    std::erase_if(m_published_answers,
+                  [now](const auto& item) { return now - item.second.since >= answers_renewal; });
+    const auto answered = m_answered.find(fingerprint, now);
+    auto& published = m_published_answers[fingerprint];
+    if (steering::excused_losses(answered) > steering::excused_losses(published.answered)) {
+        published = {answered, now, true};
+        m_publish({fingerprint, 0, false, answered});
+    }
+}
+
+void content_guard::apply_answers(std::uint64_t fingerprint, steering::variant_set answered,
+                                  base::time_point now) {
+    m_published_answers[fingerprint] = {answered, now, false};
+    const bool was_quarantined = is_quarantined(fingerprint, now);
+    m_answered.merge(fingerprint, answered, now);
+    excuse_losses(fingerprint, now);
+    if (was_quarantined && !is_quarantined(fingerprint, now)) {
+        end_quarantine(fingerprint, now);
+    }
+}
+
 void content_guard::end_quarantine(std::uint64_t fingerprint, base::time_point now) {
     report_release(fingerprint, "answers");
     if (m_own_quarantines.contains(fingerprint)) {
@@ -285,6 +310,10 @@
     excuse_losses(received.fingerprint, now);
     const bool is_cleared =
         m_history.add_answers(received.fingerprint, received.answered_since, answers_that_clear_content, now);
+    const auto published = m_published_answers.find(received.fingerprint);
+    if (published != m_published_answers.end() && published->second.is_own) {
+        publish_answers(received.fingerprint, now);
+    }
     if (is_cleared && received.losses == known_losses) { // replies to this gateway have told enough
         m_share({received.fingerprint, 0});
     }
--- a/carawayway/gateway/content_guard.hpp
+++ b/carawayway/gateway/content_guard.hpp
@@ -23,12 +23,14 @@
 // Where a gateway learned that content is quarantined.
 enum class quarantine_source : std::uint8_t { own_loss, peer, store };
 
-// The quarantine of one content or variant, or its end.
+// The quarantine of one content or variant, or its end, or what keeps it from quarantine.
 struct quarantine_change {
     std::uint64_t fingerprint = 0;
     // Without an excuse; 0 in the records of older gateways, which write no key for the trial either.
     std::uint32_t losses = 0;
     bool is_released = false; // after a good answer
+    // If not empty, the change tells only of these answers to content that is not quarantined.
+    steering::variant_set answered = 0;
 
     bool operator==(const quarantine_change&) const = default;
 };
@@ -60,6 +62,9 @@
     // all would delay other requests.
     static constexpr std::size_t maximum_body_hashed_in_calm = 4U << 10U;
 
+    // Answers are written again after this part of the lifetime of their key.
+    static constexpr base::duration answers_renewal = steering::crash_history_limits{}.expiry / 2;
+
     // Tells the other gateways; they may miss it.
     using share_function = std::function<void(const steering::crash_count&)>;
     // Writes the change to the store, for all gateways and those that start later.
@@ -105,6 +110,8 @@
     void release_others(const content_fingerprints& request, base::time_point now);
     // Applies the change that another gateway has written to the store.
     void apply(const quarantine_change& change, base::time_point now);
+    // The same for answers.
+    void apply_answers(std::uint64_t fingerprint, steering::variant_set answered, base::time_point now);
 
     // Records a server that was lost with this request, without telling other gateways unless the request is
     // quarantined by it. `losses_when_sent` is the value of losses() when the request was sent.
@@ -140,6 +147,8 @@
         m_history.excuse(fingerprint, steering::excused_losses(m_answered.find(fingerprint, now)), now);
     }
     void publish_quarantine(std::uint64_t fingerprint, base::time_point now);
+    // Gateways that start later have to know of answers that excuse losses.
+    void publish_answers(std::uint64_t fingerprint, base::time_point now);
     // Tells the others, also while the store is away, and those that start later.
     void publish_release(std::uint64_t fingerprint, base::time_point now);
     // The losses of what was quarantined are excused.
@@ -166,6 +175,12 @@
     trial_schedule m_trials;
     // Fingerprints that this gateway has published, and when. Some are not quarantined any more.
     std::unordered_map<std::uint64_t, base::time_point> m_own_quarantines;
+    struct published_answers {
+        steering::variant_set answered = 0;
+        base::time_point since;
+        bool is_own = false; // written by this gateway, which writes again what it learns from replies
+    };
+    std::unordered_map<std::uint64_t, published_answers> m_published_answers; // by fingerprint
     metrics::metric_registry& m_metrics;
     share_function m_share;
     publish_function m_publish;
--- a/carawayway/gateway/quarantine_publisher.hpp
+++ b/carawayway/gateway/quarantine_publisher.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <bit>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -62,6 +63,10 @@
         return base::monotonic_now() - item.since >= key_lifetime;
     }
 
+    static bool replaces(const quarantine_change& later, const quarantine_change& earlier) {
+        return later.fingerprint == earlier.fingerprint && (later.answered != 0) == (earlier.answered != 0);
+    }
+
     void publish(const pending_change& item) {
         if (m_pending.size() >= maximum_pending) {
             base::log(base::log_level::warning, "quarantine-not-published",
@@ -80,7 +85,7 @@
             const bool written = co_await write(item.change);
             if (written) {
                 std::erase_if(m_published, [&item](const pending_change& earlier) {
-                    return is_over(earlier) || earlier.change.fingerprint == item.change.fingerprint;
+                    return is_over(earlier) || replaces(item.change, earlier.change);
                 });
                 m_published.push_back(item);
             }
@@ -89,7 +94,8 @@
                           written ? "quarantine-published" : "quarantine-not-published",
                           {{"content", to_text(item.change.fingerprint)},
                            {"losses", item.change.losses},
-                           {"released", item.change.is_released}});
+                           {"released", item.change.is_released},
+                           {"answers", std::popcount(item.change.answered)}});
                 m_pending.pop_front();
                 continue;
             }
@@ -105,7 +111,20 @@
         co_return granted ? Platform::read_lease(granted->status, granted->body) : fleet::store_lease{};
     }
 
+    boost::asio::awaitable<bool> write_answers(quarantine_change change) {
+        const auto lease = co_await grant(key_lifetime);
+        if (lease.status != fleet::store_status::done) {
+            co_return false;
+        }
+        const fleet::answered_content record{to_text(change.fingerprint), m_gateway, change.answered};
+        const auto written = co_await m_channel.call(Platform::answers_call(record, lease.id), call_timeout);
+        co_return written&& Platform::read_status(written->status) == fleet::store_status::done;
+    }
+
     boost::asio::awaitable<bool> write(quarantine_change change) {
+        if (change.answered != 0) {
+            co_return co_await write_answers(change);
+        }
         const auto lease = co_await grant(key_lifetime);
         fleet::store_lease trial_lease{fleet::store_status::done}; // none
         if (lease.status == fleet::store_status::done && !change.is_released) {
@@ -126,7 +145,7 @@
     store_channel m_channel;
     boost::asio::steady_timer m_retry_timer;
     std::deque<pending_change> m_pending;    // the first one is being written
-    std::vector<pending_change> m_published; // by this gateway: the last of each fingerprint that is not over
+    std::vector<pending_change> m_published; // by this gateway: the last of each key that is not over
 };
 
 } // namespace carawayway::gateway
--- a/carawayway/gateway/record_applier.hpp
+++ b/carawayway/gateway/record_applier.hpp
@@ -44,6 +44,9 @@
             case fleet::store_key_kind::quarantine:
                 apply_quarantine(subject.name, record, now);
                 break;
+            case fleet::store_key_kind::answered_content:
+                apply_answers(subject.name, record, now);
+                break;
             case fleet::store_key_kind::permit:
                 apply_permit(subject.name, record, now);
                 break;
@@ -199,6 +202,21 @@
         }
     }
 
+    // A key that disappears ends nothing, as for a quarantine.
+    void apply_answers(const std::string& name, const fleet::store_record& record, base::time_point now) {
+        if (record.erased) {
+            return;
+        }
+        const auto fingerprint = fingerprint_from_text(name);
+        const auto answers = Platform::read_answers(name, record.value);
+        if (!fingerprint || !answers) {
+            base::log(base::log_level::warning, "answers-invalid",
+                      {{"content", name}, {"revision", record.revision}});
+            return;
+        }
+        m_state.guard.apply_answers(*fingerprint, answers->variants, now);
+    }
+
     void apply_permit(const std::string& name, const fleet::store_record& record, base::time_point now) {
         const auto key = Platform::read_permit_key(name);
         const auto permit = key && !record.erased ? Platform::read_permit(*key, record.value) : std::nullopt;
--- a/carawayway/gateway/wire_types.hpp
+++ b/carawayway/gateway/wire_types.hpp
@@ -3,6 +3,7 @@
 
 #include "carawayway/accounts/quota_bucket.hpp"
 #include "carawayway/base/time.hpp"
+#include "carawayway/fleet/answered_content.hpp"
 #include "carawayway/fleet/content_quarantine.hpp"
 #include "carawayway/fleet/registrations.hpp"
 #include "carawayway/fleet/store_messages.hpp"
@@ -107,7 +108,8 @@
                                      const std::vector<std::string>& addresses,
                                      const fleet::permit_key& permit_key, const fleet::permit_claim& claim,
                                      const fleet::permit_release& release,
-                                     const fleet::content_quarantine& quarantine) {
+                                     const fleet::content_quarantine& quarantine,
+                                     const fleet::answered_content& answered) {
     { Platform::read_bounds(text) } -> std::same_as<std::optional<platform_bounds>>;
 
     // Callers and servers.
@@ -130,6 +132,7 @@
     { Platform::revoke_call(number) } -> std::same_as<fleet::store_call>;
     { Platform::register_call(own, number) } -> std::same_as<fleet::store_call>;                  // lease
     { Platform::quarantine_call(quarantine, number, number) } -> std::same_as<fleet::store_call>; // leases
+    { Platform::answers_call(answered, number) } -> std::same_as<fleet::store_call>;              // lease
     // Fingerprint of the content, name of this gateway, lease.
     { Platform::claim_trial_call(text, text, number) } -> std::same_as<fleet::store_call>;
     { Platform::claim_call(claim, number) } -> std::same_as<fleet::store_call>;     // lease
@@ -147,6 +150,7 @@
     { Platform::read_configuration(text) } -> std::same_as<std::optional<routing::configuration>>;
     { Platform::read_gateway(text, text) } -> std::same_as<std::optional<fleet::gateway_registration>>;
     { Platform::read_quarantine(text, text) } -> std::same_as<std::optional<fleet::content_quarantine>>;
+    { Platform::read_answers(text, text) } -> std::same_as<std::optional<fleet::answered_content>>;
     { Platform::read_permit_key(text) } -> std::same_as<std::optional<fleet::permit_key>>;
     { Platform::read_permit(permit_key, text) } -> std::same_as<std::optional<fleet::request_permit>>;
 };
