--- a/review/world_3/world.cpp
+++ b/review/world_3/world.cpp
@@ -85,8 +85,9 @@
             static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
-// A free port of this host for TCP and UDP.
+// A port of this host that is free for TCP and UDP and was not given out before.
 std::string free_address(const std::string& own_host) {
+    static std::set<std::uint16_t> given_out;
     const int stream = ::socket(AF_INET, SOCK_STREAM, 0);
     const int datagrams = ::socket(AF_INET, SOCK_DGRAM, 0);
     sockaddr_in own{};
@@ -100,7 +101,8 @@
         ::bind(probe, reinterpret_cast<const sockaddr*>(&own), size);
         ::getsockname(probe, reinterpret_cast<sockaddr*>(&own), &size);
         ::close(probe);
-        is_free = ::bind(stream, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
+        is_free = given_out.insert(own.sin_port).second &&
+                  ::bind(stream, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
                   ::bind(datagrams, reinterpret_cast<const sockaddr*>(&own), size) == 0;
     }
     ::close(stream);
