--- a/review/16/dead_address.cpp
+++ b/review/16/dead_address.cpp
@@ -92,7 +92,7 @@
     for (const auto lost : lost_machines) {
         const auto began = review::clock::now();
         if (has_trouble) {
-            world.set_store(review::kv_store::state::busy);
+            world.set_store(review::kv_store::state::busy_with_pause);
         }
         std::this_thread::sleep_until(began + kill_after);
         std::erase(running, lost);
--- a/review/world_3/world.cpp
+++ b/review/world_3/world.cpp
@@ -120,12 +120,17 @@
 }
 
 void kv_store::set_state(state next) {
-    if (m_state == state::serving && next == state::busy) {
-        m_busy_since = clock::now();
+    if (next == state::busy_with_pause) {
+        m_paused_since = clock::now();
     }
-    if (m_state == state::busy && next == state::serving) {
+    if (m_state == state::busy_with_pause) {
         for (auto& [id, item] : m_leases) {
-            item.ends += clock::now() - m_busy_since;
+            item.ends += clock::now() - m_paused_since;
+        }
+    }
+    if (next == state::busy_with_lapse) {
+        while (!m_leases.empty()) {
+            end_lease(m_leases.begin()->first);
         }
     }
     m_state = next;
@@ -177,7 +182,7 @@
         co_await soak::sleep_for(lease_check);
         std::vector<std::int64_t> ended;
         for (const auto& [id, item] : m_leases) {
-            if (m_state == state::serving && item.ends <= clock::now()) {
+            if (m_state != state::busy_with_pause && item.ends <= clock::now()) {
                 ended.push_back(id);
             }
         }
@@ -193,7 +198,7 @@
     auto query = query_of(target);
     soak::http_response response;
     co_await soak::sleep_for(store_time);
-    if (m_state == state::busy) {
+    if (m_state != state::serving) {
         response = soak::make_response(503);
     } else if (path == "/kv-watch") {
         response = co_await watch(std::move(query));
@@ -272,7 +277,7 @@
         co_await timer.async_wait(redirect_error(use_awaitable, ignored));
         m_waiting.erase(&timer);
     }
-    if (m_state == state::busy) {
+    if (m_state != state::serving) {
         co_return soak::make_response(503);
     }
     json::array events;
@@ -496,7 +501,9 @@
 
 void world::set_store(kv_store::state state) {
     run_on_loop([&] { m_store.set_state(state); });
-    note(state == kv_store::state::busy ? "the store is down (503), leases pause" : "the store serves again");
+    note(state == kv_store::state::serving           ? "the store serves again"
+         : state == kv_store::state::busy_with_pause ? "the store is down (503), leases pause"
+                                                     : "the store is down (503), leases expire");
 }
 
 bool world::store_has(const std::string& key) {
--- a/review/world_3/world.hpp
+++ b/review/world_3/world.hpp
@@ -40,9 +40,9 @@
 public:
     explicit kv_store(boost::asio::io_context& context);
 
-    enum class state : std::uint8_t { serving, busy };
+    // While the store is busy, it answers 503, and its leases pause or expire.
+    enum class state : std::uint8_t { serving, busy_with_pause, busy_with_lapse };
 
-    // While the store is busy, it answers 503 and its leases pause.
     void set_state(state next);
     // As the operator and the servers write.
     void put(const std::string& key, const json::object& value);
@@ -78,7 +78,7 @@
     void wake_watches();
 
     state m_state = state::serving;
-    clock::time_point m_busy_since;
+    clock::time_point m_paused_since; // meaningful while leases pause
     std::map<std::string, item> m_items;
     std::vector<change> m_changes; // all since the start
     std::map<std::int64_t, lease> m_leases;
