--- a/review/world_3/world.cpp
+++ b/review/world_3/world.cpp
@@ -302,13 +302,13 @@
                  [this](soak::http_request request) { return handle(std::move(request)); }) {}
 
 json::object server::entry() const {
-    return {{"address", m_listener.address()},
-            {"born", 1'775'000'000'000},
-            {"info", json::object{{"service", m_spec.service},
-                                  {"version", "1"},
-                                  {"zone", m_spec.zone},
-                                  {"slots", m_spec.slots}}},
-            {"status", json::object{{"state", "ready"}, {"seq", 1}, {"coldLeftMs", 0}}}};
+    return {
+        {"address", m_listener.address()},
+        {"born", 1'775'000'000'000},
+        {"info",
+         json::object{
+             {"service", m_spec.service}, {"version", "1"}, {"zone", m_spec.zone}, {"slots", m_spec.slots}}},
+        {"status", json::object{{"state", "ready"}, {"seq", 1}, {"coldLeftMs", m_spec.cold_left.count()}}}};
 }
 
 boost::asio::awaitable<std::optional<soak::http_response>> server::handle(soak::http_request request) {
@@ -335,7 +335,9 @@
         co_return std::nullopt;
     }
     ++m_running;
-    co_await soak::sleep_for(m_spec.work);
+    constexpr int cold_factor = 2;
+    co_await soak::sleep_for(clock::now() < m_started + m_spec.cold_left ? m_spec.work * cold_factor
+                                                                         : m_spec.work);
     --m_running;
     auto response = soak::make_response(200, m_spec.service);
     response.set("Request-Id", id);
@@ -395,8 +397,10 @@
 boost::asio::awaitable<void> world::replace(server_spec crashed) {
     constexpr milliseconds back_after{2500};
     constexpr milliseconds silence{4500}; // three heartbeats
+    constexpr milliseconds cold_time{3000};
     auto next = crashed;
     next.id = crashed.id.substr(0, crashed.id.find('+')) + "+" + std::to_string(++m_crashes);
+    next.cold_left = cold_time;
     co_await soak::sleep_for(back_after);
     add_server(next);
     co_await soak::sleep_for(silence - back_after);
--- a/review/world_3/world.hpp
+++ b/review/world_3/world.hpp
@@ -103,6 +103,7 @@
     std::string zone;
     int slots = 6;
     milliseconds work{20};
+    milliseconds cold_left{}; // at its start
 
     bool operator==(const server_spec&) const = default;
 };
@@ -129,6 +130,7 @@
     server_spec m_spec;
     std::vector<run>& m_runs;
     int m_running = 0;
+    clock::time_point m_started = clock::now();
     request_predicate m_crashes = [](const soak::http_request&) { return false; };
     std::function<void()> m_on_crash;
     soak::http_server m_listener;
