review: Add case 17, refusals of HEAD requests that carry a body

The gateway's own answers have a body for every method. Behind a HEAD request it stands where the next answer of the connection is due (MIXED).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,13 +12,13 @@
 compile carawayway/json/base64.cpp "$out/base64.o" &
 compile carawayway/json/json.cpp "$out/json.o" &
 compile review/world_3/world.cpp "$out/world.o" &
-for source in review/1[4-6]/*.cpp; do
+for source in review/1[4-7]/*.cpp; do
     compile "$source" "$out/$(basename "$source" .cpp).o" &
 done
 for job in $(jobs -p); do
     wait "$job"
 done
-for source in review/1[4-6]/*.cpp; do
+for source in review/1[4-7]/*.cpp; do
     name="$(basename "$source" .cpp)"
     "${CXX:-g++}" -pthread "$out/$name.o" "$out/world.o" "$out/http_server.o" "$out/base64.o" "$out/json.o" -lfmt \
         -o "$out/$name"
